--- /dev/null
+++ b/internal/settings/settings.go
@@ -0,0 +1,126 @@
+package settings
+
+import "time"
+
+// Settings are the static settings of one process.
+type Settings struct {
+	// ID is unique in the fleet and stays the same across restarts. Letters, digits, dots and hyphens. Required.
+	ID string `json:"id"`
+	// DataCentre is the data centre of this host; it must be in DataCentres. Required.
+	DataCentre string `json:"data_centre"`
+	// DataCentres lists the names of all data centres of the fleet. Required.
+	DataCentres []string `json:"data_centres"`
+	// Entry is the listener for callers and for backend servers that announce themselves. Required for a node.
+	Entry *Entry `json:"entry,omitempty"`
+	// Fleet is the listener for the project's own processes and for operators. Required.
+	Fleet Listener `json:"fleet"`
+	// Admin is the listener for metrics, health and readiness. Required.
+	Admin Listener `json:"admin"`
+	// DataFolder holds the files of this process. Required for a control replica; a node without it keeps no counts across restarts.
+	DataFolder string `json:"data_folder,omitempty"`
+	// ControlReplicas lists the control replicas that form the first group. Required.
+	ControlReplicas []Replica `json:"control_replicas"`
+	// Peers lists fleet addresses of nodes to join through. A node needs at least one unless it is the only one.
+	Peers []string `json:"peers,omitempty"`
+	// Control is set on a host that runs a control replica.
+	Control *Control `json:"control,omitempty"`
+	// Log sets what is logged and how.
+	Log Log `json:"log"`
+}
+
+// Listener is one listening address.
+type Listener struct {
+	// Address to listen on, as ip:port. Required.
+	Address string `json:"address"`
+	// Advertise is the address that others connect to, as ip:port. Default: Address.
+	Advertise string `json:"advertise,omitempty"`
+}
+
+// Entry is the listener for callers.
+type Entry struct {
+	Listener
+	// HeaderTimeout bounds how long a caller may take to send its headers. Default: 5s. Range: 100ms to 1m.
+	HeaderTimeout Duration `json:"header_timeout,omitempty"`
+	// BodyTimeout bounds the gap between two reads of a request body. Default: 10s. Range: 100ms to 10m.
+	BodyTimeout Duration `json:"body_timeout,omitempty"`
+	// IdleTimeout closes caller connections without a request. Default: 60s. Range: 1s to 1h.
+	IdleTimeout Duration `json:"idle_timeout,omitempty"`
+	// MaxHeaderBytes bounds the request headers. Default: 32768. Range: 1024 to 1048576.
+	MaxHeaderBytes int `json:"max_header_bytes,omitempty"`
+	// MaxRequests bounds the requests in flight on this host. Default: 4096. Range: 1 to 1000000.
+	MaxRequests int `json:"max_requests,omitempty"`
+	// EndpointTTL is how long callers may keep an endpoint answer. Default: 5s. Range: 100ms to 5m.
+	EndpointTTL Duration `json:"endpoint_ttl,omitempty"`
+}
+
+// Control sets the control replica.
+type Control struct {
+	// RecordRetention is how long the outcome of an operation is kept. Default: 24h. Range: 1m to 720h.
+	RecordRetention Duration `json:"record_retention,omitempty"`
+	// SegmentBytes is the size at which a new segment is begun. Default: 67108864. Range: 4096 to 1073741824.
+	SegmentBytes int64 `json:"segment_bytes,omitempty"`
+}
+
+// Replica names one control replica.
+type Replica struct {
+	// ID of the replica's host. Required.
+	ID string `json:"id"`
+	// Address of the replica's fleet listener, as ip:port. Required.
+	Address string `json:"address"`
+}
+
+// Log sets what is logged and how.
+type Log struct {
+	// Level is debug, info, warn or error. Default: info.
+	Level string `json:"level,omitempty"`
+	// JSON writes each line as a JSON object. Default: false.
+	JSON bool `json:"json,omitempty"`
+}
+
+// Defaults of the settings.
+const (
+	DefaultHeaderTimeout   = 5 * time.Second
+	DefaultBodyTimeout     = 10 * time.Second
+	DefaultIdleTimeout     = time.Minute
+	DefaultMaxHeaderBytes  = 32 << 10
+	DefaultMaxRequests     = 4096
+	DefaultEndpointTTL     = 5 * time.Second
+	DefaultRecordRetention = 24 * time.Hour
+	DefaultSegmentBytes    = 64 << 20
+	DefaultLogLevel        = "info"
+)
+
+// setDefaults fills what the file leaves out.
+func (s *Settings) setDefaults() {
+	setAdvertise(&s.Fleet)
+	setAdvertise(&s.Admin)
+	setDefault(&s.Log.Level, DefaultLogLevel)
+	if s.Entry != nil {
+		s.Entry.setDefaults()
+	}
+	if s.Control != nil {
+		setDefault(&s.Control.RecordRetention, Duration(DefaultRecordRetention))
+		setDefault(&s.Control.SegmentBytes, DefaultSegmentBytes)
+	}
+}
+
+func (e *Entry) setDefaults() {
+	setAdvertise(&e.Listener)
+	setDefault(&e.HeaderTimeout, Duration(DefaultHeaderTimeout))
+	setDefault(&e.BodyTimeout, Duration(DefaultBodyTimeout))
+	setDefault(&e.IdleTimeout, Duration(DefaultIdleTimeout))
+	setDefault(&e.MaxHeaderBytes, DefaultMaxHeaderBytes)
+	setDefault(&e.MaxRequests, DefaultMaxRequests)
+	setDefault(&e.EndpointTTL, Duration(DefaultEndpointTTL))
+}
+
+func setAdvertise(l *Listener) {
+	setDefault(&l.Advertise, l.Address)
+}
+
+func setDefault[T comparable](field *T, value T) {
+	var zero T
+	if *field == zero {
+		*field = value
+	}
+}
