--- /dev/null
+++ b/internal/route/route.go
@@ -0,0 +1,51 @@
+// Package route defines what the request path reads from the accepted configuration.
+package route
+
+import (
+	"time"
+
+	"github.com/tarragonmux/tarragonmux/internal/priority"
+)
+
+// Match is the route that a request takes.
+type Match struct {
+	Route      string
+	Service    string
+	Priority   priority.Priority
+	Idempotent bool
+	// BodyLimit is the largest accepted request body in bytes.
+	BodyLimit int64
+	// DefaultDeadline applies when the caller states none.
+	DefaultDeadline time.Duration
+	// TargetLatency is the latency within which the answer counts as good; 0 if the service has no target.
+	TargetLatency time.Duration
+	// TargetShare is the share of requests that must be good; 0 if the service has no target.
+	TargetShare float64
+}
+
+// Team is a group of callers that share a quota.
+type Team struct {
+	ID string
+	// Weight is the team's share relative to other teams, at least 1.
+	Weight uint32
+	// InFlightQuota bounds the team's requests in flight on this node.
+	InFlightQuota uint32
+	// Services lists what the team may call; empty means all.
+	Services []string
+}
+
+// Snapshot is one immutable revision. It is safe for concurrent use.
+type Snapshot interface {
+	Revision() uint64
+	// Match finds the route of a request; ok is false if there is none.
+	Match(hostName, method, path string) (m Match, ok bool)
+	// Team returns the team, or the default team's settings for an unknown one.
+	Team(id string) Team
+	// HasService tells whether the service is configured.
+	HasService(service string) bool
+}
+
+// Source returns the snapshot in force, or nil before the first.
+type Source interface {
+	Current() Snapshot
+}
