Count service levels and report how fast their error budgets burn

Counters on the request path are atomics per service and priority; buckets of 10 s and 5 min are kept for 3 days and survive a restart on a host with a data folder. Caller faults are counted by kind but do not burn the budget.

--- /dev/null
+++ b/internal/burn/persist.go
@@ -0,0 +1,110 @@
+package burn
+
+import (
+	"os"
+	"path/filepath"
+	"time"
+
+	"github.com/pkg/errors"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/tarragonmux/tarragonmux/internal/priority"
+	"github.com/tarragonmux/tarragonmux/proto/fleetpb"
+)
+
+// fileName holds the counts under the data folder.
+const fileName = "burn.pb"
+
+// Load takes the counts of an earlier run from the folder. A missing file leaves the recorder as
+// new. A damaged file is reported and leaves it as new, too: counts are not worth a refused start.
+func (r *Recorder) Load(folder string, now time.Time) error {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.durable = true
+	data, err := os.ReadFile(filepath.Join(folder, fileName))
+	if os.IsNotExist(err) {
+		return nil
+	}
+	if err != nil {
+		return errors.Wrap(err, "read the service-level counts; check the data folder's permissions")
+	}
+	saved := &fleetpb.BurnReply{}
+	if err := proto.Unmarshal(data, saved); err != nil {
+		return errors.Wrap(err, "the file of service-level counts is damaged; counting starts anew")
+	}
+	r.restore(saved, now)
+	return nil
+}
+
+func (r *Recorder) restore(saved *fleetpb.BurnReply, now time.Time) {
+	r.since = time.Unix(saved.GetSinceS(), 0)
+	for _, p := range saved.GetSeries() {
+		rank, err := priority.Parse(p.GetPriority())
+		if err != nil || r.count >= maxSeries {
+			continue
+		}
+		s := newSeries()
+		s.target.Store(&Target{
+			Latency: time.Duration(p.GetTargetLatencyMs()) * time.Millisecond,
+			Share:   p.GetTargetShare(),
+		})
+		s.history.restore(p.GetBuckets())
+		s.history.compact(now)
+		r.series.Store(Key{Service: p.GetService(), Priority: rank}, s)
+		r.count++
+	}
+}
+
+func (h *history) restore(buckets []*fleetpb.BurnBucket) {
+	for _, p := range buckets {
+		b := bucketFromProto(p)
+		if time.Duration(p.GetSpanS())*time.Second == CoarseSpan {
+			h.coarse = append(h.coarse, b)
+			continue
+		}
+		h.fine = append(h.fine, b)
+	}
+}
+
+// Save writes the counts to the folder so that a crash at any moment leaves the old or the new file.
+func (r *Recorder) Save(folder, node string, now time.Time) error {
+	data, err := proto.Marshal(r.Reply(node, now))
+	if err != nil {
+		return errors.Wrap(err, "encode the service-level counts")
+	}
+	if err := os.MkdirAll(folder, 0o755); err != nil {
+		return errors.Wrap(err, "create the data folder; check its permissions")
+	}
+	file, err := os.CreateTemp(folder, fileName+".tmp-*")
+	if err != nil {
+		return errors.Wrap(err, "create a file in the data folder; check its permissions and free space")
+	}
+	defer os.Remove(file.Name())
+	if err := writeAndSync(file, data); err != nil {
+		return err
+	}
+	if err := os.Rename(file.Name(), filepath.Join(folder, fileName)); err != nil {
+		return errors.Wrap(err, "replace the service-level counts")
+	}
+	return syncFolder(folder)
+}
+
+func writeAndSync(file *os.File, data []byte) error {
+	_, err := file.Write(data)
+	if err == nil {
+		err = file.Sync()
+	}
+	if closeErr := file.Close(); err == nil {
+		err = closeErr
+	}
+	return errors.Wrap(err, "write the service-level counts; check the disk's free space")
+}
+
+func syncFolder(folder string) error {
+	dir, err := os.Open(folder)
+	if err != nil {
+		return errors.Wrap(err, "open the data folder")
+	}
+	defer dir.Close()
+	return errors.Wrap(dir.Sync(), "sync the data folder")
+}
--- /dev/null
+++ b/internal/burn/recorder.go
@@ -0,0 +1,197 @@
+package burn
+
+import (
+	"cmp"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/tarragonmux/tarragonmux/internal/priority"
+	"github.com/tarragonmux/tarragonmux/internal/problem"
+	"github.com/tarragonmux/tarragonmux/proto/fleetpb"
+)
+
+// maxSeries bounds the series of a node; services beyond it are not counted separately.
+const maxSeries = 4096
+
+// Key names a series.
+type Key struct {
+	Service  string
+	Priority priority.Priority
+}
+
+// Target is the service level of a series.
+type Target struct {
+	// Latency within which an answer counts as good; 0 means any.
+	Latency time.Duration
+	// Share of requests that must be good; 0 means that there is no target.
+	Share float64
+}
+
+type series struct {
+	counters counters
+	target   atomic.Pointer[Target]
+	history  history
+}
+
+// Recorder counts the requests of one node. It is safe for concurrent use; Answered and
+// Refused take no lock for a known series.
+type Recorder struct {
+	series sync.Map // of Key to *series
+
+	mu sync.Mutex
+	// count is the number of series.
+	count int
+	// current is the start of the fine bucket being filled.
+	current time.Time
+	// since is the time from which the counts are complete.
+	since   time.Time
+	durable bool
+}
+
+// NewRecorder returns a recorder that starts counting now.
+func NewRecorder(now time.Time) *Recorder {
+	return &Recorder{current: now.Truncate(FineSpan), since: now}
+}
+
+// kindIndex maps each kind to its counter. It is never written after initialisation.
+var kindIndex = func() map[problem.Kind]int {
+	index := map[problem.Kind]int{}
+	for i, kind := range problem.Kinds() {
+		index[kind] = i
+	}
+	return index
+}()
+
+// callerFaults are refusals that say nothing about the service.
+var callerFaults = map[problem.Kind]bool{
+	problem.NoRoute:        true,
+	problem.BadRequest:     true,
+	problem.BodyTooLarge:   true,
+	problem.HeaderTooLarge: true,
+	problem.KeyRequired:    true,
+	problem.KeyReuse:       true,
+	problem.Quota:          true,
+	problem.PoisonRequest:  true,
+	problem.Loop:           true,
+}
+
+// Answered counts a whole answer of a backend server.
+func (r *Recorder) Answered(k Key, t Target, status int, latency time.Duration) {
+	s := r.find(k)
+	if s == nil {
+		return
+	}
+	s.setTarget(t)
+	s.counters.total.Add(1)
+	if status < 500 && (t.Latency == 0 || latency <= t.Latency) {
+		s.counters.good.Add(1)
+	}
+}
+
+// Refused counts a refusal.
+func (r *Recorder) Refused(k Key, t Target, kind problem.Kind) {
+	s := r.find(k)
+	if s == nil {
+		return
+	}
+	s.setTarget(t)
+	s.counters.refusals[kindIndex[kind]].Add(1)
+	if !callerFaults[kind] {
+		s.counters.total.Add(1)
+	}
+}
+
+func (s *series) setTarget(t Target) {
+	if old := s.target.Load(); old == nil || *old != t {
+		s.target.Store(&t)
+	}
+}
+
+func (r *Recorder) find(k Key) *series {
+	if found, ok := r.series.Load(k); ok {
+		return found.(*series)
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if found, ok := r.series.Load(k); ok {
+		return found.(*series)
+	}
+	if r.count >= maxSeries {
+		return nil
+	}
+	r.count++
+	s := newSeries()
+	r.series.Store(k, s)
+	return s
+}
+
+func newSeries() *series {
+	return &series{counters: counters{refusals: make([]atomic.Uint64, len(problem.Kinds()))}}
+}
+
+// Roll ends the current fine bucket if its span has passed. Call it about every second.
+func (r *Recorder) Roll(now time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	start := now.Truncate(FineSpan)
+	if !start.After(r.current) {
+		return
+	}
+	r.series.Range(func(_, value any) bool {
+		s := value.(*series)
+		s.history.append(s.counters.take(r.current))
+		s.history.compact(now)
+		return true
+	})
+	r.current = start
+}
+
+// Reply returns all counts, with the current bucket included.
+func (r *Recorder) Reply(node string, now time.Time) *fleetpb.BurnReply {
+	r.Roll(now)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	reply := &fleetpb.BurnReply{Node: node, SinceS: r.since.Unix(), Durable: r.durable}
+	r.series.Range(func(key, value any) bool {
+		reply.Series = append(reply.Series, value.(*series).proto(key.(Key), r.current))
+		return true
+	})
+	slices.SortFunc(reply.Series, func(a, b *fleetpb.BurnSeries) int {
+		return cmp.Or(cmp.Compare(a.GetService(), b.GetService()), cmp.Compare(a.GetPriority(), b.GetPriority()))
+	})
+	return reply
+}
+
+func (s *series) proto(k Key, current time.Time) *fleetpb.BurnSeries {
+	p := &fleetpb.BurnSeries{Service: k.Service, Priority: k.Priority.String()}
+	if t := s.target.Load(); t != nil {
+		p.TargetShare = t.Share
+		p.TargetLatencyMs = t.Latency.Milliseconds()
+	}
+	for _, b := range s.history.coarse {
+		p.Buckets = append(p.Buckets, b.proto(CoarseSpan))
+	}
+	for _, b := range s.history.fine {
+		p.Buckets = append(p.Buckets, b.proto(FineSpan))
+	}
+	if open := s.counters.peek(current); !open.empty() {
+		p.Buckets = append(p.Buckets, open.proto(FineSpan))
+	}
+	return p
+}
+
+// peek copies the counters without emptying them.
+func (c *counters) peek(start time.Time) *bucket {
+	b := &bucket{start: start, good: c.good.Load(), total: c.total.Load()}
+	for i, kind := range problem.Kinds() {
+		if count := c.refusals[i].Load(); count > 0 {
+			if b.refusals == nil {
+				b.refusals = map[string]uint64{}
+			}
+			b.refusals[string(kind)] = count
+		}
+	}
+	return b
+}
--- /dev/null
+++ b/internal/burn/series.go
@@ -0,0 +1,119 @@
+package burn
+
+import (
+	"sync/atomic"
+	"time"
+
+	"github.com/tarragonmux/tarragonmux/internal/problem"
+	"github.com/tarragonmux/tarragonmux/proto/fleetpb"
+)
+
+// Spans and lengths of the kept buckets.
+const (
+	// FineSpan is the span of a recent bucket.
+	FineSpan = 10 * time.Second
+	// CoarseSpan is the span of an older bucket.
+	CoarseSpan = 5 * time.Minute
+	// fineKept is how long recent buckets are kept.
+	fineKept = time.Hour
+	// Kept is how long older buckets are kept.
+	Kept = 72 * time.Hour
+)
+
+// counters collect the current fine bucket. The request path adds; Roll takes.
+type counters struct {
+	good     atomic.Uint64
+	total    atomic.Uint64
+	refusals []atomic.Uint64
+}
+
+// bucket is the count of one span that ended.
+type bucket struct {
+	start    time.Time
+	good     uint64
+	total    uint64
+	refusals map[string]uint64
+}
+
+func (b *bucket) empty() bool {
+	return b.total == 0 && len(b.refusals) == 0
+}
+
+func (b *bucket) add(other *bucket) {
+	b.good += other.good
+	b.total += other.total
+	for kind, count := range other.refusals {
+		if b.refusals == nil {
+			b.refusals = map[string]uint64{}
+		}
+		b.refusals[kind] += count
+	}
+}
+
+// history holds the ended buckets of one series. One goroutine writes it under the recorder's lock.
+type history struct {
+	fine   []*bucket
+	coarse []*bucket
+}
+
+func (h *history) append(b *bucket) {
+	if !b.empty() {
+		h.fine = append(h.fine, b)
+	}
+}
+
+// compact moves fine buckets older than an hour into coarse ones and drops what is too old.
+func (h *history) compact(now time.Time) {
+	for len(h.fine) > 0 && now.Sub(h.fine[0].start) > fineKept {
+		h.addCoarse(h.fine[0])
+		h.fine = h.fine[1:]
+	}
+	for len(h.coarse) > 0 && now.Sub(h.coarse[0].start) > Kept {
+		h.coarse = h.coarse[1:]
+	}
+}
+
+func (h *history) addCoarse(b *bucket) {
+	start := b.start.Truncate(CoarseSpan)
+	last := len(h.coarse) - 1
+	if last < 0 || h.coarse[last].start.Before(start) {
+		h.coarse = append(h.coarse, &bucket{start: start})
+		last++
+	}
+	h.coarse[last].add(b)
+}
+
+// take empties the counters into a bucket.
+func (c *counters) take(start time.Time) *bucket {
+	b := &bucket{start: start, good: c.good.Swap(0), total: c.total.Swap(0)}
+	for i, kind := range problem.Kinds() {
+		count := c.refusals[i].Swap(0)
+		if count == 0 {
+			continue
+		}
+		if b.refusals == nil {
+			b.refusals = map[string]uint64{}
+		}
+		b.refusals[string(kind)] = count
+	}
+	return b
+}
+
+func (b *bucket) proto(span time.Duration) *fleetpb.BurnBucket {
+	return &fleetpb.BurnBucket{
+		StartS:   b.start.Unix(),
+		SpanS:    int64(span / time.Second),
+		Good:     b.good,
+		Total:    b.total,
+		Refusals: b.refusals,
+	}
+}
+
+func bucketFromProto(p *fleetpb.BurnBucket) *bucket {
+	return &bucket{
+		start:    time.Unix(p.GetStartS(), 0),
+		good:     p.GetGood(),
+		total:    p.GetTotal(),
+		refusals: p.GetRefusals(),
+	}
+}
