--- /dev/null
+++ b/internal/admin/admin.go
@@ -0,0 +1,114 @@
+// Package admin serves metrics, health and readiness of a process over HTTP.
+//
+// /healthz answers 200 while the process runs. /readyz answers 200 when every part
+// is ready to do its work and 503 with the reasons otherwise. /metrics is in the
+// Prometheus format.
+package admin
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sort"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/gorilla/mux"
+	"github.com/pkg/errors"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+
+	"github.com/tarragonmux/tarragonmux/internal/invariant"
+)
+
+const (
+	headerTimeout  = 5 * time.Second
+	maxHeaderBytes = 16 << 10
+)
+
+// NewRegistry returns a metrics registry with the process's own metrics and the invariant counters.
+func NewRegistry() *prometheus.Registry {
+	registry := prometheus.NewRegistry()
+	registry.MustRegister(
+		collectors.NewGoCollector(),
+		collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}),
+		prometheus.NewCounterFunc(prometheus.CounterOpts{
+			Name: "tarragonmux_invariant_violations_total",
+			Help: "Violated invariants; any value above 0 is a defect of the program.",
+		}, func() float64 { return float64(invariant.Total()) }),
+	)
+	return registry
+}
+
+// Readiness collects why a process is not ready. It is safe for concurrent use.
+type Readiness struct {
+	mu      sync.Mutex
+	reasons map[string]string
+}
+
+// NewReadiness returns a readiness in which every listed part is still starting.
+func NewReadiness(parts ...string) *Readiness {
+	r := &Readiness{reasons: map[string]string{}}
+	for _, part := range parts {
+		r.reasons[part] = "starting"
+	}
+	return r
+}
+
+// Set marks a part as ready when the reason is empty, and otherwise as not ready for the reason.
+func (r *Readiness) Set(part, reason string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if reason == "" {
+		delete(r.reasons, part)
+		return
+	}
+	r.reasons[part] = reason
+}
+
+// Reasons returns "part: reason" for each part that is not ready.
+func (r *Readiness) Reasons() []string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	reasons := make([]string, 0, len(r.reasons))
+	for part, reason := range r.reasons {
+		reasons = append(reasons, part+": "+reason)
+	}
+	sort.Strings(reasons)
+	return reasons
+}
+
+// Handler returns the handler of the admin listener.
+func Handler(registry *prometheus.Registry, readiness *Readiness) http.Handler {
+	router := mux.NewRouter()
+	router.Handle("/metrics", promhttp.HandlerFor(registry, promhttp.HandlerOpts{})).Methods(http.MethodGet)
+	router.HandleFunc("/healthz", func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = w.Write([]byte("ok\n"))
+	}).Methods(http.MethodGet)
+	router.HandleFunc("/readyz", func(w http.ResponseWriter, _ *http.Request) {
+		reasons := readiness.Reasons()
+		if len(reasons) > 0 {
+			http.Error(w, strings.Join(reasons, "\n"), http.StatusServiceUnavailable)
+			return
+		}
+		_, _ = w.Write([]byte("ready\n"))
+	}).Methods(http.MethodGet)
+	return router
+}
+
+// Serve answers on the listener until the context ends.
+func Serve(ctx context.Context, l net.Listener, handler http.Handler) error {
+	server := &http.Server{
+		Handler:           handler,
+		ReadHeaderTimeout: headerTimeout,
+		MaxHeaderBytes:    maxHeaderBytes,
+	}
+	stop := context.AfterFunc(ctx, func() { _ = server.Close() })
+	defer stop()
+	if err := server.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+		return errors.Wrap(err, "serve the admin listener")
+	}
+	return nil
+}
