--- /dev/null
+++ b/internal/bench/netem/netem.go
@@ -0,0 +1,225 @@
+// Package netem adds latency, cuts and freezes to connections on loopback, for
+// experiments with real processes. It works at the dialer, the one interface
+// through which every part opens connections, and simulates nothing else.
+//
+// A cut holds the bytes of one direction instead of dropping them, as TCP would
+// retransmit them after the cut ends. A frozen host neither sends nor receives.
+package netem
+
+import (
+	"context"
+	"io"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/tarragonmux/tarragonmux/internal/transport"
+)
+
+const (
+	chunkBytes = 16 << 10
+	// queuedChunks bounds the bytes under way in one direction of a connection.
+	queuedChunks = 64
+	// holdCheck is how often a held direction looks whether its cut has ended.
+	holdCheck = time.Millisecond
+)
+
+// Place is where an address lives.
+type Place struct {
+	Host       string
+	DataCentre string
+}
+
+// Delay returns the one-way latency between two data centres.
+type Delay func(from, to string) time.Duration
+
+// Network knows the places of addresses and the faults in force. It is safe for concurrent use.
+type Network struct {
+	dialer transport.Dialer
+	delay  Delay
+
+	mu     sync.RWMutex
+	places map[string]Place
+	// cuts holds directions between hosts that pass nothing.
+	cuts map[direction]bool
+	// frozen holds hosts that neither send nor receive.
+	frozen map[string]bool
+}
+
+type direction struct {
+	from, to string
+}
+
+// New returns a network without faults.
+func New(delay Delay) *Network {
+	return &Network{
+		dialer: transport.NewDialer(),
+		delay:  delay,
+		places: map[string]Place{},
+		cuts:   map[direction]bool{},
+		frozen: map[string]bool{},
+	}
+}
+
+// Add tells where an address (ip:port) lives. Unknown addresses are reached without latency.
+func (n *Network) Add(address string, p Place) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.places[address] = p
+}
+
+// Cut stops the direction between two hosts.
+func (n *Network) Cut(from, to string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.cuts[direction{from, to}] = true
+}
+
+// Heal ends the cut of the direction.
+func (n *Network) Heal(from, to string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	delete(n.cuts, direction{from, to})
+}
+
+// Freeze stops everything that a host sends and receives; with frozen false it goes on.
+func (n *Network) Freeze(host string, frozen bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if frozen {
+		n.frozen[host] = true
+		return
+	}
+	delete(n.frozen, host)
+}
+
+// HealAll ends every fault.
+func (n *Network) HealAll() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	clear(n.cuts)
+	clear(n.frozen)
+}
+
+func (n *Network) held(from, to string) bool {
+	n.mu.RLock()
+	defer n.mu.RUnlock()
+	return n.frozen[from] || n.frozen[to] || n.cuts[direction{from, to}]
+}
+
+func (n *Network) place(address string) Place {
+	n.mu.RLock()
+	defer n.mu.RUnlock()
+	return n.places[address]
+}
+
+// Dialer returns the dialer of one host.
+func (n *Network) Dialer(from Place) transport.Dialer {
+	return &dialer{network: n, from: from}
+}
+
+type dialer struct {
+	network *Network
+	from    Place
+}
+
+// DialContext opens a connection after one round trip of latency. While either direction is held it
+// waits until the context ends.
+func (d *dialer) DialContext(ctx context.Context, network, address string) (net.Conn, error) {
+	to := d.network.place(address)
+	delay := d.network.delay(d.from.DataCentre, to.DataCentre)
+	if err := d.network.waitOpen(ctx, d.from, to, 2*delay); err != nil {
+		return nil, err
+	}
+	conn, err := d.network.dialer.DialContext(ctx, network, address)
+	if err != nil {
+		return nil, errors.WithStack(err)
+	}
+	return d.network.wrap(conn, d.from, to, delay), nil
+}
+
+func (n *Network) waitOpen(ctx context.Context, from, to Place, latency time.Duration) error {
+	timer := time.NewTimer(latency)
+	defer timer.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return errors.Wrap(ctx.Err(), "dial through the emulated network")
+		case <-timer.C:
+		}
+		if !n.held(from.Host, to.Host) && !n.held(to.Host, from.Host) {
+			return nil
+		}
+		timer.Reset(holdCheck)
+	}
+}
+
+// pipedConn is the near end of an emulated connection. Addresses are those of the real connection.
+type pipedConn struct {
+	net.Conn
+	real net.Conn
+}
+
+func (c *pipedConn) LocalAddr() net.Addr  { return c.real.LocalAddr() }
+func (c *pipedConn) RemoteAddr() net.Addr { return c.real.RemoteAddr() }
+
+func (n *Network) wrap(conn net.Conn, from, to Place, delay time.Duration) net.Conn {
+	near, far := net.Pipe()
+	var once sync.Once
+	closeBoth := func() {
+		once.Do(func() {
+			_ = far.Close()
+			_ = conn.Close()
+		})
+	}
+	go n.carry(conn, far, from.Host, to.Host, delay, closeBoth)
+	go n.carry(far, conn, to.Host, from.Host, delay, closeBoth)
+	return &pipedConn{Conn: near, real: conn}
+}
+
+// chunk is bytes under way. The last chunk has none.
+type chunk struct {
+	due  time.Time
+	data []byte
+}
+
+// carry moves one direction of a connection until either end closes.
+func (n *Network) carry(dst io.Writer, src io.Reader, from, to string, delay time.Duration, done func()) {
+	queue := make(chan chunk, queuedChunks)
+	go readChunks(src, queue, delay)
+	defer done()
+	for c := range queue {
+		time.Sleep(time.Until(c.due))
+		for n.held(from, to) {
+			time.Sleep(holdCheck)
+		}
+		if len(c.data) == 0 {
+			break
+		}
+		if _, err := dst.Write(c.data); err != nil {
+			break
+		}
+	}
+	done()
+	// The reader may wait for room in the queue; closing both ends and emptying the queue ends it.
+	for range queue {
+		continue
+	}
+}
+
+func readChunks(src io.Reader, queue chan<- chunk, delay time.Duration) {
+	defer close(queue)
+	buffer := make([]byte, chunkBytes)
+	for {
+		count, err := src.Read(buffer)
+		if count > 0 {
+			queue <- chunk{due: time.Now().Add(delay), data: append([]byte(nil), buffer[:count]...)}
+		}
+		if err != nil {
+			queue <- chunk{due: time.Now().Add(delay)}
+			return
+		}
+	}
+}
--- /dev/null
+++ b/internal/bench/netem/netem_test.go
@@ -0,0 +1,82 @@
+package netem_test
+
+import (
+	"context"
+	"io"
+	"net"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/tarragonmux/tarragonmux/internal/bench/netem"
+)
+
+const oneWay = 5 * time.Millisecond
+
+func setUp(t *testing.T) (*netem.Network, net.Conn) {
+	t.Helper()
+	g := NewWithT(t)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	g.Expect(err).NotTo(HaveOccurred())
+	t.Cleanup(func() { _ = l.Close() })
+	go func() {
+		for {
+			conn, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() { _, _ = io.Copy(conn, conn) }()
+		}
+	}()
+	n := netem.New(func(_, _ string) time.Duration { return oneWay })
+	n.Add(l.Addr().String(), netem.Place{Host: "b", DataCentre: "2"})
+	conn, err := n.Dialer(netem.Place{Host: "a", DataCentre: "1"}).DialContext(context.Background(), "tcp", l.Addr().String())
+	g.Expect(err).NotTo(HaveOccurred())
+	t.Cleanup(func() { _ = conn.Close() })
+	return n, conn
+}
+
+func echo(conn net.Conn, wait time.Duration) error {
+	_ = conn.SetDeadline(time.Now().Add(wait))
+	if _, err := conn.Write([]byte("ping")); err != nil {
+		return err
+	}
+	_, err := io.ReadFull(conn, make([]byte, 4))
+	return err
+}
+
+// Without the latency an experiment would show figures that no network has.
+func TestLatencyIsAdded(t *testing.T) {
+	g := NewWithT(t)
+	_, conn := setUp(t)
+	start := time.Now()
+	g.Expect(echo(conn, time.Second)).To(Succeed())
+	g.Expect(time.Since(start)).To(BeNumerically(">=", 2*oneWay))
+}
+
+// A one-way cut must hold only its direction, and the held bytes must arrive after it.
+func TestOneWayCutHoldsAndReleases(t *testing.T) {
+	g := NewWithT(t)
+	n, conn := setUp(t)
+	n.Cut("b", "a")
+	g.Expect(echo(conn, 50*time.Millisecond)).NotTo(Succeed())
+	n.Heal("b", "a")
+	_ = conn.SetDeadline(time.Now().Add(time.Second))
+	_, err := io.ReadFull(conn, make([]byte, 4))
+	g.Expect(err).NotTo(HaveOccurred())
+	n.Cut("a", "c")
+	g.Expect(echo(conn, time.Second)).To(Succeed())
+}
+
+// A frozen host must stop both directions, and closing must not leak while frozen.
+func TestFreeze(t *testing.T) {
+	g := NewWithT(t)
+	n, conn := setUp(t)
+	n.Freeze("b", true)
+	g.Expect(echo(conn, 50*time.Millisecond)).NotTo(Succeed())
+	n.HealAll()
+	_ = conn.SetDeadline(time.Now().Add(time.Second))
+	_, err := io.ReadFull(conn, make([]byte, 4))
+	g.Expect(err).NotTo(HaveOccurred())
+}
