Add the configuration, its log, feed and store, and the operation records

FetchReply gains 'confirmed', so that one control replica that read the log from a majority is enough for a starting node to learn the newest revision.

--- /dev/null
+++ b/internal/configuration/apply.go
@@ -0,0 +1,81 @@
+package configuration
+
+import (
+	"slices"
+
+	"github.com/pkg/errors"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/tarragonmux/tarragonmux/proto/configpb"
+)
+
+// Errors of Apply.
+var (
+	// ErrNotNext means that the entry does not follow the document's revision.
+	ErrNotNext = errors.New("the entry does not follow the revision of the document; fetch the entries between, or the whole document")
+	// ErrUnknownChange means that the entry has a change that this program does not know.
+	ErrUnknownChange = errors.New("the entry has a kind of change that this program does not know; upgrade this host")
+)
+
+// Apply returns the document after the entry. It is a pure function of its arguments, and
+// it shares unchanged parts with the document it was given, which it does not modify. It
+// does not validate: a decided entry was validated by the replica that proposed it.
+// Errors: ErrNotNext, ErrUnknownChange.
+func Apply(d *configpb.Document, e *configpb.Entry) (*configpb.Document, error) {
+	if e.GetRevision() != d.GetRevision()+1 {
+		return nil, errors.WithStack(ErrNotNext)
+	}
+	next, ok := change(d, e.GetChange())
+	if !ok {
+		return nil, errors.WithStack(ErrUnknownChange)
+	}
+	next.Revision = e.GetRevision()
+	if hostsDiffer(d.GetHosts(), next.GetHosts()) {
+		next.PreviousHosts = d.GetHosts()
+		next.HostsRevision = e.GetRevision()
+	}
+	return next, nil
+}
+
+// ChangesHosts tells whether the change would alter the document's hosts.
+func ChangesHosts(d *configpb.Document, c *configpb.Change) bool {
+	next, ok := change(d, c)
+	return ok && hostsDiffer(d.GetHosts(), next.GetHosts())
+}
+
+// change returns a copy of the document with the change, at the same revision.
+func change(d *configpb.Document, c *configpb.Change) (*configpb.Document, bool) {
+	next := shallow(d)
+	switch k := c.GetKind().(type) {
+	case *configpb.Change_PutDataCentre:
+		next.DataCentres = put(d.GetDataCentres(), dataCentreKey, k.PutDataCentre)
+	case *configpb.Change_PutHost:
+		next.Hosts = put(d.GetHosts(), hostKey, k.PutHost)
+	case *configpb.Change_DeleteHost:
+		next.Hosts = remove(d.GetHosts(), hostKey, k.DeleteHost)
+	case *configpb.Change_PutService:
+		next.Services = put(d.GetServices(), serviceKey, canonicalService(k.PutService))
+	case *configpb.Change_DeleteService:
+		next.Services = remove(d.GetServices(), serviceKey, k.DeleteService)
+	case *configpb.Change_PutRoute:
+		next.Routes = put(d.GetRoutes(), routeKey, k.PutRoute)
+	case *configpb.Change_DeleteRoute:
+		next.Routes = remove(d.GetRoutes(), routeKey, k.DeleteRoute)
+	case *configpb.Change_PutTeam:
+		next.Teams = put(d.GetTeams(), teamKey, k.PutTeam)
+	case *configpb.Change_DeleteTeam:
+		next.Teams = remove(d.GetTeams(), teamKey, k.DeleteTeam)
+	case *configpb.Change_ReplaceAll:
+		next = Canonical(k.ReplaceAll.GetDocument())
+		next.Revision = d.GetRevision()
+		next.PreviousHosts = d.GetPreviousHosts()
+		next.HostsRevision = d.GetHostsRevision()
+	default:
+		return nil, false
+	}
+	return next, true
+}
+
+func hostsDiffer(a, b []*configpb.Host) bool {
+	return !slices.EqualFunc(a, b, func(x, y *configpb.Host) bool { return proto.Equal(x, y) })
+}
--- /dev/null
+++ b/internal/configuration/control/operator.go
@@ -0,0 +1,251 @@
+package control
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/pkg/errors"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/tarragonmux/tarragonmux/internal/agreement"
+	"github.com/tarragonmux/tarragonmux/internal/configuration"
+	"github.com/tarragonmux/tarragonmux/proto/configpb"
+)
+
+// DefaultHistory is how many entries History returns when no limit is set.
+const DefaultHistory = 20
+
+// ErrNoGroup means that this process cannot change the group of control replicas.
+var ErrNoGroup = errors.New("this process runs no control replica; send the request to a control replica")
+
+var (
+	_ configpb.DRPCOperatorServer = (*Log)(nil)
+	_ configpb.DRPCFeedServer     = (*Log)(nil)
+)
+
+// Apply validates and proposes one change. The verdict is in the reply; there are no errors.
+func (l *Log) Apply(ctx context.Context, r *configpb.ApplyRequest) (*configpb.ApplyReply, error) {
+	if fault := checkRequest(r); fault != nil {
+		return rejected(fault), nil
+	}
+	select {
+	case l.proposing <- struct{}{}:
+		defer func() { <-l.proposing }()
+	case <-ctx.Done():
+		return unavailable(), nil
+	}
+	reply := l.apply(ctx, r)
+	if reply.GetVerdict() == configpb.Verdict_VERDICT_ACCEPTED {
+		reply.Warnings = l.warnings(servicesOf(r.GetChange()))
+	}
+	return reply, nil
+}
+
+func checkRequest(r *configpb.ApplyRequest) *configuration.Rejection {
+	if _, err := uuid.Parse(r.GetRequestId()); err != nil {
+		return &configuration.Rejection{Field: "request_id", Reason: "it is not a UUID", Remedy: "set a new random UUID for each change, and keep it when sending the change again"}
+	}
+	return nil
+}
+
+func (l *Log) apply(ctx context.Context, r *configpb.ApplyRequest) *configpb.ApplyReply {
+	// The id may have been accepted through another replica, so the chain is read even if this
+	// replica already knows that the next revision is taken.
+	if err := l.catchUp(ctx); err != nil {
+		return l.known(r, unavailable())
+	}
+	if reply := l.judge(r); reply != nil {
+		return reply
+	}
+	return l.propose(ctx, r)
+}
+
+// known returns the verdict of the request id, or else the given reply.
+func (l *Log) known(r *configpb.ApplyRequest, otherwise *configpb.ApplyReply) *configpb.ApplyReply {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if reply, known := l.ledger.verdict(r.GetRequestId(), r.GetChange()); known {
+		return reply
+	}
+	return otherwise
+}
+
+// judge returns the verdict if it follows from what the replica knows, or nil if the change
+// is to be proposed.
+func (l *Log) judge(r *configpb.ApplyRequest) *configpb.ApplyReply {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if reply, known := l.ledger.verdict(r.GetRequestId(), r.GetChange()); known {
+		return reply
+	}
+	if r.GetExpectedRevision() > l.ledger.revision() {
+		return conflict(l.ledger.revision())
+	}
+	base, kept := l.ledger.at(r.GetExpectedRevision())
+	if !kept {
+		return conflict(l.ledger.revision())
+	}
+	if fault := configuration.Validate(base, r.GetChange()); fault != nil {
+		return rejected(fault)
+	}
+	if r.GetExpectedRevision() < l.ledger.revision() {
+		return conflict(l.ledger.revision())
+	}
+	if fault := l.admission(base, r.GetChange()); fault != nil {
+		return rejected(fault)
+	}
+	return nil
+}
+
+func (l *Log) propose(ctx context.Context, r *configpb.ApplyRequest) *configpb.ApplyReply {
+	entry := &configpb.Entry{
+		Revision:  r.GetExpectedRevision() + 1,
+		RequestId: r.GetRequestId(),
+		Author:    r.GetAuthor(),
+		TimeMs:    time.Now().UnixMilli(),
+		Change:    r.GetChange(),
+	}
+	value, err := proto.MarshalOptions{Deterministic: true}.Marshal(entry)
+	if err != nil {
+		return rejected(&configuration.Rejection{Field: "change", Reason: err.Error(), Remedy: "correct the change"})
+	}
+	bounded, cancel := context.WithTimeout(ctx, proposeTimeout)
+	defer cancel()
+	decided, err := l.options.Proposer.Propose(bounded, Prefix, entry.GetRevision(), value)
+	switch {
+	case errors.Is(err, agreement.ErrNoQuorum):
+		return unavailable()
+	case errors.Is(err, agreement.ErrCompacted):
+		return l.afterLoss(ctx, r)
+	case err != nil:
+		return &configpb.ApplyReply{
+			Verdict: configpb.Verdict_VERDICT_UNKNOWN,
+			Reason:  "no majority of the control replicas answered in time, so the change may or may not be accepted later",
+			Remedy:  "send the change again with the same request id",
+		}
+	}
+	if err := l.absorb(agreement.Chain{Decided: []agreement.Register{{Index: entry.GetRevision(), Value: decided}}}); err != nil {
+		l.options.Logger.Error("cannot apply a decided revision", "revision", entry.GetRevision(), "err", err)
+	}
+	return l.afterDecision(ctx, r, decided)
+}
+
+// afterDecision answers from the entry that was chosen in the register.
+func (l *Log) afterDecision(ctx context.Context, r *configpb.ApplyRequest, decided []byte) *configpb.ApplyReply {
+	chosen := &configpb.Entry{}
+	if err := proto.Unmarshal(decided, chosen); err != nil || chosen.GetRequestId() != r.GetRequestId() {
+		return l.afterLoss(ctx, r)
+	}
+	if !proto.Equal(chosen.GetChange(), r.GetChange()) {
+		return reusedID()
+	}
+	return accepted(chosen.GetRevision())
+}
+
+// afterLoss answers when another entry holds the register. The conflict names the newest
+// revision, so that the operator can base the next change on it.
+func (l *Log) afterLoss(ctx context.Context, r *configpb.ApplyRequest) *configpb.ApplyReply {
+	if err := l.catchUp(ctx); err != nil {
+		l.options.Logger.Debug("could not read the configuration log after a conflict", "err", err)
+	}
+	return l.known(r, conflict(max(l.Revision(), r.GetExpectedRevision()+1)))
+}
+
+// Get returns the newest document, as a majority knows it.
+// Errors: no majority of the control replicas answers.
+func (l *Log) Get(ctx context.Context, _ *configpb.GetRequest) (*configpb.GetReply, error) {
+	if err := l.catchUp(ctx); err != nil {
+		return nil, err
+	}
+	return &configpb.GetReply{Document: l.Document()}, nil
+}
+
+// History returns the newest entries, newest first.
+// Errors: no majority of the control replicas answers.
+func (l *Log) History(ctx context.Context, r *configpb.HistoryRequest) (*configpb.HistoryReply, error) {
+	if err := l.catchUp(ctx); err != nil {
+		return nil, err
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	limit := int(r.GetLimit())
+	if limit == 0 {
+		limit = DefaultHistory
+	}
+	recent := l.ledger.recent
+	recent = slices.Clone(recent[max(0, len(recent)-limit):])
+	slices.Reverse(recent)
+	return &configpb.HistoryReply{Entries: recent}, nil
+}
+
+// Status returns what this replica knows at once, also while no majority answers.
+func (l *Log) Status(_ context.Context, _ *configpb.StatusRequest) (*configpb.StatusReply, error) {
+	document := l.Document()
+	reply := &configpb.StatusReply{Revision: document.GetRevision(), Hosts: l.hostStatuses(document)}
+	reply.Warnings = l.warnings(document.GetServices())
+	if l.options.Group != nil {
+		reply.ReplicaState = l.options.Group.State()
+	}
+	return reply, nil
+}
+
+// ReplaceControl swaps one control replica for another.
+// Errors: ErrNoGroup, and those of the group.
+func (l *Log) ReplaceControl(ctx context.Context, r *configpb.ReplaceControlRequest) (*configpb.ReplaceControlReply, error) {
+	if l.options.Group == nil {
+		return nil, ErrNoGroup
+	}
+	epoch, err := l.options.Group.Replace(ctx, r.GetRemoveId(), r.GetAddId(), r.GetAddAddress())
+	if err != nil {
+		return nil, errors.WithMessage(err, "replace a control replica")
+	}
+	return &configpb.ReplaceControlReply{Epoch: epoch}, nil
+}
+
+// Fetch serves the feed. Without a wait the chain is first read from a majority, so that
+// the reply is known to be the newest; if no majority answers, the reply is unconfirmed.
+func (l *Log) Fetch(ctx context.Context, r *configpb.FetchRequest) (*configpb.FetchReply, error) {
+	confirmed := false
+	if r.GetWaitMs() == 0 {
+		confirmed = l.catchUp(ctx) == nil
+	}
+	reply := l.tail.Fetch(ctx, r)
+	reply.Confirmed = confirmed
+	return reply, nil
+}
+
+func accepted(revision uint64) *configpb.ApplyReply {
+	return &configpb.ApplyReply{Verdict: configpb.Verdict_VERDICT_ACCEPTED, Revision: revision}
+}
+
+func rejected(r *configuration.Rejection) *configpb.ApplyReply {
+	return &configpb.ApplyReply{Verdict: configpb.Verdict_VERDICT_REJECTED, Field: r.Field, Reason: r.Reason, Remedy: r.Remedy}
+}
+
+func reusedID() *configpb.ApplyReply {
+	return rejected(&configuration.Rejection{
+		Field:  "request_id",
+		Reason: "it was used for another change",
+		Remedy: "use a new request id for each change",
+	})
+}
+
+func conflict(revision uint64) *configpb.ApplyReply {
+	return &configpb.ApplyReply{
+		Verdict:  configpb.Verdict_VERDICT_CONFLICT,
+		Revision: revision,
+		Field:    "expected_revision",
+		Reason:   "another change holds the next revision",
+		Remedy:   "get the current document and base the change on it, with a new request id",
+	}
+}
+
+func unavailable() *configpb.ApplyReply {
+	return &configpb.ApplyReply{
+		Verdict: configpb.Verdict_VERDICT_UNAVAILABLE,
+		Reason:  "no majority of the control replicas answers; the change was not proposed",
+		Remedy:  "check the control hosts and their network, then send the change again",
+	}
+}
--- /dev/null
+++ b/internal/configuration/document.go
@@ -0,0 +1,109 @@
+package configuration
+
+import (
+	"cmp"
+	"slices"
+	"strings"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/tarragonmux/tarragonmux/proto/configpb"
+)
+
+// DefaultTeam is the id of the team whose settings unknown teams get.
+const DefaultTeam = "default"
+
+// Empty returns the document of revision 0, before the first change.
+func Empty() *configpb.Document {
+	return &configpb.Document{}
+}
+
+// Canonical returns a copy of the document with every part in its stored order: by name
+// or id, and priorities from urgent to background. The parts themselves are shared
+// unless they have to be reordered.
+func Canonical(d *configpb.Document) *configpb.Document {
+	c := shallow(d)
+	c.DataCentres = sortedBy(d.GetDataCentres(), dataCentreKey)
+	c.Hosts = sortedBy(d.GetHosts(), hostKey)
+	c.Services = sortedBy(d.GetServices(), serviceKey)
+	c.Routes = sortedBy(d.GetRoutes(), routeKey)
+	c.Teams = sortedBy(d.GetTeams(), teamKey)
+	for i, s := range c.Services {
+		c.Services[i] = canonicalService(s)
+	}
+	return c
+}
+
+// shallow copies the document; the copy shares all parts.
+func shallow(d *configpb.Document) *configpb.Document {
+	return &configpb.Document{
+		Revision:      d.GetRevision(),
+		DataCentres:   d.GetDataCentres(),
+		Hosts:         d.GetHosts(),
+		Services:      d.GetServices(),
+		Routes:        d.GetRoutes(),
+		Teams:         d.GetTeams(),
+		PreviousHosts: d.GetPreviousHosts(),
+		HostsRevision: d.GetHostsRevision(),
+	}
+}
+
+func canonicalService(s *configpb.Service) *configpb.Service {
+	byPriority := func(a, b *configpb.PriorityTarget) int { return cmp.Compare(a.GetPriority(), b.GetPriority()) }
+	if slices.IsSortedFunc(s.GetPriorities(), byPriority) {
+		return s
+	}
+	c := proto.CloneOf(s)
+	slices.SortStableFunc(c.Priorities, byPriority)
+	return c
+}
+
+func dataCentreKey(d *configpb.DataCentre) string { return d.GetName() }
+func hostKey(h *configpb.Host) string             { return h.GetId() }
+func serviceKey(s *configpb.Service) string       { return s.GetName() }
+func routeKey(r *configpb.Route) string           { return r.GetId() }
+func teamKey(t *configpb.Team) string             { return t.GetId() }
+
+func sortedBy[T any](items []T, key func(T) string) []T {
+	c := slices.Clone(items)
+	slices.SortStableFunc(c, func(a, b T) int { return strings.Compare(key(a), key(b)) })
+	return c
+}
+
+// find looks an item up in a part that is in its stored order.
+func find[T any](items []T, key func(T) string, id string) (item T, ok bool) {
+	i, ok := search(items, key, id)
+	if !ok {
+		return item, false
+	}
+	return items[i], true
+}
+
+func search[T any](items []T, key func(T) string, id string) (int, bool) {
+	return slices.BinarySearchFunc(items, id, func(item T, id string) int { return strings.Compare(key(item), id) })
+}
+
+// put returns a copy of the part with the item added or replaced.
+func put[T any](items []T, key func(T) string, item T) []T {
+	i, found := search(items, key, key(item))
+	if found {
+		c := slices.Clone(items)
+		c[i] = item
+		return c
+	}
+	c := make([]T, 0, len(items)+1)
+	c = append(c, items[:i]...)
+	c = append(c, item)
+	return append(c, items[i:]...)
+}
+
+// remove returns a copy of the part without the item.
+func remove[T any](items []T, key func(T) string, id string) []T {
+	i, found := search(items, key, id)
+	if !found {
+		return items
+	}
+	c := make([]T, 0, len(items)-1)
+	c = append(c, items[:i]...)
+	return append(c, items[i+1:]...)
+}
--- /dev/null
+++ b/internal/configuration/json_forms.go
@@ -0,0 +1,252 @@
+package configuration
+
+import (
+	"strings"
+
+	"github.com/tarragonmux/tarragonmux/internal/priority"
+	"github.com/tarragonmux/tarragonmux/proto/configpb"
+)
+
+// documentForm is the JSON form of a document. Revision, HostsRevision and PreviousHosts are
+// kept by the system: they are shown, and ignored when a document replaces another.
+type documentForm struct {
+	Revision      uint64           `json:"revision,omitempty"`
+	HostsRevision uint64           `json:"hosts_revision,omitempty"`
+	DataCentres   []dataCentreForm `json:"data_centres"`
+	Hosts         []hostForm       `json:"hosts"`
+	Services      []serviceForm    `json:"services"`
+	Routes        []routeForm      `json:"routes"`
+	Teams         []teamForm       `json:"teams"`
+	PreviousHosts []hostForm       `json:"previous_hosts,omitempty"`
+}
+
+type dataCentreForm struct {
+	Name   string `json:"name"`
+	Region string `json:"region"`
+}
+
+type hostForm struct {
+	ID           string `json:"id"`
+	DataCentre   string `json:"data_centre"`
+	EntryAddress string `json:"entry_address,omitempty"`
+	FleetAddress string `json:"fleet_address"`
+	Role         string `json:"role"`
+}
+
+type serviceForm struct {
+	Name                  string          `json:"name"`
+	DataCentres           []string        `json:"data_centres"`
+	MinimumHealthySlots   uint32          `json:"minimum_healthy_slots,omitempty"`
+	MinimumHealthyPercent uint32          `json:"minimum_healthy_percent,omitempty"`
+	SlotLimit             uint32          `json:"slot_limit"`
+	ConnectionLimit       uint32          `json:"connection_limit"`
+	Priorities            *prioritiesForm `json:"priorities"`
+}
+
+// prioritiesForm names the three priorities as members, the most urgent first.
+type prioritiesForm struct {
+	Urgent     *targetForm `json:"urgent"`
+	Normal     *targetForm `json:"normal"`
+	Background *targetForm `json:"background"`
+}
+
+type targetForm struct {
+	TargetLatencyMS int64   `json:"target_latency_ms"`
+	TargetShare     float64 `json:"target_share"`
+	MinimumShare    float64 `json:"minimum_share,omitempty"`
+}
+
+type routeForm struct {
+	ID                string   `json:"id"`
+	HostName          string   `json:"host_name,omitempty"`
+	PathPrefix        string   `json:"path_prefix"`
+	Methods           []string `json:"methods,omitempty"`
+	Service           string   `json:"service"`
+	Priority          string   `json:"priority"`
+	Idempotent        *bool    `json:"idempotent"`
+	BodyLimitBytes    int64    `json:"body_limit_bytes,omitempty"`
+	DefaultDeadlineMS int64    `json:"default_deadline_ms,omitempty"`
+}
+
+type teamForm struct {
+	ID            string   `json:"id"`
+	Weight        uint32   `json:"weight,omitempty"`
+	InFlightQuota uint32   `json:"in_flight_quota,omitempty"`
+	Services      []string `json:"services,omitempty"`
+}
+
+var roleNames = map[configpb.HostRole]string{
+	configpb.HostRole_HOST_ROLE_NODE:             "node",
+	configpb.HostRole_HOST_ROLE_CONTROL:          "control",
+	configpb.HostRole_HOST_ROLE_NODE_AND_CONTROL: "node-and-control",
+}
+
+func (f documentForm) proto() (*configpb.Document, *Rejection) {
+	d := &configpb.Document{Revision: f.Revision, HostsRevision: f.HostsRevision}
+	var fault *Rejection
+	if d.DataCentres, fault = collect("data_centres", f.DataCentres, dataCentreForm.proto); fault != nil {
+		return nil, fault
+	}
+	if d.Hosts, fault = collect("hosts", f.Hosts, hostForm.proto); fault != nil {
+		return nil, fault
+	}
+	if d.Services, fault = collect("services", f.Services, serviceForm.proto); fault != nil {
+		return nil, fault
+	}
+	if d.Routes, fault = collect("routes", f.Routes, routeForm.proto); fault != nil {
+		return nil, fault
+	}
+	if d.Teams, fault = collect("teams", f.Teams, teamForm.proto); fault != nil {
+		return nil, fault
+	}
+	d.PreviousHosts, fault = collect("previous_hosts", f.PreviousHosts, hostForm.proto)
+	return d, fault
+}
+
+func documentFormOf(d *configpb.Document) documentForm {
+	return documentForm{
+		Revision:      d.GetRevision(),
+		HostsRevision: d.GetHostsRevision(),
+		DataCentres:   each(d.GetDataCentres(), dataCentreFormOf),
+		Hosts:         each(d.GetHosts(), hostFormOf),
+		Services:      each(d.GetServices(), serviceFormOf),
+		Routes:        each(d.GetRoutes(), routeFormOf),
+		Teams:         each(d.GetTeams(), teamFormOf),
+		PreviousHosts: each(d.GetPreviousHosts(), hostFormOf),
+	}
+}
+
+func (f dataCentreForm) proto(string) (*configpb.DataCentre, *Rejection) {
+	return &configpb.DataCentre{Name: f.Name, Region: f.Region}, nil
+}
+
+func dataCentreFormOf(d *configpb.DataCentre) dataCentreForm {
+	return dataCentreForm{Name: d.GetName(), Region: d.GetRegion()}
+}
+
+func (f hostForm) proto(field string) (*configpb.Host, *Rejection) {
+	h := &configpb.Host{Id: f.ID, DataCentre: f.DataCentre, EntryAddress: f.EntryAddress, FleetAddress: f.FleetAddress}
+	for role, name := range roleNames {
+		if name == f.Role {
+			h.Role = role
+			return h, nil
+		}
+	}
+	return nil, reject(field+".role", "use node, control or node-and-control", "unknown role %q", f.Role)
+}
+
+func hostFormOf(h *configpb.Host) hostForm {
+	return hostForm{ID: h.GetId(), DataCentre: h.GetDataCentre(), EntryAddress: h.GetEntryAddress(), FleetAddress: h.GetFleetAddress(), Role: roleNames[h.GetRole()]}
+}
+
+func (f serviceForm) proto(field string) (*configpb.Service, *Rejection) {
+	if f.Priorities == nil {
+		return nil, reject(field+".priorities", "set urgent, normal and background", "it is missing")
+	}
+	targets, fault := f.Priorities.proto(field + ".priorities")
+	if fault != nil {
+		return nil, fault
+	}
+	return &configpb.Service{
+		Name:                  f.Name,
+		DataCentres:           f.DataCentres,
+		MinimumHealthySlots:   f.MinimumHealthySlots,
+		MinimumHealthyPercent: f.MinimumHealthyPercent,
+		SlotLimit:             f.SlotLimit,
+		ConnectionLimit:       f.ConnectionLimit,
+		Priorities:            targets,
+	}, nil
+}
+
+func serviceFormOf(s *configpb.Service) serviceForm {
+	return serviceForm{
+		Name:                  s.GetName(),
+		DataCentres:           s.GetDataCentres(),
+		MinimumHealthySlots:   s.GetMinimumHealthySlots(),
+		MinimumHealthyPercent: s.GetMinimumHealthyPercent(),
+		SlotLimit:             s.GetSlotLimit(),
+		ConnectionLimit:       s.GetConnectionLimit(),
+		Priorities:            prioritiesFormOf(s.GetPriorities()),
+	}
+}
+
+func (f prioritiesForm) members() [priority.Count]*targetForm {
+	return [priority.Count]*targetForm{f.Urgent, f.Normal, f.Background}
+}
+
+func (f prioritiesForm) proto(field string) ([]*configpb.PriorityTarget, *Rejection) {
+	var targets []*configpb.PriorityTarget
+	for p, t := range f.members() {
+		name := priority.Priority(p)
+		if t == nil {
+			return nil, reject(field+"."+name.String(), "set its target_latency_ms and target_share", "it is missing")
+		}
+		targets = append(targets, &configpb.PriorityTarget{
+			Priority:        name.Proto(),
+			TargetLatencyMs: t.TargetLatencyMS,
+			TargetShare:     t.TargetShare,
+			MinimumShare:    t.MinimumShare,
+		})
+	}
+	return targets, nil
+}
+
+func prioritiesFormOf(targets []*configpb.PriorityTarget) *prioritiesForm {
+	f := &prioritiesForm{}
+	for _, t := range targets {
+		form := &targetForm{TargetLatencyMS: t.GetTargetLatencyMs(), TargetShare: t.GetTargetShare(), MinimumShare: t.GetMinimumShare()}
+		switch t.GetPriority() {
+		case configpb.Priority_PRIORITY_URGENT:
+			f.Urgent = form
+		case configpb.Priority_PRIORITY_NORMAL:
+			f.Normal = form
+		case configpb.Priority_PRIORITY_BACKGROUND:
+			f.Background = form
+		}
+	}
+	return f
+}
+
+func (f routeForm) proto(field string) (*configpb.Route, *Rejection) {
+	p, err := priority.Parse(f.Priority)
+	if err != nil {
+		return nil, reject(field+".priority", "use urgent, normal or background", "unknown priority %q", f.Priority)
+	}
+	if f.Idempotent == nil {
+		return nil, reject(field+".idempotent", "set it to false if the work must run at most once, else to true", "it is missing")
+	}
+	return &configpb.Route{
+		Id:                f.ID,
+		HostName:          strings.ToLower(f.HostName),
+		PathPrefix:        f.PathPrefix,
+		Methods:           f.Methods,
+		Service:           f.Service,
+		Priority:          p.Proto(),
+		Idempotent:        *f.Idempotent,
+		BodyLimitBytes:    f.BodyLimitBytes,
+		DefaultDeadlineMs: f.DefaultDeadlineMS,
+	}, nil
+}
+
+func routeFormOf(r *configpb.Route) routeForm {
+	idempotent := r.GetIdempotent()
+	return routeForm{
+		ID:                r.GetId(),
+		HostName:          r.GetHostName(),
+		PathPrefix:        r.GetPathPrefix(),
+		Methods:           r.GetMethods(),
+		Service:           r.GetService(),
+		Priority:          priority.FromProto(r.GetPriority()).String(),
+		Idempotent:        &idempotent,
+		BodyLimitBytes:    r.GetBodyLimitBytes(),
+		DefaultDeadlineMS: r.GetDefaultDeadlineMs(),
+	}
+}
+
+func (f teamForm) proto(string) (*configpb.Team, *Rejection) {
+	return &configpb.Team{Id: f.ID, Weight: f.Weight, InFlightQuota: f.InFlightQuota, Services: f.Services}, nil
+}
+
+func teamFormOf(t *configpb.Team) teamForm {
+	return teamForm{ID: t.GetId(), Weight: t.GetWeight(), InFlightQuota: t.GetInFlightQuota(), Services: t.GetServices()}
+}
--- /dev/null
+++ b/internal/configuration/routes.go
@@ -0,0 +1,205 @@
+package configuration
+
+import (
+	"maps"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/tarragonmux/tarragonmux/internal/priority"
+	"github.com/tarragonmux/tarragonmux/internal/route"
+	"github.com/tarragonmux/tarragonmux/proto/configpb"
+)
+
+// Defaults of a route.
+const (
+	// DefaultBodyLimit is the body limit of idempotent routes in bytes.
+	DefaultBodyLimit = 10 << 20
+	// DefaultBufferedBodyLimit is the body limit of non-idempotent routes in bytes.
+	DefaultBufferedBodyLimit = 256 << 10
+	// DefaultDeadline applies to callers and routes that state none.
+	DefaultDeadline = 10 * time.Second
+)
+
+const maxHostNameBytes = 255
+
+// routeTable has one path tree per host name; the empty name holds the routes of every name.
+type routeTable map[string]*pathNode
+
+// pathNode is one segment of a path tree.
+type pathNode struct {
+	children map[string]*pathNode
+	// rules apply to the path that ends at this node and to all paths below it.
+	rules []methodRule
+}
+
+type methodRule struct {
+	// method is empty for a rule that holds for every method; such a rule stands last.
+	method string
+	match  route.Match
+}
+
+func compileRoutes(routes []*configpb.Route, services map[string]*configpb.Service) routeTable {
+	table := routeTable{}
+	for _, r := range routes {
+		table.add(r, services)
+	}
+	return table
+}
+
+// rebuilt returns a table with the trees of the named hosts built anew and all others shared.
+func (t routeTable) rebuilt(routes []*configpb.Route, services map[string]*configpb.Service, hostNames ...string) routeTable {
+	next := maps.Clone(t)
+	for _, name := range hostNames {
+		delete(next, name)
+	}
+	for _, r := range routes {
+		if slices.Contains(hostNames, r.GetHostName()) {
+			next.add(r, services)
+		}
+	}
+	return next
+}
+
+func (t routeTable) add(r *configpb.Route, services map[string]*configpb.Service) {
+	root, ok := t[r.GetHostName()]
+	if !ok {
+		root = &pathNode{}
+		t[r.GetHostName()] = root
+	}
+	node := root.descend(strings.Trim(r.GetPathPrefix(), "/"))
+	match := compileMatch(r, services[r.GetService()])
+	if len(r.GetMethods()) == 0 {
+		node.rules = append(node.rules, methodRule{match: match})
+		return
+	}
+	for _, m := range r.GetMethods() {
+		node.rules = slices.Insert(node.rules, 0, methodRule{method: m, match: match})
+	}
+}
+
+// descend returns the node of the path, which it creates if need be.
+func (n *pathNode) descend(path string) *pathNode {
+	if path == "" {
+		return n
+	}
+	for segment := range strings.SplitSeq(path, "/") {
+		child, ok := n.children[segment]
+		if !ok {
+			child = &pathNode{}
+			if n.children == nil {
+				n.children = map[string]*pathNode{}
+			}
+			n.children[segment] = child
+		}
+		n = child
+	}
+	return n
+}
+
+func compileMatch(r *configpb.Route, s *configpb.Service) route.Match {
+	m := route.Match{
+		Route:           r.GetId(),
+		Service:         r.GetService(),
+		Priority:        priority.FromProto(r.GetPriority()),
+		Idempotent:      r.GetIdempotent(),
+		BodyLimit:       bodyLimit(r),
+		DefaultDeadline: time.Duration(r.GetDefaultDeadlineMs()) * time.Millisecond,
+	}
+	if m.DefaultDeadline == 0 {
+		m.DefaultDeadline = DefaultDeadline
+	}
+	for _, t := range s.GetPriorities() {
+		if t.GetPriority() == r.GetPriority() {
+			m.TargetLatency = time.Duration(t.GetTargetLatencyMs()) * time.Millisecond
+			m.TargetShare = t.GetTargetShare()
+		}
+	}
+	return m
+}
+
+func bodyLimit(r *configpb.Route) int64 {
+	switch {
+	case r.GetBodyLimitBytes() > 0:
+		return r.GetBodyLimitBytes()
+	case r.GetIdempotent():
+		return DefaultBodyLimit
+	default:
+		return DefaultBufferedBodyLimit
+	}
+}
+
+func (t routeTable) match(hostName, method, path string) (route.Match, bool) {
+	if rule := t.tree(hostName).find(method, path); rule != nil {
+		return rule.match, true
+	}
+	if rule := t[""].find(method, path); rule != nil {
+		return rule.match, true
+	}
+	return route.Match{}, false
+}
+
+// tree returns the tree of the host name in any case, with or without a port, or nil.
+func (t routeTable) tree(hostName string) *pathNode {
+	name := withoutPort(hostName)
+	if name == "" || len(name) > maxHostNameBytes {
+		return nil
+	}
+	if root, ok := t[name]; ok {
+		return root
+	}
+	var lower [maxHostNameBytes]byte
+	for i := range len(name) {
+		lower[i] = name[i]
+		if 'A' <= name[i] && name[i] <= 'Z' {
+			lower[i] += 'a' - 'A'
+		}
+	}
+	return t[string(lower[:len(name)])]
+}
+
+func withoutPort(hostName string) string {
+	colon := strings.LastIndexByte(hostName, ':')
+	if colon < 0 || strings.HasSuffix(hostName, "]") {
+		return strings.TrimSuffix(hostName, ".")
+	}
+	return strings.TrimSuffix(hostName[:colon], ".")
+}
+
+// find returns the rule of the longest prefix that holds for the method, or nil. A path with
+// a dot segment matches nothing, since a backend server could resolve it to another route.
+func (n *pathNode) find(method, path string) *methodRule {
+	if n == nil {
+		return nil
+	}
+	best := n.rule(method)
+	node := n
+	rest := strings.TrimPrefix(path, "/")
+	for rest != "" {
+		segment, after, _ := strings.Cut(rest, "/")
+		if segment == "." || segment == ".." {
+			return nil
+		}
+		rest = after
+		if node == nil {
+			continue
+		}
+		node = node.children[segment]
+		if rule := node.rule(method); rule != nil {
+			best = rule
+		}
+	}
+	return best
+}
+
+func (n *pathNode) rule(method string) *methodRule {
+	if n == nil {
+		return nil
+	}
+	for i := range n.rules {
+		if n.rules[i].method == method || n.rules[i].method == "" {
+			return &n.rules[i]
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/configuration/snapshot.go
@@ -0,0 +1,135 @@
+package configuration
+
+import (
+	"sync/atomic"
+
+	"github.com/tarragonmux/tarragonmux/internal/invariant"
+	"github.com/tarragonmux/tarragonmux/internal/route"
+	"github.com/tarragonmux/tarragonmux/proto/configpb"
+)
+
+// Snapshot is one compiled revision. It is immutable and safe for concurrent use; lookups
+// take no locks and allocate nothing.
+type Snapshot struct {
+	document *configpb.Document
+	routes   routeTable
+	teams    teamTable
+	services map[string]*configpb.Service
+}
+
+var _ route.Snapshot = (*Snapshot)(nil)
+
+// Compile builds the snapshot of a document. The document must be in canonical order and
+// must not be modified afterwards.
+func Compile(d *configpb.Document) *Snapshot {
+	services := serviceTable(d.GetServices())
+	return &Snapshot{
+		document: d,
+		routes:   compileRoutes(d.GetRoutes(), services),
+		teams:    compileTeams(d.GetTeams()),
+		services: services,
+	}
+}
+
+// Advance builds the snapshot of the document that the change led to. It shares with s
+// what the change does not touch.
+func (s *Snapshot) Advance(d *configpb.Document, c *configpb.Change) *Snapshot {
+	next := &Snapshot{document: d, routes: s.routes, teams: s.teams, services: s.services}
+	switch k := c.GetKind().(type) {
+	case *configpb.Change_PutDataCentre, *configpb.Change_PutHost, *configpb.Change_DeleteHost:
+	case *configpb.Change_PutTeam:
+		next.teams = s.teams.with(k.PutTeam)
+	case *configpb.Change_DeleteTeam:
+		next.teams = s.teams.without(k.DeleteTeam)
+	case *configpb.Change_PutRoute:
+		next.routes = s.routes.rebuilt(d.GetRoutes(), s.services, s.hostNameOf(k.PutRoute.GetId()), k.PutRoute.GetHostName())
+	case *configpb.Change_DeleteRoute:
+		next.routes = s.routes.rebuilt(d.GetRoutes(), s.services, s.hostNameOf(k.DeleteRoute))
+	case *configpb.Change_PutService, *configpb.Change_DeleteService:
+		next.services = serviceTable(d.GetServices())
+		next.routes = compileRoutes(d.GetRoutes(), next.services)
+	default:
+		return Compile(d)
+	}
+	return next
+}
+
+func serviceTable(services []*configpb.Service) map[string]*configpb.Service {
+	table := make(map[string]*configpb.Service, len(services))
+	for _, s := range services {
+		table[s.GetName()] = s
+	}
+	return table
+}
+
+func (s *Snapshot) hostNameOf(routeID string) string {
+	r, _ := find(s.document.GetRoutes(), routeKey, routeID)
+	return r.GetHostName()
+}
+
+// Revision returns the revision of the document.
+func (s *Snapshot) Revision() uint64 { return s.document.GetRevision() }
+
+// Document returns the document that the snapshot was compiled from. It must not be modified.
+func (s *Snapshot) Document() *configpb.Document { return s.document }
+
+// Hosts returns the hosts in force, by id. It must not be modified.
+func (s *Snapshot) Hosts() []*configpb.Host { return s.document.GetHosts() }
+
+// PreviousHosts returns the hosts before the last change of hosts; elections need both majorities.
+func (s *Snapshot) PreviousHosts() []*configpb.Host { return s.document.GetPreviousHosts() }
+
+// HostsRevision returns the revision of the last change of hosts.
+func (s *Snapshot) HostsRevision() uint64 { return s.document.GetHostsRevision() }
+
+// Service returns the settings of a service; ok is false if it is not configured.
+func (s *Snapshot) Service(name string) (service *configpb.Service, ok bool) {
+	service, ok = s.services[name]
+	return service, ok
+}
+
+// HasService tells whether the service is configured.
+func (s *Snapshot) HasService(name string) bool {
+	_, ok := s.services[name]
+	return ok
+}
+
+// Match finds the route of a request: the routes of the host name come before those of
+// every name, then the longest path prefix wins, then a route that lists the method.
+func (s *Snapshot) Match(hostName, method, path string) (route.Match, bool) {
+	return s.routes.match(hostName, method, path)
+}
+
+// Team returns the team, or the team DefaultTeam for an unknown one, so that all unknown
+// teams share one quota.
+func (s *Snapshot) Team(id string) route.Team { return s.teams.get(id) }
+
+// Holder is the snapshot in force. Many goroutines may read it; one may write it.
+type Holder struct {
+	current atomic.Pointer[Snapshot]
+}
+
+var _ route.Source = (*Holder)(nil)
+
+// Current returns the snapshot in force, or nil before the first.
+func (h *Holder) Current() route.Snapshot {
+	if s := h.current.Load(); s != nil {
+		return s
+	}
+	return nil
+}
+
+// Snapshot returns the snapshot in force with its whole document, or nil before the first.
+func (h *Holder) Snapshot() *Snapshot { return h.current.Load() }
+
+// Set puts the snapshot in force, unless its revision is not above the one in force; then
+// it reports a violated invariant and returns false.
+func (h *Holder) Set(next *Snapshot) bool {
+	if now := h.current.Load(); now != nil {
+		if !invariant.Check(next.Revision() > now.Revision(), "configuration.revision-rises", "revision %d after %d", next.Revision(), now.Revision()) {
+			return false
+		}
+	}
+	h.current.Store(next)
+	return true
+}
--- /dev/null
+++ b/internal/configuration/store/file.go
@@ -0,0 +1,112 @@
+package store
+
+import (
+	"encoding/binary"
+	"hash/crc32"
+	"os"
+	"path/filepath"
+
+	"github.com/pkg/errors"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/tarragonmux/tarragonmux/proto/configpb"
+)
+
+const (
+	// fileName is the stored document within the folder: a CRC-32C in 4 bytes, big endian, and the document.
+	fileName      = "document"
+	temporaryName = "document.tmp"
+	checksumBytes = 4
+)
+
+var castagnoli = crc32.MakeTable(crc32.Castagnoli)
+
+// ErrDamaged means that the stored document does not match its checksum.
+var ErrDamaged = errors.New("the stored configuration is damaged; it is ignored and fetched anew")
+
+// file is the document stored in a folder; an empty folder name means none.
+type file struct {
+	folder string
+}
+
+// load returns the stored document, or nil if there is none.
+func (f file) load() (*configpb.Document, error) {
+	if f.folder == "" {
+		return nil, nil
+	}
+	data, err := os.ReadFile(filepath.Join(f.folder, fileName))
+	if os.IsNotExist(err) {
+		return nil, nil
+	}
+	if err != nil {
+		return nil, errors.Wrap(err, "read the stored configuration; check the data folder")
+	}
+	if len(data) < checksumBytes || binary.BigEndian.Uint32(data) != crc32.Checksum(data[checksumBytes:], castagnoli) {
+		return nil, errors.WithStack(ErrDamaged)
+	}
+	d := &configpb.Document{}
+	if err := proto.Unmarshal(data[checksumBytes:], d); err != nil {
+		return nil, errors.WithStack(ErrDamaged)
+	}
+	return d, nil
+}
+
+// save stores the document durably: it returns nil only once file and folder are synced.
+func (f file) save(d *configpb.Document) error {
+	if f.folder == "" {
+		return nil
+	}
+	data, err := proto.MarshalOptions{}.MarshalAppend(make([]byte, checksumBytes), d)
+	if err != nil {
+		return errors.Wrap(err, "encode the configuration; report this as a defect")
+	}
+	binary.BigEndian.PutUint32(data, crc32.Checksum(data[checksumBytes:], castagnoli))
+	if err := os.MkdirAll(f.folder, 0o755); err != nil {
+		return errors.Wrap(err, "create the folder of the configuration; check the data folder")
+	}
+	temporary := filepath.Join(f.folder, temporaryName)
+	if err := writeSynced(temporary, data); err != nil {
+		return err
+	}
+	if err := os.Rename(temporary, filepath.Join(f.folder, fileName)); err != nil {
+		return errors.Wrap(err, "rename the stored configuration; check the data folder")
+	}
+	return syncFolder(f.folder)
+}
+
+// remove deletes the stored document, so that a restart does not use an outdated one.
+func (f file) remove() error {
+	err := os.Remove(filepath.Join(f.folder, fileName))
+	if os.IsNotExist(err) {
+		return nil
+	}
+	return errors.Wrap(err, "remove the stored configuration; check the data folder")
+}
+
+func writeSynced(path string, data []byte) error {
+	out, err := os.Create(path)
+	if err != nil {
+		return errors.Wrap(err, "create the stored configuration; check the data folder")
+	}
+	if _, err := out.Write(data); err != nil {
+		_ = out.Close()
+		return errors.Wrap(err, "write the stored configuration; check the free space of the disk")
+	}
+	if err := out.Sync(); err != nil {
+		_ = out.Close()
+		return errors.Wrap(err, "sync the stored configuration; check the disk")
+	}
+	return errors.Wrap(out.Close(), "close the stored configuration; check the disk")
+}
+
+func syncFolder(path string) error {
+	folder, err := os.Open(path)
+	if err != nil {
+		return errors.Wrap(err, "open the folder of the configuration; check the data folder")
+	}
+	if err := folder.Sync(); err != nil {
+		_ = folder.Close()
+		return errors.Wrap(err, "sync the folder of the configuration; check the disk")
+	}
+	return errors.Wrap(folder.Close(), "close the folder of the configuration; check the disk")
+}
--- /dev/null
+++ b/internal/configuration/store/poll.go
@@ -0,0 +1,141 @@
+package store
+
+import (
+	"context"
+	"time"
+
+	"github.com/tarragonmux/tarragonmux/internal/configuration"
+	"github.com/tarragonmux/tarragonmux/proto/configpb"
+)
+
+const (
+	// pollWait is how long a control replica may hold a poll. It is short, since a replica
+	// that is silent cannot be told from one that has nothing new.
+	pollWait = 500 * time.Millisecond
+	// pollGrace is how long after the wait an answer must have arrived.
+	pollGrace = 700 * time.Millisecond
+	// pollPause is the least time between two polls that brought nothing.
+	pollPause = 50 * time.Millisecond
+	// firstPenalty and lastPenalty bound how long a silent replica is passed over.
+	firstPenalty = time.Second
+	lastPenalty  = 4 * time.Second
+)
+
+// rotation chooses which control replica to poll. It is a pure state machine.
+type rotation struct {
+	next     int
+	failures map[string]int
+	until    map[string]time.Time
+}
+
+func newRotation() *rotation {
+	return &rotation{failures: map[string]int{}, until: map[string]time.Time{}}
+}
+
+// choose returns the next replica in turn that is not passed over at present or, if all are,
+// the one whose penalty ends first with the time until then.
+func (r *rotation) choose(addresses []string, now time.Time) (address string, wait time.Duration) {
+	best := ""
+	for range addresses {
+		address := addresses[r.next%len(addresses)]
+		r.next++
+		if !now.Before(r.until[address]) {
+			return address, 0
+		}
+		if best == "" || r.until[address].Before(r.until[best]) {
+			best = address
+		}
+	}
+	return best, r.until[best].Sub(now)
+}
+
+func (r *rotation) succeeded(address string) {
+	delete(r.failures, address)
+	delete(r.until, address)
+}
+
+func (r *rotation) failed(address string, now time.Time) {
+	penalty := min(firstPenalty<<min(r.failures[address], 8), lastPenalty)
+	r.failures[address]++
+	r.until[address] = now.Add(penalty)
+}
+
+// poll follows the control replicas until the context ends.
+func (s *Store) poll(ctx context.Context) error {
+	turns := newRotation()
+	for ctx.Err() == nil {
+		address, wait := turns.choose(controlAddresses(s.options.Control, s.document()), time.Now())
+		if wait > 0 {
+			pause(ctx, wait)
+		}
+		began := s.Revision()
+		if err := s.fetch(ctx, address, pollWait); err != nil {
+			turns.failed(address, time.Now())
+			s.options.Logger.Debug("could not poll a control replica", "address", address, "err", err)
+		} else {
+			turns.succeeded(address)
+		}
+		if s.Revision() == began {
+			pause(ctx, pollPause)
+		}
+	}
+	return nil
+}
+
+// fetch asks a process for what is newer than the revision in force and applies it.
+func (s *Store) fetch(ctx context.Context, address string, wait time.Duration) error {
+	bounded, cancel := context.WithTimeout(ctx, wait+pollGrace)
+	defer cancel()
+	reply, err := s.options.Client.Fetch(bounded, address, s.request(s.Revision(), wait))
+	if err != nil {
+		return err
+	}
+	return s.accept(reply)
+}
+
+func (s *Store) request(revision uint64, wait time.Duration) *configpb.FetchRequest {
+	return &configpb.FetchRequest{
+		Revision: revision,
+		WaitMs:   wait.Milliseconds(),
+		From:     &configpb.HostStatus{Id: s.options.ID, DataCentre: s.options.DataCentre, Revision: s.Revision()},
+	}
+}
+
+// controlAddresses lists the control replicas of the settings, then those of the document.
+func controlAddresses(configured []string, d *configpb.Document) []string {
+	addresses := newAddressSet("")
+	addresses.add(configured...)
+	for _, h := range d.GetHosts() {
+		if configuration.RunsControl(h) {
+			addresses.add(h.GetFleetAddress())
+		}
+	}
+	return addresses.list
+}
+
+// addressSet is a list without repetitions.
+type addressSet struct {
+	list []string
+	seen map[string]bool
+}
+
+// newAddressSet returns a set that leaves out the empty address and the excluded one.
+func newAddressSet(excluded string) *addressSet {
+	return &addressSet{seen: map[string]bool{"": true, excluded: true}}
+}
+
+func (s *addressSet) add(addresses ...string) {
+	for _, a := range addresses {
+		if !s.seen[a] {
+			s.seen[a] = true
+			s.list = append(s.list, a)
+		}
+	}
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	select {
+	case <-time.After(d):
+	case <-ctx.Done():
+	}
+}
--- /dev/null
+++ b/internal/configuration/teams.go
@@ -0,0 +1,92 @@
+package configuration
+
+import (
+	"maps"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/tarragonmux/tarragonmux/internal/route"
+	"github.com/tarragonmux/tarragonmux/proto/configpb"
+)
+
+const (
+	// DefaultInFlightQuota applies while neither the team nor the default team sets a quota.
+	DefaultInFlightQuota = 256
+	// teamShards keeps a change of one team from copying the whole table: with 60,000 teams
+	// a shard has about 234.
+	teamShards = 256
+)
+
+// teamTable is a hash map of teams in shards; a shard is never modified once it is shared.
+type teamTable struct {
+	shards   *[teamShards]map[string]route.Team
+	fallback route.Team
+}
+
+func shardOf(id string) uint64 { return xxhash.Sum64String(id) % teamShards }
+
+func compileTeams(teams []*configpb.Team) teamTable {
+	t := teamTable{shards: &[teamShards]map[string]route.Team{}, fallback: compileTeam(&configpb.Team{Id: DefaultTeam})}
+	for _, team := range teams {
+		t.add(team)
+	}
+	return t
+}
+
+func compileTeam(t *configpb.Team) route.Team {
+	return route.Team{
+		ID:            t.GetId(),
+		Weight:        max(t.GetWeight(), 1),
+		InFlightQuota: t.GetInFlightQuota(),
+		Services:      t.GetServices(),
+	}
+}
+
+func (t *teamTable) add(team *configpb.Team) {
+	compiled := compileTeam(team)
+	if team.GetId() == DefaultTeam {
+		t.fallback = compiled
+	}
+	shard := &t.shards[shardOf(team.GetId())]
+	if *shard == nil {
+		*shard = map[string]route.Team{}
+	}
+	(*shard)[team.GetId()] = compiled
+}
+
+// copied returns a table whose shard of the id may be modified.
+func (t teamTable) copied(id string) teamTable {
+	shards := *t.shards
+	i := shardOf(id)
+	shards[i] = maps.Clone(shards[i])
+	return teamTable{shards: &shards, fallback: t.fallback}
+}
+
+func (t teamTable) with(team *configpb.Team) teamTable {
+	next := t.copied(team.GetId())
+	next.add(team)
+	return next
+}
+
+func (t teamTable) without(id string) teamTable {
+	next := t.copied(id)
+	delete(next.shards[shardOf(id)], id)
+	if id == DefaultTeam {
+		next.fallback = compileTeam(&configpb.Team{Id: DefaultTeam})
+	}
+	return next
+}
+
+func (t teamTable) get(id string) route.Team {
+	team, ok := t.shards[shardOf(id)][id]
+	if !ok {
+		team = t.fallback
+	}
+	if team.InFlightQuota == 0 {
+		team.InFlightQuota = t.fallback.InFlightQuota
+	}
+	if team.InFlightQuota == 0 {
+		team.InFlightQuota = DefaultInFlightQuota
+	}
+	return team
+}
--- /dev/null
+++ b/internal/configuration/validate_routes.go
@@ -0,0 +1,116 @@
+package configuration
+
+import (
+	"slices"
+	"strings"
+
+	"github.com/tarragonmux/tarragonmux/proto/configpb"
+)
+
+func validateRoute(field string, r *configpb.Route, d *configpb.Document) *Rejection {
+	return firstRejection(
+		func() *Rejection { return validateName(field+".id", r.GetId(), maxNameBytes) },
+		func() *Rejection { return validateHostName(field+".host_name", r.GetHostName()) },
+		func() *Rejection { return validatePath(field+".path_prefix", r.GetPathPrefix()) },
+		func() *Rejection { return validateMethods(field+".methods", r.GetMethods()) },
+		func() *Rejection { return validateRouteTarget(field, r, d) },
+		func() *Rejection { return validateRouteLimits(field, r) },
+	)
+}
+
+func validateRouteTarget(field string, r *configpb.Route, d *configpb.Document) *Rejection {
+	if _, ok := find(d.GetServices(), serviceKey, r.GetService()); !ok {
+		return reject(field+".service", "put the service first", "service %q does not exist", r.GetService())
+	}
+	if r.GetPriority() < configpb.Priority_PRIORITY_URGENT || r.GetPriority() > configpb.Priority_PRIORITY_BACKGROUND {
+		return reject(field+".priority", "use urgent, normal or background", "it is missing or unknown")
+	}
+	return nil
+}
+
+func validateRouteLimits(field string, r *configpb.Route) *Rejection {
+	most := int64(maxBodyBytes)
+	if !r.GetIdempotent() {
+		// Bodies of requests that must not repeat are held in memory for their fingerprint.
+		most = maxBufferedBytes
+	}
+	if fault := validateRange(field+".body_limit_bytes", r.GetBodyLimitBytes(), 0, most); fault != nil {
+		return fault
+	}
+	return validateRange(field+".default_deadline_ms", r.GetDefaultDeadlineMs(), 0, maxDeadlineMS)
+}
+
+func validateHostName(field, name string) *Rejection {
+	if name == "" {
+		return nil
+	}
+	if len(name) > maxHostNameBytes || !hostNamePattern.MatchString(name) {
+		return reject(field, "write a lower-case host name without a port, or leave it empty for every name", "%.140q is not a valid host name", name)
+	}
+	return nil
+}
+
+func validatePath(field, path string) *Rejection {
+	const remedy = `write an absolute path without a trailing slash, such as "/orders", or "/"`
+	if path == "/" {
+		return nil
+	}
+	if len(path) > maxPathBytes || !strings.HasPrefix(path, "/") {
+		return reject(field, remedy, "%.140q is not a valid path prefix", path)
+	}
+	for _, segment := range strings.Split(path[1:], "/") {
+		if segment == "" || segment == "." || segment == ".." || strings.ContainsAny(segment, "?#%*\x00 ") {
+			return reject(field, remedy, "%.140q has the invalid segment %.80q", path, segment)
+		}
+	}
+	return nil
+}
+
+func validateMethods(field string, methods []string) *Rejection {
+	if len(methods) > maxMethodsPerRule {
+		return reject(field, "leave it empty for every method", "it lists %d methods", len(methods))
+	}
+	for i, m := range methods {
+		if !methodPattern.MatchString(m) || len(m) > maxNameBytes {
+			return reject(field, "write upper-case methods, such as GET", "%.80q is not a valid method", m)
+		}
+		if slices.Index(methods, m) != i {
+			return reject(field, "remove one of the two", "method %s is listed twice", m)
+		}
+	}
+	return nil
+}
+
+// overlap tells whether two routes would match the same request with equal rank.
+func overlap(a, b *configpb.Route) bool {
+	if a.GetHostName() != b.GetHostName() || a.GetPathPrefix() != b.GetPathPrefix() {
+		return false
+	}
+	if len(a.GetMethods()) == 0 || len(b.GetMethods()) == 0 {
+		return len(a.GetMethods()) == len(b.GetMethods())
+	}
+	return slices.ContainsFunc(a.GetMethods(), func(m string) bool { return slices.Contains(b.GetMethods(), m) })
+}
+
+func overlapping(field string, r, other *configpb.Route) *Rejection {
+	return reject(field, "change host name, path prefix or methods of one of them", "route %q matches the same requests as route %q", r.GetId(), other.GetId())
+}
+
+// place is where a route applies; routes at one place may overlap.
+type place struct {
+	hostName, path string
+}
+
+func validateOverlaps(routes []*configpb.Route) *Rejection {
+	places := make(map[place][]*configpb.Route, len(routes))
+	for _, r := range routes {
+		at := place{r.GetHostName(), r.GetPathPrefix()}
+		for _, other := range places[at] {
+			if overlap(r, other) {
+				return overlapping("routes", r, other)
+			}
+		}
+		places[at] = append(places[at], r)
+	}
+	return nil
+}
--- a/proto/generate.sh
+++ b/proto/generate.sh
@@ -8,4 +8,4 @@
 PATH="$bin:$PATH" protoc -I . \
   --go_out=. --go_opt=paths=source_relative \
   --go-drpc_out=. --go-drpc_opt=paths=source_relative \
-  configpb/config.proto agreementpb/agreement.proto dispatchpb/dispatch.proto fleetpb/fleet.proto
+  configpb/config.proto agreementpb/agreement.proto dispatchpb/dispatch.proto fleetpb/fleet.proto recordspb/records.proto
