--- /dev/null
+++ b/internal/dispatch/classify.go
@@ -0,0 +1,180 @@
+package dispatch
+
+import (
+	"slices"
+	"time"
+)
+
+const (
+	// pathBlockFor is how long a bad path is routed around first; it doubles at each repeat.
+	pathBlockFor = 5 * time.Second
+	// pathBlockCap bounds the doubled time.
+	pathBlockCap = time.Minute
+	// isolateFor is how long the evidence of a node does not count after its paths looked bad.
+	isolateFor = 2 * time.Second
+)
+
+// classify decides what the evidence against a server means: overload of the service, a bad path
+// or a bad server. Crash requests are told apart before, in observeBreak.
+func (m *Machine) classify(now time.Time, s *server, p *proof, why cause) {
+	if s.state != inRotation || m.serviceBad(now) {
+		return
+	}
+	if len(p.nodes) < 2 && m.activeNodes(now) > 1 {
+		// One node alone may have a bad path; the doubt asks other nodes to confirm.
+		s.doubted = true
+		return
+	}
+	if m.onlyForeign(s, p) {
+		m.blockCentres(now, s, p)
+		return
+	}
+	if why != causeStall && m.othersSucceed(now, s, p) {
+		m.blockCentres(now, s, p)
+		return
+	}
+	m.eject(now, s, why)
+}
+
+// activeNodes counts the nodes that sent something within the window.
+func (m *Machine) activeNodes(now time.Time) int {
+	count := 0
+	for _, n := range m.nodes {
+		if n.connected && now.Sub(n.lastAnswer) < sampleWindow {
+			count++
+		}
+	}
+	return count
+}
+
+// onlyForeign tells whether no node of the server's own data centre is among the evidence though
+// the host set has such nodes. The network between the data centres is then the likely cause.
+func (m *Machine) onlyForeign(s *server, p *proof) bool {
+	for _, n := range p.nodes {
+		if n.dataCentre == s.DataCentre {
+			return false
+		}
+	}
+	for _, member := range m.config.Members {
+		if member.DataCentre == s.DataCentre {
+			return true
+		}
+	}
+	return false
+}
+
+// othersSucceed tells whether all evidence is from one data centre while another data centre
+// got answers from the server within the window.
+func (m *Machine) othersSucceed(now time.Time, s *server, p *proof) bool {
+	centre := p.nodes[0].dataCentre
+	for _, n := range p.nodes {
+		if n.dataCentre != centre {
+			return false
+		}
+	}
+	for i := len(s.samples) - 1; i >= 0; i-- {
+		x := &s.samples[i]
+		if now.Sub(x.at) > sampleWindow {
+			break
+		}
+		usual := x.latency < slowFactor*max(m.latencies.p50, 1)
+		if !x.failed && usual && x.node.dataCentre != centre {
+			return true
+		}
+	}
+	return false
+}
+
+func (m *Machine) blockCentres(now time.Time, s *server, p *proof) {
+	for _, n := range p.nodes {
+		if n.dataCentre != s.DataCentre || !m.onlyForeign(s, p) {
+			m.blockPath(now, s, n.centreKey)
+		}
+	}
+}
+
+func (m *Machine) blockPath(now time.Time, s *server, key string) {
+	p := s.path(key)
+	if now.Before(p.blockedUntil) {
+		return
+	}
+	if now.Sub(p.blockedAt) > repeatWithin {
+		p.blocks = 0
+	}
+	p.blockedAt = now
+	p.blockedUntil = now.Add(min(pathBlockFor<<min(p.blocks, 10), pathBlockCap))
+	p.blocks++
+	m.stats.PathBlocks++
+}
+
+// judgePaths finds nodes and data centres that get no answers from servers that answer others.
+func (m *Machine) judgePaths(now time.Time) {
+	threshold := m.threshold()
+	for _, n := range m.nodes {
+		n.overdueServers = 0
+	}
+	for _, s := range m.servers {
+		m.overdue = m.overdue[:0]
+		for _, r := range s.inflight {
+			if !r.firstByte && r.age(now) >= threshold && r.credible(now, threshold) {
+				m.overdue = append(m.overdue, r)
+			}
+		}
+		m.judgeServerPaths(now, s)
+	}
+	m.isolateNodes(now)
+}
+
+func (m *Machine) judgeServerPaths(now time.Time, s *server) {
+	for i, r := range m.overdue {
+		if !r.node.lastAnswer.After(r.sent) && m.firstOfNode(i) {
+			r.node.overdueServers++
+		}
+		othersAnswered := s.lastAnswer.After(r.sent)
+		if !othersAnswered {
+			continue
+		}
+		// Two overdue requests of one node, or of two nodes of one data centre, with no answer on that path since.
+		if !s.path(r.node.nodeKey).lastAnswer.After(r.sent) && m.countOverdue(func(x *request) bool { return x.node == r.node }) >= 2 {
+			m.blockPath(now, s, r.node.nodeKey)
+		}
+		sameCentre := func(x *request) bool { return x.node != r.node && x.node.dataCentre == r.node.dataCentre }
+		if !s.path(r.node.centreKey).lastAnswer.After(r.sent) && m.countOverdue(sameCentre) >= 1 {
+			m.blockPath(now, s, r.node.centreKey)
+		}
+	}
+}
+
+func (m *Machine) firstOfNode(i int) bool {
+	n := m.overdue[i].node
+	return !slices.ContainsFunc(m.overdue[:i], func(x *request) bool { return x.node == n })
+}
+
+func (m *Machine) countOverdue(match func(*request) bool) int {
+	count := 0
+	for _, r := range m.overdue {
+		if match(r) {
+			count++
+		}
+	}
+	return count
+}
+
+// isolateNodes ignores the evidence of nodes that get no answers from several servers. If many
+// nodes look so, the servers are the likelier cause.
+func (m *Machine) isolateNodes(now time.Time) {
+	suspects := 0
+	for _, n := range m.nodes {
+		if n.overdueServers >= 2 {
+			suspects++
+		}
+	}
+	if suspects == 0 || 3*suspects > len(m.nodes) {
+		return
+	}
+	for _, n := range m.nodes {
+		if n.overdueServers >= 2 {
+			n.isolatedUntil = now.Add(isolateFor)
+		}
+	}
+}
--- /dev/null
+++ b/internal/dispatch/detect.go
@@ -0,0 +1,313 @@
+package dispatch
+
+import (
+	"math"
+	"time"
+)
+
+const (
+	// slowSamples is the least number of samples for slowness.
+	slowSamples = 5
+	// slowFactor is how much slower than the others a bad server's median is.
+	slowFactor = 3
+	// errorSamples is the least number of samples for a failure rate.
+	errorSamples = 5
+	// failureFloor is the failure rate that is assumed of a healthy server at least.
+	failureFloor = 0.02
+	// significance bounds the probability that a healthy server shows such evidence by chance. A
+	// dispatcher judges some ten independent windows per second, so one false alarm takes over a day.
+	significance = 1e-6
+	// quantilesEvery is how often the latency quantiles are computed.
+	quantilesEvery = 200 * time.Millisecond
+	// sweepEvery is how often expired state is dropped.
+	sweepEvery = 100 * time.Millisecond
+	// backlogFor is how long requests must wait without a gap to count as overload.
+	backlogFor = 200 * time.Millisecond
+	// badFor is how long the service counts as overloaded after most servers looked bad.
+	badFor = 500 * time.Millisecond
+)
+
+// Tick evaluates the evidence and moves time-driven state. Call it every TickEvery.
+func (m *Machine) Tick(now time.Time) {
+	if now.Before(m.started.Add(CollectFor)) {
+		return
+	}
+	if !m.collected {
+		m.collected = true
+		m.inherit(now)
+	}
+	m.refreshQuantiles(now)
+	if now.Sub(m.lastSweep) >= sweepEvery {
+		m.lastSweep = now
+		m.sweepNodes(now)
+		m.sweepQueue(now)
+		m.crashes.sweep(now)
+		m.recordPeak(now)
+		m.reserve(now)
+	}
+	m.moveConditions(now)
+	m.judgePaths(now)
+	m.judgeOverload(now)
+	m.judgeServers(now)
+	m.enforceMinimum(now)
+	m.pump(now)
+}
+
+func (m *Machine) refreshQuantiles(now time.Time) {
+	if now.Sub(m.lastQuantiles) < quantilesEvery {
+		return
+	}
+	m.lastQuantiles = now
+	for _, s := range m.servers {
+		s.latency.decay(now)
+	}
+	m.latencies = serviceLatencies(m.servers)
+	m.tail = m.usualTail()
+}
+
+// usualTail is the median over the servers of the share of answers slower than slowFactor medians.
+func (m *Machine) usualTail() float64 {
+	m.rates = m.rates[:0]
+	for _, s := range m.servers {
+		if s.latency.total >= trustedSamples {
+			m.rates = append(m.rates, s.latency.above(slowFactor*m.latencies.p50))
+		}
+	}
+	return medianRate(m.rates)
+}
+
+// moveConditions ends probations and holds, recovers weights and judges overdue canaries.
+func (m *Machine) moveConditions(now time.Time) {
+	for _, s := range m.servers {
+		s.recoverWeight(now)
+		if (s.state == ejectedServer || s.state == held) && !now.Before(s.stateUntil) {
+			s.state = onCanary
+		}
+		if s.state != onCanary {
+			continue
+		}
+		for _, r := range s.inflight {
+			if r.canary && !r.firstByte && r.age(now) >= m.threshold() {
+				m.failCanary(now, s)
+				break
+			}
+		}
+	}
+}
+
+// judgeOverload sets the doubts and finds out whether the service as a whole is slow.
+func (m *Machine) judgeOverload(now time.Time) {
+	if m.queue.length() == 0 {
+		m.backlogAt = time.Time{}
+	} else if m.backlogAt.IsZero() {
+		m.backlogAt = now
+	}
+	active, doubted := 0, 0
+	for _, s := range m.servers {
+		if !s.healthy(now) {
+			continue
+		}
+		m.doubt(now, s)
+		if len(s.inflight) == 0 && now.Sub(s.lastGrant) > sampleWindow {
+			continue
+		}
+		active++
+		if s.doubted {
+			doubted++
+		}
+	}
+	if active > 1 && 2*doubted > active || m.medianRose(now) {
+		m.badAt = now
+	}
+	backlog := !m.backlogAt.IsZero() && now.Sub(m.backlogAt) >= backlogFor
+	m.overload = backlog || m.serviceBad(now)
+}
+
+// serviceBad tells whether most servers looked bad a moment ago.
+func (m *Machine) serviceBad(now time.Time) bool {
+	return !m.badAt.IsZero() && now.Sub(m.badAt) < badFor
+}
+
+// doubt marks a server whose oldest request waits unusually long with no answer since.
+func (m *Machine) doubt(now time.Time, s *server) {
+	limit := m.doubtAge()
+	for _, r := range s.inflight {
+		if !r.firstByte && r.age(now) >= limit && !s.lastAnswer.After(r.sent.Add(limit)) {
+			s.doubted = true
+			return
+		}
+	}
+	if s.doubted && len(s.inflight) == 0 && now.Sub(s.lastGrant) > sampleWindow {
+		s.doubted = false
+	}
+}
+
+// medianRose tells whether the recent median of all servers is twice the usual one.
+func (m *Machine) medianRose(now time.Time) bool {
+	if !m.latencies.known {
+		return false
+	}
+	m.values = m.values[:0]
+	for _, s := range m.servers {
+		m.values = s.recent(now, sampleWindow/4, m.values)
+	}
+	return len(m.values) >= 2*slowSamples && median(m.values) >= 2*m.latencies.p50
+}
+
+// recent appends the latencies of the answers within the window.
+func (s *server) recent(now time.Time, window time.Duration, out []time.Duration) []time.Duration {
+	for i := len(s.samples) - 1; i >= 0; i-- {
+		x := &s.samples[i]
+		if now.Sub(x.at) > window {
+			break
+		}
+		if !x.failed {
+			out = append(out, x.latency)
+		}
+	}
+	return out
+}
+
+// judgeServers collects the evidence on each server and classifies it.
+func (m *Machine) judgeServers(now time.Time) {
+	for _, s := range m.servers {
+		if !s.healthy(now) {
+			continue
+		}
+		if p := m.stallProof(now, s); m.stalled(now, s, &p) {
+			m.classify(now, s, &p, causeStall)
+			continue
+		}
+		if p, bad := m.errorProof(now, s); bad {
+			m.classify(now, s, &p, causeError)
+			continue
+		}
+		if p, bad := m.slowProof(now, s); bad {
+			m.classify(now, s, &p, causeSlow)
+		}
+	}
+}
+
+// errorProof compares the failure rate of the server with the median of the others. A request
+// that is sent again and again counts once.
+func (m *Machine) errorProof(now time.Time, s *server) (p proof, bad bool) {
+	failed, total := s.failures(now, &p)
+	if total < errorSamples || failed < 2 {
+		return p, false
+	}
+	m.rates = m.rates[:0]
+	for _, other := range m.servers {
+		if other == s {
+			continue
+		}
+		if f, n := other.failures(now, nil); n > 0 {
+			m.rates = append(m.rates, float64(f)/float64(n))
+		}
+	}
+	usual := max(1.5*medianRate(m.rates), failureFloor)
+	return p, binomialTail(total, failed, usual) < significance
+}
+
+func (s *server) failures(now time.Time, p *proof) (failed, total int) {
+	for i := len(s.samples) - 1; i >= 0; i-- {
+		x := &s.samples[i]
+		if now.Sub(x.at) > sampleWindow {
+			break
+		}
+		if x.failed && s.failedLater(i) {
+			continue
+		}
+		total++
+		if !x.failed {
+			continue
+		}
+		failed++
+		if p != nil {
+			p.note(x.node, x.sent)
+		}
+	}
+	return failed, total
+}
+
+// failedLater tells whether a later failed sample has the same fingerprint.
+func (s *server) failedLater(i int) bool {
+	fingerprint := s.samples[i].fingerprint
+	if fingerprint == 0 {
+		return false
+	}
+	for _, x := range s.samples[i+1:] {
+		if x.failed && x.fingerprint == fingerprint {
+			return true
+		}
+	}
+	return false
+}
+
+// slowProof compares the latencies of the server with those of the others at the same time.
+// Requests that already wait longer than slowFactor medians count as slow samples.
+func (m *Machine) slowProof(now time.Time, s *server) (p proof, bad bool) {
+	if !m.latencies.known {
+		return p, false
+	}
+	usual := m.othersMedian(now, s)
+	if usual == 0 {
+		return p, false
+	}
+	limit := slowFactor * usual
+	slow, total := 0, 0
+	for i := len(s.samples) - 1; i >= 0; i-- {
+		x := &s.samples[i]
+		if now.Sub(x.at) > sampleWindow/2 {
+			break
+		}
+		if x.failed {
+			continue
+		}
+		total++
+		if x.latency >= limit {
+			slow++
+			p.note(x.node, x.sent)
+		}
+	}
+	for _, r := range s.inflight {
+		if !r.firstByte && r.age(now) >= limit && r.credible(now, limit) {
+			total++
+			slow++
+			p.note(r.node, r.sent)
+		}
+	}
+	if total < slowSamples || 2*slow <= total {
+		return p, false
+	}
+	return p, binomialTail(total, slow, max(m.tail, failureFloor)) < significance
+}
+
+// othersMedian is the median latency of the other servers over the last second.
+func (m *Machine) othersMedian(now time.Time, s *server) time.Duration {
+	m.values = m.values[:0]
+	for _, other := range m.servers {
+		if other != s && other.healthy(now) {
+			m.values = other.recent(now, sampleWindow/2, m.values)
+		}
+	}
+	if len(m.values) < slowSamples {
+		return 0
+	}
+	return max(median(m.values), m.latencies.p50)
+}
+
+// binomialTail is the probability of at least k successes in n trials of probability p.
+func binomialTail(n, k int, p float64) float64 {
+	if k <= 0 || p >= 1 {
+		return 1
+	}
+	sum := 0.0
+	term := math.Pow(1-p, float64(n))
+	for i := 0; i <= n; i++ {
+		if i >= k {
+			sum += term
+		}
+		term *= float64(n-i) / float64(i+1) * p / (1 - p)
+	}
+	return sum
+}
--- /dev/null
+++ b/internal/dispatch/doc.go
@@ -0,0 +1,30 @@
+// Package dispatch decides which request of a service goes to which backend server, and when.
+//
+// A Machine holds the state of one service at its dispatcher: the queues, the requests in flight,
+// the evidence on each server and the budgets. It is a pure state machine: events come in with the
+// time, and actions (grants, refusals, advice to retry) come out. Package dispatchrpc runs it.
+//
+// # What operators see
+//
+// Requests are served in order of priority. A lower priority keeps its configured minimum share of
+// slot time while more urgent work floods. Within a priority, teams are served in turn by weight,
+// and within a team the earliest deadline goes first. A server never has more requests in flight
+// than its slots and connections.
+//
+// Requests are refused with queue-full when the queue of their priority is full (50 requests per
+// announced slot, at least 256); the team with the most queued requests loses its newest.
+// deadline-unmeetable means that too little time is left; no-capacity that no server may serve the
+// request, or that a retry or hedge exceeds the budget of 10% of the granted requests plus 3 over
+// 10 s; poison-request that two servers crashed while they ran the same request in the last 10 min.
+//
+// Servers that stall, fail or are slow are ejected for 5 s, twice as long at each repeat, up to
+// 5 min, and return after one successful request. Ejections never take the healthy capacity below
+// the minimum of the service; a bad server that must stay gets one slot. Nothing is ejected while
+// more than half of the servers look bad (overload), or while the evidence comes from one node or
+// from other data centres only (a bad path, which is routed around).
+//
+// # Settings
+//
+// The minimum healthy capacity, the minimum shares of the priorities, the default slots and
+// connections of a server and the host set come from the accepted configuration (Config).
+package dispatch
--- /dev/null
+++ b/internal/dispatch/ejection.go
@@ -0,0 +1,222 @@
+package dispatch
+
+import (
+	"time"
+
+	"github.com/tarragonmux/tarragonmux/internal/grant"
+	"github.com/tarragonmux/tarragonmux/internal/invariant"
+)
+
+const (
+	// probation is the time without work after a first ejection.
+	probation = 5 * time.Second
+	// probationCap bounds the doubled probation.
+	probationCap = 5 * time.Minute
+	// repeatWithin is the time within which a further ejection counts as a repeat.
+	repeatWithin = 10 * time.Minute
+	// limitedFor is how long a server that may not be ejected stays at one slot after the last evidence.
+	limitedFor = time.Second
+)
+
+// cause of an ejection.
+type cause uint8
+
+const (
+	causeStall cause = iota + 1
+	causeError
+	causeSlow
+	causeRefused
+	causeCanary
+	causeInherited
+)
+
+func (m *Machine) announcedSlots() int {
+	total := 0
+	for _, s := range m.servers {
+		if s.present {
+			total += s.Slots
+		}
+	}
+	return total
+}
+
+// healthyCapacity is the sum of the slots of the servers in rotation.
+func (m *Machine) healthyCapacity(now time.Time) int {
+	total := 0
+	for _, s := range m.servers {
+		if s.healthy(now) {
+			total += s.Slots
+		}
+	}
+	return total
+}
+
+// minimum is the healthy capacity below which nothing is ejected.
+func (m *Machine) minimum(now time.Time) int {
+	if m.config.MinimumHealthySlots > 0 {
+		return m.config.MinimumHealthySlots
+	}
+	highest := 0
+	oldest := now.Unix()/60 - peakMinutes
+	for _, p := range m.peaks {
+		if p.minute > oldest {
+			highest = max(highest, p.slots)
+		}
+	}
+	return (highest*m.config.MinimumHealthyPercent + 99) / 100
+}
+
+func (m *Machine) recordPeak(now time.Time) {
+	minute := now.Unix() / 60
+	p := &m.peaks[minute%peakMinutes]
+	if p.minute != minute {
+		*p = peak{minute: minute}
+	}
+	p.slots = max(p.slots, m.announcedSlots())
+}
+
+// allowed tells whether taking the server out keeps the minimum.
+func (m *Machine) allowed(now time.Time, s *server) bool {
+	after := m.healthyCapacity(now)
+	if s.healthy(now) {
+		after -= s.Slots
+	}
+	return after >= m.minimum(now)
+}
+
+// eject takes a server out of rotation, or limits it to one slot if the minimum forbids that.
+func (m *Machine) eject(now time.Time, s *server, why cause) {
+	if s.state == ejectedServer {
+		return
+	}
+	if s.state == inRotation && !m.allowed(now, s) {
+		m.limitToOne(now, s)
+		return
+	}
+	wasHealthy := s.healthy(now)
+	m.setProbation(now, s)
+	s.state = ejectedServer
+	m.stats.Ejections++
+	if wasHealthy {
+		healthy, minimum := m.healthyCapacity(now), m.minimum(now)
+		invariant.Check(healthy >= minimum, "dispatch.minimum-capacity",
+			"ejecting %s leaves %d healthy slots of at least %d", s.Instance, healthy, minimum)
+	}
+	if why == causeStall {
+		m.advise(s)
+	}
+	s.forget(now)
+}
+
+func (m *Machine) limitToOne(now time.Time, s *server) {
+	if !now.Before(s.limitedUntil) {
+		m.stats.EjectionsDenied++
+	}
+	s.limitedUntil = now.Add(limitedFor)
+}
+
+func (m *Machine) setProbation(now time.Time, s *server) {
+	if s.lastEjected.IsZero() || now.Sub(s.lastEjected) > repeatWithin {
+		s.ejections = 0
+	}
+	wait := min(probation<<min(s.ejections, 10), probationCap)
+	s.ejections++
+	s.lastEjected = now
+	s.stateUntil = now.Add(wait)
+}
+
+// hold takes a server that crashed out of rotation for a short time.
+func (m *Machine) hold(now time.Time, s *server) {
+	if s.state == inRotation && !m.allowed(now, s) {
+		m.limitToOne(now, s)
+		return
+	}
+	s.holds++
+	s.state = held
+	s.stateUntil = now.Add(min(holdFor<<min(s.holds-1, 10), holdCap))
+}
+
+// advise tells the nodes to retry the idempotent requests that wait at the server.
+func (m *Machine) advise(s *server) {
+	if m.overload {
+		return
+	}
+	for _, r := range s.inflight {
+		if !r.Idempotent || r.firstByte || r.advised {
+			continue
+		}
+		r.advised = true
+		m.actions = append(m.actions, Action{Kind: Advised, Node: r.node.id, ID: r.ID})
+	}
+}
+
+// judgeCanary returns the server to rotation or ejects it again.
+func (m *Machine) judgeCanary(now time.Time, r *request, result grant.Result, latency time.Duration) {
+	s := r.server
+	if !r.canary || s.state != onCanary {
+		return
+	}
+	switch result {
+	case grant.OK:
+		if latency <= m.threshold()/2 {
+			m.putBack(now, s)
+			return
+		}
+		m.failCanary(now, s)
+	case grant.Error, grant.ConnectFailed, grant.Broken, grant.Timeout:
+		m.failCanary(now, s)
+	}
+}
+
+func (m *Machine) failCanary(now time.Time, s *server) {
+	if s.crashHeld() {
+		m.hold(now, s)
+		return
+	}
+	m.eject(now, s, causeCanary)
+}
+
+// crashHeld tells whether the server left rotation by a crash and not by an ejection.
+func (s *server) crashHeld() bool {
+	return s.holds > 0
+}
+
+// putBack returns a server to rotation with one slot.
+func (m *Machine) putBack(now time.Time, s *server) {
+	s.state = inRotation
+	s.holds = 0
+	s.forget(now)
+	s.grow(now)
+	m.stats.Returns++
+}
+
+// enforceMinimum returns the least bad servers when the announced capacity falls.
+func (m *Machine) enforceMinimum(now time.Time) {
+	minimum := m.minimum(now)
+	for m.healthyCapacity(now) < minimum {
+		var least *server
+		for _, s := range m.servers {
+			if s.state == inRotation || !s.usable(now) {
+				continue
+			}
+			if least == nil || s.ejections < least.ejections ||
+				s.ejections == least.ejections && s.lastEjected.Before(least.lastEjected) {
+				least = s
+			}
+		}
+		if least == nil {
+			return
+		}
+		m.putBack(now, least)
+	}
+}
+
+// inherit keeps the servers ejected that the former dispatcher had ejected, within the minimum.
+func (m *Machine) inherit(now time.Time) {
+	for _, s := range m.servers {
+		if m.suspected[s.Instance] && s.state == inRotation && m.allowed(now, s) {
+			m.eject(now, s, causeInherited)
+		}
+	}
+	clear(m.suspected)
+}
--- /dev/null
+++ b/internal/dispatch/evidence.go
@@ -0,0 +1,206 @@
+package dispatch
+
+import (
+	"time"
+
+	"github.com/tarragonmux/tarragonmux/internal/grant"
+)
+
+const (
+	// sampleWindow is the span of the evidence on errors and slowness.
+	sampleWindow = 2 * time.Second
+	// stallFloor and stallCap bound the age at which an unanswered request is overdue.
+	stallFloor  = 150 * time.Millisecond
+	stallCap    = 700 * time.Millisecond
+	stallMargin = 50 * time.Millisecond
+	stallFactor = 4
+	// doubtFactor times p95, but at least doubtFloor, is the age at which a server is doubted.
+	doubtFactor = 2
+	doubtFloor  = 75 * time.Millisecond
+	// costWeight is the weight of a new value in the mean slot time.
+	costWeight = 0.05
+)
+
+// threshold is the age at which an unanswered request is overdue.
+func (m *Machine) threshold() time.Duration {
+	l := m.latencies
+	if !l.known {
+		return stallCap
+	}
+	wanted := max(stallFactor*l.p95, l.p99+stallMargin, stallFloor)
+	// A service whose usual answers take longer than the cap needs a threshold above them.
+	return max(min(wanted, stallCap), l.p99+stallMargin)
+}
+
+// doubtAge is the age at which an unanswered request makes its server doubted.
+func (m *Machine) doubtAge() time.Duration {
+	threshold := m.threshold()
+	if !m.latencies.known {
+		return threshold / 2
+	}
+	return min(max(doubtFactor*m.latencies.p95, doubtFloor), threshold/2)
+}
+
+// age is how long a request in flight has waited for its first byte. Non-idempotent work may be
+// sent as late as the grant's expiry, since its claim runs in parallel.
+func (r *request) age(now time.Time) time.Duration {
+	age := now.Sub(r.sent)
+	if !r.Idempotent {
+		age -= GrantExpiry
+	}
+	return age
+}
+
+// observe takes the end of a granted request as evidence on its server.
+func (m *Machine) observe(now time.Time, r *request, c grant.Completion) {
+	s := r.server
+	latency := c.FirstByte
+	if latency <= 0 {
+		latency = c.Total
+	}
+	switch c.Result {
+	case grant.OK:
+		m.observeAnswer(now, r, latency, false)
+		m.crashes.clear(r.Fingerprint)
+		m.charge(r, c.Total)
+		s.sheds = 0
+	case grant.Error:
+		m.observeAnswer(now, r, latency, true)
+		m.charge(r, c.Total)
+	case grant.ConnectFailed, grant.Broken:
+		m.observeBreak(now, r, c.Result)
+	case grant.Shed:
+		s.shed(now)
+		m.answered(now, r)
+	case grant.Timeout, grant.Cancelled:
+		m.observeSilence(now, r, c)
+	}
+	m.judgeCanary(now, r, c.Result, latency)
+}
+
+func (m *Machine) charge(r *request, total time.Duration) {
+	p := r.Priority
+	seconds := max(total.Seconds(), minimumCost)
+	if m.cost[p] == 0 {
+		m.cost[p] = seconds
+	}
+	m.cost[p] += costWeight * (seconds - m.cost[p])
+}
+
+func (m *Machine) observeAnswer(now time.Time, r *request, latency time.Duration, failed bool) {
+	s := r.server
+	s.addSample(sample{at: now, sent: r.sent, latency: latency, failed: failed, node: r.node, fingerprint: r.Fingerprint})
+	if !failed && s.state == inRotation {
+		s.latency.add(latency)
+	}
+	m.answered(now, r)
+	if latency <= m.doubtAge() {
+		s.doubted = false
+	}
+}
+
+// answered notes that a server answered a node.
+func (m *Machine) answered(now time.Time, r *request) {
+	s := r.server
+	s.lastAnswer = now
+	r.node.lastAnswer = now
+	s.path(r.node.nodeKey).lastAnswer = now
+	s.path(r.node.centreKey).lastAnswer = now
+}
+
+// observeSilence keeps a request that ended without an answer as evidence: hedges that win cancel
+// the request at the silent server, which would otherwise hide the stall.
+func (m *Machine) observeSilence(now time.Time, r *request, c grant.Completion) {
+	if r.firstByte || c.FirstByte > 0 || c.Total < max(m.latencies.p95, 1) {
+		return
+	}
+	r.server.addGhost(ghost{at: now, sent: r.sent, node: r.node, idempotent: r.Idempotent})
+}
+
+// proof is the evidence of a stall at one server.
+type proof struct {
+	// overdue requests are past the threshold, late ones past three quarters of it.
+	overdue, late int
+	// ghosts ended without an answer after more than p95.
+	ghosts int
+	// oldest is the earliest sending time.
+	oldest time.Time
+	nodes  []*node
+}
+
+func (p *proof) note(n *node, sent time.Time) {
+	if p.oldest.IsZero() || sent.Before(p.oldest) {
+		p.oldest = sent
+	}
+	for _, known := range p.nodes {
+		if known == n {
+			return
+		}
+	}
+	p.nodes = append(p.nodes, n)
+}
+
+// stallProof collects the unanswered requests of a server. A request counts only if its node was
+// heard after the request became late: a node that is cut off from the dispatcher cannot report
+// an answer, so its silence says nothing about the server.
+func (m *Machine) stallProof(now time.Time, s *server) proof {
+	threshold := m.threshold()
+	late := threshold * 3 / 4
+	p := proof{nodes: m.proofNodes[:0]}
+	for _, r := range s.inflight {
+		age := r.age(now)
+		if r.firstByte || age < late || !r.credible(now, late) {
+			continue
+		}
+		p.late++
+		if age >= threshold {
+			p.overdue++
+		}
+		p.note(r.node, r.sent)
+	}
+	for _, g := range s.ghosts {
+		if g.sent.Before(s.lastAnswer) || now.Sub(g.at) > sampleWindow || now.Before(g.node.isolatedUntil) {
+			continue
+		}
+		age := g.at.Sub(g.sent)
+		if !g.idempotent {
+			age -= GrantExpiry
+		}
+		switch {
+		case age >= threshold:
+			p.overdue++
+			p.late++
+		case age >= m.latencies.p95:
+			p.ghosts++
+		default:
+			continue
+		}
+		p.note(g.node, g.sent)
+	}
+	m.proofNodes = p.nodes[:0]
+	return p
+}
+
+func (r *request) credible(now time.Time, after time.Duration) bool {
+	n := r.node
+	if !n.connected || now.Before(n.isolatedUntil) {
+		return false
+	}
+	if !r.Idempotent {
+		after += GrantExpiry
+	}
+	return !n.heard.Before(r.sent.Add(after))
+}
+
+// stalled tells whether the proof shows a stall: enough overdue requests, and no answer since.
+func (m *Machine) stalled(now time.Time, s *server, p *proof) bool {
+	enough := p.overdue >= 1 && p.late >= 2 || 2*p.overdue+p.ghosts >= 4
+	if !enough {
+		return false
+	}
+	since := s.lastAnswer
+	if p.oldest.After(since) {
+		since = p.oldest
+	}
+	return now.Sub(since) >= m.threshold()/2
+}
--- /dev/null
+++ b/internal/dispatch/placement.go
@@ -0,0 +1,225 @@
+package dispatch
+
+import (
+	"slices"
+	"time"
+
+	"github.com/tarragonmux/tarragonmux/internal/grant"
+	"github.com/tarragonmux/tarragonmux/internal/invariant"
+	"github.com/tarragonmux/tarragonmux/internal/problem"
+)
+
+const (
+	// parkLimit bounds how many requests that no free server may serve are passed over at a time.
+	parkLimit = 16
+	// slowerFactor is how much slower a local server may be before another data centre is preferred.
+	slowerFactor = 2
+	// confirmations is up to how many requests in flight a doubted server gets more.
+	confirmations = 3
+)
+
+// Ranks of servers in placement; lower is better.
+const (
+	rankConfirm = iota
+	rankLocal
+	rankRemote
+	rankDoubted
+	rankNone
+)
+
+// pump grants queued requests while servers have free slots.
+func (m *Machine) pump(now time.Time) {
+	if now.Before(m.started.Add(CollectFor)) {
+		return
+	}
+	for m.hasFreeSlot(now) {
+		r := m.queue.next(&m.cost)
+		if r == nil {
+			break
+		}
+		if !m.dispatch(now, r) && len(m.parked) >= parkLimit {
+			break
+		}
+	}
+	for _, r := range m.parked {
+		m.queue.push(r)
+	}
+	m.parked = m.parked[:0]
+}
+
+// dispatch grants, refuses or parks the request, and returns false if it parked it.
+func (m *Machine) dispatch(now time.Time, r *request) bool {
+	if kind := m.refusal(now, r); kind != "" {
+		m.refuseQueued(r, kind)
+		return true
+	}
+	s, possible := m.place(now, r)
+	if !possible {
+		m.refuseQueued(r, problem.NoCapacity)
+		return true
+	}
+	if s == nil {
+		m.queue.remove(r)
+		m.parked = append(m.parked, r)
+		return false
+	}
+	m.grant(now, r, s)
+	return true
+}
+
+// refusal checks once more what may have changed while the request waited.
+func (m *Machine) refusal(now time.Time, r *request) problem.Kind {
+	switch {
+	case r.Deadline.Sub(now) < m.needed():
+		return problem.DeadlineUnmeetable
+	case m.crashes.poisoned(now, r.Fingerprint):
+		return problem.PoisonRequest
+	case r.Purpose != grant.First && !m.retries.Allows(now):
+		return problem.NoCapacity
+	default:
+		return ""
+	}
+}
+
+// needed is the time that a request must have left when it is granted. With others waiting, a
+// slot is not spent on work that would probably end too late: the earliest deadline goes first,
+// so under overload every request would otherwise start with just too little time.
+func (m *Machine) needed() time.Duration {
+	if m.queue.length() > 1 {
+		return m.latencies.p95 + m.latencies.p95/4
+	}
+	return m.latencies.p50
+}
+
+func (m *Machine) hasFreeSlot(now time.Time) bool {
+	for _, s := range m.servers {
+		if len(s.inflight) < s.limit(now) {
+			return true
+		}
+	}
+	return false
+}
+
+func (m *Machine) grant(now time.Time, r *request, s *server) {
+	invariant.Check(r.state == stateQueued, "dispatch.grant-once", "node %s request %d is granted twice", r.node.id, r.ID)
+	m.queue.remove(r)
+	extra := r.Purpose != grant.First
+	m.retries.Spend(now, extra)
+	m.queue.served(r.Priority, m.cost[r.Priority], &m.config.Shares)
+	r.state = stateGranted
+	r.sent = now
+	r.canary = s.state == onCanary
+	s.attach(r)
+	s.lastGrant = now
+	invariant.Check(len(s.inflight) <= s.hardLimit(), "dispatch.slot-limit",
+		"server %s has %d requests in flight with %d slots and %d connections", s.Instance, len(s.inflight), s.Slots, s.Connections)
+	m.stats.Granted++
+	switch r.Purpose {
+	case grant.Retry:
+		m.stats.Retries++
+	case grant.Hedge:
+		m.stats.Hedges++
+	}
+	m.actions = append(m.actions, Action{
+		Kind: Granted, Node: r.node.id, ID: r.ID,
+		Instance: s.Instance, Address: s.Address, DataCentre: s.DataCentre,
+	})
+}
+
+// place chooses a server with a free slot; nil if all that may serve the request are full.
+// possible is false if no server may serve it at all. Bad paths are used only by requests that
+// have no other.
+func (m *Machine) place(now time.Time, r *request) (best *server, possible bool) {
+	best, possible = m.placeOn(now, r, false)
+	if !possible {
+		best, possible = m.placeOn(now, r, true)
+	}
+	return best, possible
+}
+
+func (m *Machine) placeOn(now time.Time, r *request, badPaths bool) (best *server, possible bool) {
+	bestRank, bestUse := rankNone, 0.0
+	for _, s := range m.servers {
+		if !s.usable(now) || slices.Contains(r.Exclude, s.Instance) || s.blocked(now, r.node) != badPaths {
+			continue
+		}
+		possible = true
+		limit := s.limit(now)
+		if len(s.inflight) >= limit || !s.accepts(r) {
+			continue
+		}
+		rank := s.rank(r, m.latencies.p50)
+		use := float64(len(s.inflight)+1) / float64(limit)
+		if best == nil || rank < bestRank || rank == bestRank && (use < bestUse || use == bestUse && s.Load < best.Load) {
+			best, bestRank, bestUse = s, rank, use
+		}
+	}
+	return best, possible
+}
+
+// blocked tells whether the node's path to the server is bad.
+func (s *server) blocked(now time.Time, n *node) bool {
+	if p := s.paths[n.nodeKey]; p != nil && now.Before(p.blockedUntil) {
+		return true
+	}
+	p := s.paths[n.centreKey]
+	return p != nil && now.Before(p.blockedUntil)
+}
+
+// accepts tells whether the request suits the server's condition: a canary must be idempotent
+// and paid by no retry budget, and two requests that were on crashed servers never share one, so
+// that the next crash tells which of them causes it.
+func (s *server) accepts(r *request) bool {
+	if s.state == onCanary && (!r.Idempotent || r.Purpose != grant.First || r.crashSuspect) {
+		return false
+	}
+	return !r.crashSuspect || s.suspects == 0
+}
+
+func (s *server) rank(r *request, p50 time.Duration) int {
+	if s.state == onCanary {
+		return rankConfirm
+	}
+	if s.doubted {
+		if s.wantsConfirmation(r) {
+			return rankConfirm
+		}
+		return rankDoubted
+	}
+	if s.DataCentre == r.node.dataCentre && !s.slower(p50) {
+		return rankLocal
+	}
+	return rankRemote
+}
+
+// wantsConfirmation tells whether a doubted server should get the request, so that the doubt is
+// confirmed or cleared soon also at low load. The evidence must come from several nodes, one of
+// them in the server's own data centre.
+func (s *server) wantsConfirmation(r *request) bool {
+	if !r.Idempotent || r.Purpose != grant.First || s.waits(r.node) {
+		return false
+	}
+	return len(s.inflight) < confirmations
+}
+
+// waits tells whether a request of the node is in flight at the server.
+func (s *server) waits(n *node) bool {
+	for _, r := range s.inflight {
+		if r.node == n {
+			return true
+		}
+	}
+	return false
+}
+
+// slower tells whether recent answers of the server took much longer than the service's median.
+func (s *server) slower(p50 time.Duration) bool {
+	if p50 == 0 || len(s.samples) < slowSamples {
+		return false
+	}
+	var recent [slowSamples]time.Duration
+	for i := range recent {
+		recent[i] = s.samples[len(s.samples)-1-i].latency
+	}
+	return median(recent[:]) > slowerFactor*p50
+}
--- /dev/null
+++ b/internal/dispatch/server.go
@@ -0,0 +1,247 @@
+package dispatch
+
+import (
+	"time"
+
+	"github.com/tarragonmux/tarragonmux/internal/backend"
+)
+
+// condition of a server beyond what it announces.
+type condition uint8
+
+const (
+	// inRotation servers get work.
+	inRotation condition = iota
+	// ejectedServer gets no work until its probation ends.
+	ejectedServer
+	// onCanary gets one request, which decides whether it returns.
+	onCanary
+	// held servers crashed a moment ago; they get no work until the hold ends, and then a canary.
+	held
+)
+
+// server is the dispatcher's record of one backend server.
+type server struct {
+	backend.Server
+	// present is set while the registry lists the server.
+	present  bool
+	inflight []*request
+	// weight is 1 unless the server sheds load; it multiplies the slots.
+	weight      float64
+	pausedUntil time.Time
+	sheds       int
+	weightAt    time.Time
+	// growFrom is when the limit started to rise from one slot; zero if it does not.
+	growFrom time.Time
+	growFor  time.Duration
+	// limited is set when evidence asked for an ejection that the minimum forbids.
+	limitedUntil time.Time
+	// draining is set by signals in answers.
+	draining bool
+	// reserved are the slots that members without a stream may use on their own.
+	reserved int
+	// shares caches the autonomous shares by member.
+	shares        []int
+	sharesSlots   int
+	sharesMembers []Member
+
+	state       condition
+	stateUntil  time.Time
+	ejections   int
+	lastEjected time.Time
+
+	latency    distribution
+	samples    []sample
+	ghosts     []ghost
+	lastAnswer time.Time
+	paths      map[string]*path
+	// doubted is set while the server's oldest request waits unusually long; it then gets one
+	// more request, which confirms or clears the doubt.
+	doubted   bool
+	breaks    []breakage
+	holds     int
+	crashedAt time.Time
+	suspects  int
+	lastGrant time.Time
+}
+
+// path is what one node, or the nodes of one data centre, experience with a server.
+type path struct {
+	lastAnswer   time.Time
+	blockedUntil time.Time
+	blocks       int
+	blockedAt    time.Time
+}
+
+// sample is one ended request.
+type sample struct {
+	at          time.Time
+	sent        time.Time
+	latency     time.Duration
+	failed      bool
+	node        *node
+	fingerprint uint64
+}
+
+// ghost is a request that ended without an answer by cancellation or deadline.
+type ghost struct {
+	at   time.Time
+	sent time.Time
+	node *node
+	// idempotent requests are sent at once; others may wait for their claim first.
+	idempotent bool
+}
+
+const (
+	// samplesKept bounds the samples of one server.
+	samplesKept = 64
+	// ghostsKept bounds the unanswered, ended requests of one server.
+	ghostsKept = 16
+)
+
+func newServer(b backend.Server) *server {
+	return &server{Server: b, weight: 1, paths: map[string]*path{}}
+}
+
+func (s *server) path(name string) *path {
+	p := s.paths[name]
+	if p == nil {
+		p = &path{}
+		s.paths[name] = p
+	}
+	return p
+}
+
+func (s *server) addSample(x sample) {
+	if len(s.samples) == samplesKept {
+		copy(s.samples, s.samples[1:])
+		s.samples = s.samples[:samplesKept-1]
+	}
+	s.samples = append(s.samples, x)
+}
+
+func (s *server) addGhost(x ghost) {
+	if len(s.ghosts) == ghostsKept {
+		copy(s.ghosts, s.ghosts[1:])
+		s.ghosts = s.ghosts[:ghostsKept-1]
+	}
+	s.ghosts = append(s.ghosts, x)
+}
+
+// attach adds a granted request.
+func (s *server) attach(r *request) {
+	r.server = s
+	r.slot = len(s.inflight)
+	s.inflight = append(s.inflight, r)
+	if r.crashSuspect {
+		s.suspects++
+	}
+}
+
+// detach removes a granted request.
+func (s *server) detach(r *request) {
+	last := len(s.inflight) - 1
+	moved := s.inflight[last]
+	s.inflight[r.slot] = moved
+	moved.slot = r.slot
+	s.inflight[last] = nil
+	s.inflight = s.inflight[:last]
+	if r.crashSuspect {
+		s.suspects--
+	}
+	r.server = nil
+}
+
+// usable tells whether the server's announcement allows new work.
+func (s *server) usable(now time.Time) bool {
+	return s.present && !s.draining && s.Usable(now)
+}
+
+// healthy tells whether the server counts towards the healthy capacity.
+func (s *server) healthy(now time.Time) bool {
+	return s.usable(now) && s.state == inRotation
+}
+
+// hardLimit is the most requests the server may ever have in flight.
+func (s *server) hardLimit() int {
+	if s.Connections > 0 {
+		return min(s.Slots, s.Connections)
+	}
+	return s.Slots
+}
+
+// limit is how many requests the server may have in flight now.
+func (s *server) limit(now time.Time) int {
+	if !s.usable(now) || now.Before(s.pausedUntil) {
+		return 0
+	}
+	switch s.state {
+	case ejectedServer, held:
+		return 0
+	case onCanary:
+		return min(1, s.hardLimit())
+	}
+	limit := float64(s.Slots) * s.weight
+	if now.Before(s.limitedUntil) {
+		limit = 1
+	}
+	if elapsed := now.Sub(s.growFrom); !s.growFrom.IsZero() && elapsed < s.growFor {
+		limit = min(limit, 1+float64(s.Slots-1)*elapsed.Seconds()/s.growFor.Seconds())
+	}
+	return min(max(int(limit), 1), s.hardLimit()-s.reserved)
+}
+
+// grow lets the limit rise from one slot to all, as after a start.
+func (s *server) grow(now time.Time) {
+	s.growFrom = now
+	s.growFor = s.WarmUp
+	if s.growFor <= 0 {
+		s.growFor = defaultWarmUp
+	}
+}
+
+// forget drops all evidence.
+func (s *server) forget(now time.Time) {
+	s.samples = s.samples[:0]
+	s.ghosts = s.ghosts[:0]
+	s.breaks = s.breaks[:0]
+	s.latency = distribution{}
+	s.doubted = false
+	s.crashedAt = time.Time{}
+	s.lastAnswer = now
+}
+
+const (
+	// shedFactor multiplies the weight at a shed answer.
+	shedFactor = 0.7
+	// shedEvery limits the decrease to one per burst of shed answers.
+	shedEvery = 100 * time.Millisecond
+	// shedRecovery is added to the weight per shedEvery without a shed answer.
+	shedRecovery = 0.05
+	// shedPause is the first pause after a shed answer. A server that sheds everything at once
+	// would otherwise look idle and attract all work.
+	shedPause = 20 * time.Millisecond
+	// shedPauseCap bounds the pause.
+	shedPauseCap = 500 * time.Millisecond
+)
+
+// shed lowers the weight and pauses the server.
+func (s *server) shed(now time.Time) {
+	pause := min(shedPause<<min(s.sheds, 5), shedPauseCap)
+	s.sheds++
+	s.pausedUntil = now.Add(pause)
+	if now.Sub(s.weightAt) < shedEvery {
+		return
+	}
+	s.weightAt = now
+	s.weight = max(s.weight*shedFactor, 1/float64(max(s.Slots, 1)))
+}
+
+// recoverWeight raises the weight slowly.
+func (s *server) recoverWeight(now time.Time) {
+	if s.weight >= 1 || now.Sub(s.weightAt) < shedEvery {
+		return
+	}
+	s.weightAt = now
+	s.weight = min(1, s.weight+shedRecovery)
+}
--- /dev/null
+++ b/internal/dispatch/view.go
@@ -0,0 +1,76 @@
+package dispatch
+
+import (
+	"time"
+
+	"github.com/tarragonmux/tarragonmux/internal/backend"
+)
+
+// State names of servers in a view.
+const (
+	ViewReady     = "ready"
+	ViewStarting  = "starting"
+	ViewDraining  = "draining"
+	ViewEjected   = "ejected"
+	ViewProbation = "probation"
+	ViewSuspect   = "suspect"
+)
+
+// ServerView is one server as the dispatcher sees it.
+type ServerView struct {
+	Instance   string
+	Address    string
+	DataCentre string
+	State      string
+	InFlight   int
+	Limit      int
+	LeaseLeft  time.Duration
+	Slots      int
+}
+
+// View is what nodes and operators are told.
+type View struct {
+	Servers  []ServerView
+	P95      time.Duration
+	Overload bool
+	// Healthy and Minimum are capacities in slots.
+	Healthy int
+	Minimum int
+}
+
+// View returns the current view.
+func (m *Machine) View(now time.Time) View {
+	v := View{
+		P95: m.latencies.p95, Overload: m.overload,
+		Healthy: m.healthyCapacity(now), Minimum: m.minimum(now),
+		Servers: make([]ServerView, 0, len(m.servers)),
+	}
+	for _, s := range m.servers {
+		if !s.present {
+			continue
+		}
+		v.Servers = append(v.Servers, ServerView{
+			Instance: s.Instance, Address: s.Address, DataCentre: s.DataCentre,
+			State: s.viewState(now), InFlight: len(s.inflight), Limit: s.limit(now),
+			LeaseLeft: backend.Cutoff - now.Sub(s.Renewed), Slots: s.Slots,
+		})
+	}
+	return v
+}
+
+func (s *server) viewState(now time.Time) string {
+	switch {
+	case s.draining || s.Server.State == backend.Draining || s.Server.State == backend.Left:
+		return ViewDraining
+	case s.Server.State == backend.Starting:
+		return ViewStarting
+	case s.state == ejectedServer || s.state == held:
+		return ViewEjected
+	case s.state == onCanary:
+		return ViewProbation
+	case s.doubted || now.Before(s.limitedUntil):
+		return ViewSuspect
+	default:
+		return ViewReady
+	}
+}
--- /dev/null
+++ b/internal/dispatchrpc/alone.go
@@ -0,0 +1,170 @@
+package dispatchrpc
+
+import (
+	"slices"
+	"time"
+
+	"github.com/tarragonmux/tarragonmux/internal/dispatch"
+	"github.com/tarragonmux/tarragonmux/internal/grant"
+	"github.com/tarragonmux/tarragonmux/internal/problem"
+	"github.com/tarragonmux/tarragonmux/proto/dispatchpb"
+)
+
+const (
+	// sharesEvery is how often the autonomous shares are computed.
+	sharesEvery = 500 * time.Millisecond
+	// waitLimit bounds the calls that wait at this node while there is no dispatcher.
+	waitLimit = 4096
+)
+
+// alone is the state of the autonomous mode.
+type alone struct {
+	shares     map[string]int
+	computedAt time.Time
+	budget     dispatch.Budget
+}
+
+// autonomous tells whether the node has had no dispatcher for too long.
+func (c *channel) autonomous(now time.Time) bool {
+	return now.Sub(c.heard) > AutonomousAfter
+}
+
+// waiting returns the calls in the order in which they are served.
+func (c *channel) waiting() []*call {
+	list := make([]*call, 0, len(c.calls))
+	for _, k := range c.calls {
+		list = append(list, k)
+	}
+	slices.SortFunc(list, func(a, b *call) int {
+		if a.request.Priority != b.request.Priority {
+			return int(a.request.Priority) - int(b.request.Priority)
+		}
+		return a.request.Deadline.Compare(b.request.Deadline)
+	})
+	return list
+}
+
+// serveAlone grants waiting calls out of the node's own shares. The caller holds the mutex.
+func (c *channel) serveAlone(now time.Time) {
+	if len(c.calls) == 0 {
+		return
+	}
+	c.refreshShares(now)
+	for i, k := range c.waiting() {
+		if i >= waitLimit {
+			c.withdraw(k)
+			c.finish(k, answer{problem: problem.New(problem.QueueFull, problem.NotRun, "").After(time.Second)})
+			continue
+		}
+		c.grantAlone(now, k)
+	}
+}
+
+func (c *channel) grantAlone(now time.Time, k *call) {
+	extra := k.request.Purpose != grant.First
+	if extra && (k.request.Purpose == grant.Hedge || !c.alone.budget.Allows(now)) {
+		c.withdraw(k)
+		c.finish(k, answer{problem: problem.New(problem.NoCapacity, problem.NotRun, "")})
+		return
+	}
+	s, ok := c.placeAlone(now, &k.request)
+	if !ok {
+		return
+	}
+	c.withdraw(k)
+	c.alone.budget.Spend(now, extra)
+	c.finish(k, answer{grant: c.hold(now, k, s)})
+}
+
+// withdraw takes back a call that may already have been sent to a dispatcher that has not answered.
+func (c *channel) withdraw(k *call) {
+	if c.linked {
+		c.out.Cancels = append(c.out.Cancels, &dispatchpb.Cancel{Id: k.id})
+	}
+}
+
+// placeAlone chooses the server with the most free slots of this node's share. A server is used
+// only while its announcement is fresh in this node's own view and it was not ejected.
+func (c *channel) placeAlone(now time.Time, r *grant.Request) (best grant.Server, ok bool) {
+	most := 0
+	for _, s := range c.client.config.Registry.Servers(c.service) {
+		if !s.Usable(now) || c.ejected[s.Instance] || slices.Contains(r.Exclude, s.Instance) {
+			continue
+		}
+		free := c.alone.shares[s.Instance] - c.heldAt(s.Instance)
+		if free > most {
+			most = free
+			best = grant.Server{Service: c.service, Instance: s.Instance, Address: s.Address, DataCentre: s.DataCentre}
+		}
+	}
+	return best, most > 0
+}
+
+func (c *channel) heldAt(instance string) int {
+	count := 0
+	for _, l := range c.held {
+		if l.server.Instance == instance {
+			count++
+		}
+	}
+	return count
+}
+
+func (c *channel) refreshShares(now time.Time) {
+	if c.alone.shares != nil && now.Sub(c.alone.computedAt) < sharesEvery {
+		return
+	}
+	settings, ok := c.client.config.Settings.Service(c.service)
+	if !ok {
+		return
+	}
+	c.alone.computedAt = now
+	c.alone.shares = map[string]int{}
+	for _, s := range c.client.config.Registry.Servers(c.service) {
+		slots := s.Slots
+		if slots <= 0 {
+			slots = settings.DefaultSlots
+		}
+		if s.Connections > 0 {
+			slots = min(slots, s.Connections)
+		}
+		c.alone.shares[s.Instance] = dispatch.AutonomousSlots(c.service, s.Instance, c.client.config.Node, settings.Members, slots)
+	}
+}
+
+func (c *channel) hasShare(now time.Time) bool {
+	c.refreshShares(now)
+	for _, s := range c.client.config.Registry.Servers(c.service) {
+		if s.Usable(now) && !c.ejected[s.Instance] && c.alone.shares[s.Instance] > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// freedAlone serves the next call when a slot of the node's share becomes free.
+func (c *channel) freedAlone(now time.Time) {
+	if c.autonomous(now) {
+		c.serveAlone(now)
+	}
+}
+
+// expire refuses the calls whose deadline passed.
+func (c *channel) expire(now time.Time) {
+	for _, k := range c.calls {
+		if now.Before(k.request.Deadline) {
+			continue
+		}
+		c.withdraw(k)
+		c.finish(k, answer{problem: problem.New(problem.DeadlinePassed, problem.NotRun, "")})
+	}
+}
+
+// close refuses all calls when the channel ends.
+func (c *channel) close() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, k := range c.calls {
+		c.finish(k, answer{problem: problem.New(problem.ShuttingDown, problem.NotRun, "")})
+	}
+}
--- /dev/null
+++ b/internal/dispatchrpc/convert.go
@@ -0,0 +1,80 @@
+package dispatchrpc
+
+import (
+	"time"
+
+	"github.com/tarragonmux/tarragonmux/internal/dispatch"
+	"github.com/tarragonmux/tarragonmux/internal/grant"
+	"github.com/tarragonmux/tarragonmux/internal/priority"
+	"github.com/tarragonmux/tarragonmux/proto/dispatchpb"
+)
+
+func acquire(now time.Time, a *dispatchpb.Acquire) dispatch.Request {
+	return dispatch.Request{
+		ID:          a.Id,
+		Priority:    priority.FromProto(a.Priority),
+		Team:        a.Team,
+		Weight:      a.Weight,
+		Deadline:    now.Add(time.Duration(a.DeadlineMs) * time.Millisecond),
+		Fingerprint: a.Fingerprint,
+		Idempotent:  a.Idempotent,
+		Exclude:     a.Exclude,
+		Purpose:     purposes[a.Purpose],
+	}
+}
+
+var purposes = map[dispatchpb.Purpose]grant.Purpose{
+	dispatchpb.Purpose_PURPOSE_FIRST: grant.First,
+	dispatchpb.Purpose_PURPOSE_RETRY: grant.Retry,
+	dispatchpb.Purpose_PURPOSE_HEDGE: grant.Hedge,
+}
+
+func acquireMessage(now time.Time, id uint64, r *grant.Request) *dispatchpb.Acquire {
+	return &dispatchpb.Acquire{
+		Id:          id,
+		Priority:    r.Priority.Proto(),
+		Team:        r.Team,
+		Weight:      r.Weight,
+		DeadlineMs:  r.Deadline.Sub(now).Milliseconds(),
+		Fingerprint: r.Fingerprint,
+		Idempotent:  r.Idempotent,
+		Exclude:     r.Exclude,
+		Purpose:     dispatchpb.Purpose(r.Purpose),
+	}
+}
+
+// The numbers of grant.Result and dispatchpb.Result are the same.
+func completion(c *dispatchpb.Complete) grant.Completion {
+	return grant.Completion{
+		Result:    grant.Result(c.Result),
+		FirstByte: time.Duration(c.FirstByteUs) * time.Microsecond,
+		Total:     time.Duration(c.TotalUs) * time.Microsecond,
+		Draining:  c.Draining,
+	}
+}
+
+func completeMessage(id uint64, c grant.Completion) *dispatchpb.Complete {
+	return &dispatchpb.Complete{
+		Id:          id,
+		Result:      dispatchpb.Result(c.Result),
+		FirstByteUs: c.FirstByte.Microseconds(),
+		TotalUs:     c.Total.Microseconds(),
+		Draining:    c.Draining,
+	}
+}
+
+func outstanding(now time.Time, hello *dispatchpb.Hello) []dispatch.Outstanding {
+	list := make([]dispatch.Outstanding, 0, len(hello.Outstanding))
+	for _, o := range hello.Outstanding {
+		list = append(list, dispatch.Outstanding{
+			ID:          o.Id,
+			Instance:    o.Instance,
+			Sent:        now.Add(-time.Duration(o.AgeMs) * time.Millisecond),
+			Priority:    priority.FromProto(o.Priority),
+			Idempotent:  o.Idempotent,
+			Fingerprint: o.Fingerprint,
+			FirstByte:   o.FirstByte,
+		})
+	}
+	return list
+}
--- /dev/null
+++ b/internal/dispatchrpc/settings.go
@@ -0,0 +1,61 @@
+package dispatchrpc
+
+import (
+	"time"
+
+	"github.com/tarragonmux/tarragonmux/internal/dispatch"
+	"github.com/tarragonmux/tarragonmux/internal/priority"
+)
+
+// Times of streams between nodes and dispatchers.
+const (
+	// HeartbeatEvery is the longest pause between two messages in either direction.
+	HeartbeatEvery = 100 * time.Millisecond
+	// SilenceLimit is the silence after which either side gives a stream up.
+	SilenceLimit = 300 * time.Millisecond
+	// ViewEvery is how often a dispatcher sends its view.
+	ViewEvery = 500 * time.Millisecond
+	// AutonomousAfter is the time without a dispatcher after which a node routes on its own.
+	AutonomousAfter = 300 * time.Millisecond
+	// HedgeFloor is the least delay before a hedge.
+	HedgeFloor = 30 * time.Millisecond
+	// serversEvery is how often the dispatcher takes the registry's view.
+	serversEvery = 100 * time.Millisecond
+	// reconnectAfter is the pause before a node tries to reach a dispatcher again.
+	reconnectAfter = 20 * time.Millisecond
+)
+
+// ServiceSettings are what operators set for one service.
+type ServiceSettings struct {
+	// MinimumHealthySlots is absolute; 0 means that MinimumHealthyPercent holds.
+	MinimumHealthySlots   int
+	MinimumHealthyPercent int
+	// Shares are the minimum shares of slot time by priority, 0 to 1.
+	Shares [priority.Count]float64
+	// DefaultSlots and DefaultConnections hold for servers that announce none.
+	DefaultSlots       int
+	DefaultConnections int
+	// Members is the host set of the service, in the same order on every node. Callers must not change it.
+	Members []dispatch.Member
+}
+
+// Settings gives the settings in force. It must be safe for concurrent use and cheap.
+type Settings interface {
+	// Services lists the services whose host set holds this node.
+	Services() []string
+	// Service returns the settings of one service; ok is false if there is none.
+	Service(name string) (s ServiceSettings, ok bool)
+}
+
+func (s ServiceSettings) config(service string, term uint64) dispatch.Config {
+	return dispatch.Config{
+		Service:               service,
+		Term:                  term,
+		MinimumHealthySlots:   s.MinimumHealthySlots,
+		MinimumHealthyPercent: s.MinimumHealthyPercent,
+		Shares:                s.Shares,
+		DefaultSlots:          s.DefaultSlots,
+		DefaultConnections:    s.DefaultConnections,
+		Members:               s.Members,
+	}
+}
--- /dev/null
+++ b/internal/dispatchrpc/stream_test.go
@@ -0,0 +1,188 @@
+package dispatchrpc_test
+
+import (
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/tarragonmux/tarragonmux/internal/grant"
+	"github.com/tarragonmux/tarragonmux/internal/invariant"
+	"github.com/tarragonmux/tarragonmux/internal/problem"
+)
+
+// ready waits until every node gets grants.
+func (f *fleet) ready() {
+	for _, n := range f.nodes {
+		f.g.Eventually(func() error {
+			h, err := n.request(time.Second)
+			if err == nil {
+				h.Complete(grant.Completion{Result: grant.OK, Total: time.Millisecond})
+			}
+			return err
+		}, 3*time.Second).Should(Succeed())
+	}
+	f.g.Eventually(func() bool { return f.nodes[1].client.Autonomous(service) }, 2*time.Second).Should(BeFalse())
+}
+
+// Under load from all nodes no server may get more work than it has slots: a doubled grant or a
+// slot freed too early would overload it.
+func TestSlotsHoldOverAllNodes(t *testing.T) {
+	f := newFleet(t, 6, 4, 3)
+	f.elect(f.nodes[0])
+	f.ready()
+	before := invariant.Total()
+	var running sync.Map
+	var over, served atomic.Int64
+	var wg sync.WaitGroup
+	for _, n := range f.nodes {
+		for range 8 {
+			wg.Go(func() {
+				for range 40 {
+					h, err := n.request(2 * time.Second)
+					if err != nil {
+						continue
+					}
+					count, _ := running.LoadOrStore(h.Server().Instance, new(atomic.Int64))
+					if count.(*atomic.Int64).Add(1) > 3 {
+						over.Add(1)
+					}
+					time.Sleep(time.Millisecond)
+					count.(*atomic.Int64).Add(-1)
+					h.Complete(grant.Completion{Result: grant.OK, Total: time.Millisecond})
+					served.Add(1)
+				}
+			})
+		}
+	}
+	wg.Wait()
+	f.g.Expect(over.Load()).To(BeZero())
+	f.g.Expect(served.Load()).To(BeEquivalentTo(6 * 8 * 40))
+	f.g.Expect(invariant.Total()).To(Equal(before))
+}
+
+// A lost dispatcher must not stop the service for 1 s or more, however it is lost.
+func TestGrantsResumeAfterDispatcherIsLost(t *testing.T) {
+	faults := map[string]func(*member){
+		"killed": func(n *member) { n.stop() },
+		"frozen": func(n *member) {
+			n.listener.deaf.Store(true)
+			n.listener.mute.Store(true)
+		},
+		"mute": func(n *member) { n.listener.mute.Store(true) },
+		"deaf": func(n *member) { n.listener.deaf.Store(true) },
+	}
+	for name, fault := range faults {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			f := newFleet(t, 5, 6, 6)
+			f.elect(f.nodes[0])
+			f.ready()
+			gaps := f.measureGaps(func() {
+				fault(f.nodes[0])
+				f.lose(f.nodes[1])
+			})
+			for i, gap := range gaps {
+				f.g.Expect(gap).To(BeNumerically("<", time.Second), "node %d", i+1)
+			}
+			f.g.Eventually(func() bool { return f.nodes[2].client.Autonomous(service) }, 2*time.Second).Should(BeFalse())
+		})
+	}
+}
+
+// measureGaps returns, for each node but the first, the longest time without a grant around the fault.
+func (f *fleet) measureGaps(fault func()) []time.Duration {
+	gaps := make([]time.Duration, len(f.nodes)-1)
+	end := time.Now().Add(2500 * time.Millisecond)
+	var wg sync.WaitGroup
+	var refused atomic.Int64
+	for i, n := range f.nodes[1:] {
+		wg.Go(func() {
+			last := time.Now()
+			for time.Now().Before(end) {
+				h, err := n.request(2 * time.Second)
+				gaps[i] = max(gaps[i], time.Since(last))
+				last = time.Now()
+				if err != nil {
+					refused.Add(1)
+					continue
+				}
+				time.Sleep(2 * time.Millisecond)
+				h.Complete(grant.Completion{Result: grant.OK, Total: 2 * time.Millisecond})
+			}
+		})
+	}
+	time.Sleep(300 * time.Millisecond)
+	fault()
+	wg.Wait()
+	f.g.Expect(refused.Load()).To(BeZero())
+	return gaps
+}
+
+// Requests in flight must keep their slots across a change of the dispatcher; otherwise the new one overloads servers.
+func TestOutstandingGrantsSurviveATakeover(t *testing.T) {
+	f := newFleet(t, 3, 1, 2)
+	f.elect(f.nodes[0])
+	f.ready()
+	first, err := f.nodes[1].request(time.Second)
+	f.g.Expect(err).NotTo(HaveOccurred())
+	second, err := f.nodes[2].request(time.Second)
+	f.g.Expect(err).NotTo(HaveOccurred())
+	f.elect(f.nodes[1])
+	_, err = f.nodes[2].request(800 * time.Millisecond)
+	f.g.Expect(err).To(HaveOccurred())
+	f.g.Expect(err.(*problem.Problem).Outcome).To(Equal(problem.NotRun))
+	first.Complete(grant.Completion{Result: grant.OK, Total: time.Second})
+	third, err := f.nodes[2].request(time.Second)
+	f.g.Expect(err).NotTo(HaveOccurred())
+	third.Complete(grant.Completion{Result: grant.OK, Total: time.Millisecond})
+	second.Complete(grant.Completion{Result: grant.OK, Total: time.Second})
+}
+
+// Without any dispatcher the nodes together must stay within the slots of each server.
+func TestAutonomousNodesStayWithinTheSlots(t *testing.T) {
+	f := newFleet(t, 4, 2, 6)
+	f.g.Eventually(func() bool {
+		for _, n := range f.nodes {
+			if !n.client.Autonomous(service) {
+				return false
+			}
+		}
+		return true
+	}, 2*time.Second).Should(BeTrue())
+	var mu sync.Mutex
+	granted := map[string]int{}
+	var wg sync.WaitGroup
+	for _, n := range f.nodes {
+		for range 12 {
+			wg.Go(func() {
+				h, err := n.request(300 * time.Millisecond)
+				if err != nil {
+					return
+				}
+				mu.Lock()
+				defer mu.Unlock()
+				granted[h.Server().Instance]++
+			})
+		}
+	}
+	wg.Wait()
+	f.g.Expect(granted).To(Equal(map[string]int{"s00": 6, "s01": 6}))
+}
+
+// A caller that goes away must not keep a slot or a place in the queue.
+func TestAbandonedRequestsFreeTheirSlots(t *testing.T) {
+	f := newFleet(t, 2, 1, 1)
+	f.elect(f.nodes[0])
+	f.ready()
+	for range 30 {
+		if h, err := f.nodes[1].request(200 * time.Microsecond); err == nil {
+			h.Complete(grant.Completion{Result: grant.Unused})
+		}
+	}
+	h, err := f.nodes[1].request(time.Second)
+	f.g.Expect(err).NotTo(HaveOccurred())
+	h.Complete(grant.Completion{Result: grant.OK, Total: time.Millisecond})
+}
