Add host sets, the dispatcher election and the membership runner

Membership is a pull of ages and digests every 100 ms. A push of ages was ruled out, since the receiver cannot bound the delay of a request. The election asks who holds the lease before it asks for votes, so that a candidate that hears no answers cannot block the others.

--- /dev/null
+++ b/internal/hostset/hostset.go
@@ -0,0 +1,159 @@
+package hostset
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/tarragonmux/tarragonmux/proto/configpb"
+)
+
+const (
+	// MaxHosts bounds the host set of a service, in nodes.
+	MaxHosts = 48
+	// Voters is the size of a voting group, in nodes.
+	Voters = 5
+)
+
+// Host is one node of the hosts list.
+type Host struct {
+	ID         string
+	DataCentre string
+	// EntryAddress is the ip:port where callers connect.
+	EntryAddress string
+	// FleetAddress is the ip:port of the fleet listener.
+	FleetAddress string
+}
+
+// Service names a service and the data centres it runs in. No data centres means all.
+type Service struct {
+	Name        string
+	DataCentres []string
+}
+
+// Fleet is what one configuration revision says about hosts. It is immutable.
+type Fleet struct {
+	// Hosts lists the hosts that run a node. Pure control hosts are not in it.
+	Hosts []Host
+	// PreviousHosts lists the hosts before the last change of hosts; empty if there was no change.
+	PreviousHosts []Host
+	// HostsRevision is the revision of the last change of hosts.
+	HostsRevision uint64
+	Services      []Service
+}
+
+// Source returns what the configuration in force says about hosts, or nil before the first
+// revision. A new revision is a new pointer. It is safe for concurrent use.
+type Source interface {
+	Fleet() *Fleet
+}
+
+// FromDocument extracts hosts and services from a configuration document.
+func FromDocument(d *configpb.Document) *Fleet {
+	f := &Fleet{
+		Hosts:         nodes(d.GetHosts()),
+		PreviousHosts: nodes(d.GetPreviousHosts()),
+		HostsRevision: d.GetHostsRevision(),
+	}
+	for _, s := range d.GetServices() {
+		f.Services = append(f.Services, Service{Name: s.GetName(), DataCentres: s.GetDataCentres()})
+	}
+	return f
+}
+
+func nodes(hosts []*configpb.Host) []Host {
+	var list []Host
+	for _, h := range hosts {
+		if h.GetRole() == configpb.HostRole_HOST_ROLE_CONTROL {
+			continue
+		}
+		list = append(list, Host{
+			ID:           h.GetId(),
+			DataCentre:   h.GetDataCentre(),
+			EntryAddress: h.GetEntryAddress(),
+			FleetAddress: h.GetFleetAddress(),
+		})
+	}
+	return list
+}
+
+// Service returns the service with the name; ok is false if there is none.
+func (f *Fleet) Service(name string) (s Service, ok bool) {
+	for _, s := range f.Services {
+		if s.Name == name {
+			return s, true
+		}
+	}
+	return Service{}, false
+}
+
+// Set returns the host set of the service, in rank order.
+func (f *Fleet) Set(s Service) []Host {
+	return set(s, f.Hosts, MaxHosts)
+}
+
+// Groups returns the voting group of the service and the one before the last change of hosts.
+// The previous group is empty if there was no change.
+func (f *Fleet) Groups(s Service) (current, previous []Host) {
+	return set(s, f.Hosts, Voters), set(s, f.PreviousHosts, Voters)
+}
+
+// set takes the hosts of the service's data centres round-robin over the data centres, by score.
+func set(s Service, hosts []Host, limit int) []Host {
+	byCentre := map[string][]scored{}
+	for _, h := range hosts {
+		if len(s.DataCentres) > 0 && !slices.Contains(s.DataCentres, h.DataCentre) {
+			continue
+		}
+		byCentre[h.DataCentre] = append(byCentre[h.DataCentre], scored{h, Score(s.Name, h.ID)})
+	}
+	centres := make([]string, 0, len(byCentre))
+	for centre, list := range byCentre {
+		slices.SortFunc(list, byScore)
+		centres = append(centres, centre)
+	}
+	slices.SortFunc(centres, func(a, b string) int {
+		return cmp.Or(cmp.Compare(Score(s.Name, b), Score(s.Name, a)), cmp.Compare(a, b))
+	})
+	return roundRobin(centres, byCentre, limit)
+}
+
+func roundRobin(centres []string, byCentre map[string][]scored, limit int) []Host {
+	var chosen []Host
+	for i := 0; ; i++ {
+		before := len(chosen)
+		for _, centre := range centres {
+			if len(chosen) == limit {
+				return chosen
+			}
+			if list := byCentre[centre]; i < len(list) {
+				chosen = append(chosen, list[i].Host)
+			}
+		}
+		if len(chosen) == before {
+			return chosen
+		}
+	}
+}
+
+type scored struct {
+	Host
+	score uint64
+}
+
+// byScore orders the highest score first.
+func byScore(a, b scored) int {
+	return cmp.Or(cmp.Compare(b.score, a.score), cmp.Compare(a.ID, b.ID))
+}
+
+// Score is the rendezvous score of a name for a key.
+func Score(key, name string) uint64 {
+	var d xxhash.Digest
+	d.Reset()
+	// Writing to a digest cannot fail.
+	_, _ = d.WriteString(key)
+	_, _ = d.Write([]byte{0})
+	_, _ = d.WriteString(name)
+	return d.Sum64()
+}
--- /dev/null
+++ b/internal/membership/faults_test.go
@@ -0,0 +1,187 @@
+package membership_test
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/tarragonmux/tarragonmux/internal/backend"
+	"github.com/tarragonmux/tarragonmux/internal/hostset"
+	"github.com/tarragonmux/tarragonmux/internal/membership"
+	"github.com/tarragonmux/tarragonmux/proto/fleetpb"
+)
+
+// unusableWithin is the promise for servers that vanish or drain.
+const unusableWithin = 3 * time.Second
+
+func (f *fleet) users(instance string) int {
+	return f.count(func(r *membership.Runner) bool { return usable(r, instance) })
+}
+
+// Guards against new work for a server that vanished: no node may use it 3 s after its last
+// renewal, also a node that hears nobody, and no node may believe in a later renewal.
+func TestVanishedServer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 24)
+		defer f.stop()
+		f.until(10*time.Second, f.joined)
+		stop := f.announce(6)
+		time.Sleep(3 * time.Second)
+		f.g.Expect(f.users("s0")).To(Equal(24))
+		f.network.setCut(func(_, to string) bool { return to == "n5" })
+		time.Sleep(time.Second)
+		stop()
+		last := time.Now()
+		f.network.setSlow(80 * time.Millisecond)
+		for time.Since(last) < unusableWithin {
+			time.Sleep(50 * time.Millisecond)
+			f.count(func(r *membership.Runner) bool {
+				for _, s := range r.Servers(service) {
+					f.g.Expect(s.Renewed.After(last)).To(BeFalse(), "a renewal after the last one")
+				}
+				return true
+			})
+		}
+		f.g.Expect(f.users("s0")).To(BeZero())
+	})
+}
+
+// Guards against new work for a server whose drain only one node has seen, by its announcement or
+// by an answer.
+func TestDrainReachesEveryNode(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 24)
+		defer f.stop()
+		f.until(10*time.Second, f.joined)
+		stop := f.announce(6)
+		defer stop()
+		time.Sleep(3 * time.Second)
+		f.g.Expect(f.node("n3").Announce(context.Background(), server("s0", backend.Draining))).To(Succeed())
+		f.node("n7").MarkDraining(service, "s1")
+		took := f.until(10*time.Second, func() bool { return f.users("s0")+f.users("s1") == 0 })
+		t.Logf("drained everywhere after %v", took)
+		f.g.Expect(took).To(BeNumerically("<", unusableWithin))
+		time.Sleep(2 * time.Second)
+		f.g.Expect(f.users("s1")).To(BeZero(), "a renewal that still says ready ended the drain")
+	})
+}
+
+// watch counts sightings of members that are not alive until the time has passed.
+func (f *fleet) watch(span time.Duration, concerns func(observer, member string) bool) (sightings int) {
+	for end := time.Now().Add(span); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
+		for _, id := range f.ids {
+			for _, m := range f.node(id).Members() {
+				if m.State != fleetpb.NodeState_NODE_STATE_ALIVE && concerns(id, m.ID) {
+					sightings++
+				}
+			}
+		}
+	}
+	return sightings
+}
+
+// Guards against false deaths by one-way cuts: between two nodes, and from one data centre to another.
+func TestOneWayCuts(t *testing.T) {
+	cuts := map[string]func(from, to string) bool{
+		"two nodes":        func(from, to string) bool { return from == "n1" && to == "n5" },
+		"two data centres": func(from, to string) bool { return centre(from) == "dc0" && centre(to) == "dc1" },
+	}
+	for name, cut := range cuts {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newFleet(t, 24)
+				defer f.stop()
+				f.until(10*time.Second, f.joined)
+				f.network.setCut(cut)
+				everyone := func(string, string) bool { return true }
+				f.g.Expect(f.watch(10*time.Second, everyone)).To(BeZero())
+				f.g.Expect(f.node("n0").Announce(context.Background(), server("s9", backend.Ready))).To(Succeed())
+				took := f.until(5*time.Second, func() bool { return f.users("s9") == 24 })
+				t.Logf("news reached all nodes in %v", took)
+				f.g.Expect(took).To(BeNumerically("<", 2500*time.Millisecond))
+			})
+		})
+	}
+}
+
+// Guards against a node that was cut off and, on its return, makes the others believe that all are dead.
+func TestReturnOfIsolatedNode(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 24)
+		defer f.stop()
+		f.until(10*time.Second, f.joined)
+		f.network.setCut(func(from, to string) bool { return from == "n4" || to == "n4" })
+		time.Sleep(20 * time.Second)
+		f.network.setCut(nil)
+		others := func(observer, member string) bool { return observer != "n4" && member != "n4" }
+		f.g.Expect(f.watch(5*time.Second, others)).To(BeZero())
+		took := f.until(10*time.Second, f.joined)
+		f.g.Expect(took).To(BeNumerically("<", 5*time.Second))
+	})
+}
+
+// Guards against endpoint answers that keep naming a dead host, and against a restarted or flapping
+// host that is not taken back.
+func TestKillAndRejoin(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 24)
+		defer f.stop()
+		f.until(10*time.Second, f.joined)
+		out := func() int {
+			return f.count(func(r *membership.Runner) bool { return r.Verdict("n2", service) != hostset.Good })
+		}
+		for range 3 {
+			f.kill("n2")
+			took := f.until(10*time.Second, func() bool { return out() == 23 })
+			t.Logf("killed node left out everywhere after %v", took)
+			f.g.Expect(took).To(BeNumerically("<", 4*time.Second))
+			f.start("n2")
+			took = f.until(10*time.Second, f.joined)
+			t.Logf("restarted node back everywhere after %v", took)
+			f.g.Expect(took).To(BeNumerically("<", 4*time.Second))
+		}
+	})
+}
+
+// Guards against callers being sent to a host that is shutting down: all members must know it as
+// soon as they were told directly, and it must not be declared dead while it finishes its requests.
+func TestLeave(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 24)
+		defer f.stop()
+		f.until(10*time.Second, f.joined)
+		f.node("n2").Leave(context.Background())
+		f.g.Expect(f.count(func(r *membership.Runner) bool { return r.Verdict("n2", service) == hostset.Out })).To(Equal(24))
+		time.Sleep(8 * time.Second)
+		m, _ := f.node("n1").Member("n2")
+		f.g.Expect(m.State).To(Equal(fleetpb.NodeState_NODE_STATE_LEAVING))
+	})
+}
+
+// Guards against announcements that are lost at a host outside the host set of the service, or that
+// look younger there than they are.
+func TestForwardedAnnouncement(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 6)
+		defer f.stop()
+		f.config.Services = append(f.config.Services, hostset.Service{Name: "far", DataCentres: []string{"dc1"}})
+		f.until(10*time.Second, f.joined)
+		f.network.setSlow(100 * time.Millisecond)
+		far := server("s0", backend.Ready)
+		far.Service = "far"
+		heard := time.Now()
+		f.g.Expect(f.node("n0").Announce(context.Background(), far)).To(Succeed())
+		far.Slots = 5
+		f.g.Expect(f.node("n0").Announce(context.Background(), far)).To(Succeed())
+		for _, id := range []string{"n1", "n4"} {
+			f.until(5*time.Second, func() bool { return len(f.node(id).Servers("far")) == 1 && f.node(id).Servers("far")[0].Slots == 5 })
+			f.g.Expect(f.node(id).Servers("far")).To(HaveLen(1))
+		}
+		f.g.Expect(f.node("n1").Servers("far")[0].Renewed.After(heard.Add(500 * time.Millisecond))).To(BeFalse())
+		far.Service = "none"
+		f.g.Expect(f.node("n0").Announce(context.Background(), far)).To(MatchError(ContainSubstring("not configured")))
+	})
+}
--- /dev/null
+++ b/internal/membership/validate.go
@@ -0,0 +1,161 @@
+package membership
+
+import (
+	"net/netip"
+	"slices"
+
+	"github.com/tarragonmux/tarragonmux/internal/backend"
+	"github.com/tarragonmux/tarragonmux/proto/fleetpb"
+)
+
+const (
+	// maxName bounds names, in bytes.
+	maxName = 255
+	// maxList bounds every list of a message, in entries.
+	maxList = 1 << 16
+	// maxIncarnation leaves room to raise an incarnation; start times in milliseconds are far below.
+	maxIncarnation = 1 << 62
+	// maxAgeMS bounds ages, in milliseconds.
+	maxAgeMS = 24 * 60 * 60 * 1000
+	// maxSlots bounds slots and connections of one backend server.
+	maxSlots = 1 << 20
+)
+
+func malformed(field, reason string) error {
+	return &MalformedError{Field: field, Reason: reason}
+}
+
+func checkName(field, name string) error {
+	if name == "" {
+		return malformed(field, "is empty")
+	}
+	if len(name) > maxName {
+		return malformed(field, "is too long")
+	}
+	return nil
+}
+
+func checkAddress(field, address string) error {
+	if _, err := netip.ParseAddrPort(address); err != nil {
+		return malformed(field, "is not ip:port")
+	}
+	return nil
+}
+
+func checkAge(field string, age int64) error {
+	if age < 0 || age > maxAgeMS {
+		return malformed(field, "is out of range")
+	}
+	return nil
+}
+
+// checkSender checks the short form of a node.
+func checkSender(n *fleetpb.Node) error {
+	if n == nil {
+		return malformed("from", "is missing")
+	}
+	if err := checkName("from.id", n.GetId()); err != nil {
+		return err
+	}
+	if n.GetIncarnation() == 0 || n.GetIncarnation() >= maxIncarnation || n.GetVersion() >= maxIncarnation {
+		return malformed("from.incarnation", "is out of range")
+	}
+	return nil
+}
+
+func checkNode(n *fleetpb.Node) error {
+	if err := checkSender(n); err != nil {
+		return err
+	}
+	if n.GetState() < fleetpb.NodeState_NODE_STATE_ALIVE || n.GetState() > fleetpb.NodeState_NODE_STATE_DEAD {
+		return malformed("node.state", "is unknown")
+	}
+	if err := checkName("node.data_centre", n.GetDataCentre()); err != nil {
+		return err
+	}
+	if len(n.GetUnreachableServices()) > maxList || len(n.GetSuspectedBy()) > maxName {
+		return malformed("node", "has a list that is too long")
+	}
+	if err := checkAge("node.age_ms", n.GetAgeMs()); err != nil {
+		return err
+	}
+	return checkAddress("node.fleet_address", n.GetFleetAddress())
+}
+
+func checkServer(s *fleetpb.Server) error {
+	if err := checkName("server.service", s.GetService()); err != nil {
+		return err
+	}
+	if err := checkName("server.instance", s.GetInstance()); err != nil {
+		return err
+	}
+	if s.GetState() < fleetpb.ServerState_SERVER_STATE_STARTING || s.GetState() > fleetpb.ServerState_SERVER_STATE_LEFT {
+		return malformed("server.state", "is unknown")
+	}
+	if s.GetIncarnation() >= maxIncarnation || s.GetVersion() >= maxIncarnation {
+		return malformed("server.incarnation", "is out of range")
+	}
+	if s.GetSlots() > maxSlots || s.GetConnections() > maxSlots {
+		return malformed("server.slots", "is out of range")
+	}
+	if !(s.GetLoad() >= 0 && s.GetLoad() <= 1) {
+		return malformed("server.load", "is not between 0 and 1")
+	}
+	for _, age := range []int64{s.GetAgeMs(), s.GetReadyAgeMs(), s.GetWarmUpMs()} {
+		if err := checkAge("server.age_ms", age); err != nil {
+			return err
+		}
+	}
+	return checkAddress("server.address", s.GetAddress())
+}
+
+// checkAnnouncement checks what a backend server says about itself.
+func checkAnnouncement(s backend.Server) error {
+	return checkServer(serverMessage(&serverEntry{Server: s}))
+}
+
+func checkEntries(nodes []*fleetpb.Node, servers []*fleetpb.Server) error {
+	if len(nodes) > maxList || len(servers) > maxList {
+		return malformed("message", "has a list that is too long")
+	}
+	for _, n := range nodes {
+		if err := checkNode(n); err != nil {
+			return err
+		}
+	}
+	for _, s := range servers {
+		if err := checkServer(s); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func checkRequest(r *fleetpb.GossipRequest) error {
+	if err := checkSender(r.GetFrom()); err != nil {
+		return err
+	}
+	if len(r.GetWantNodes()) > maxList || len(r.GetWantServers()) > maxList {
+		return malformed("message", "has a list that is too long")
+	}
+	return checkEntries(r.GetNodes(), r.GetServers())
+}
+
+func checkReply(r *fleetpb.GossipReply) error {
+	if err := checkSender(r.GetFrom()); err != nil {
+		return err
+	}
+	if len(r.GetNodeKeys()) > maxList || len(r.GetServerKeys()) > maxList || len(r.GetAges()) > maxList {
+		return malformed("message", "has a list that is too long")
+	}
+	if !slices.IsSorted(r.GetServerKeys()) {
+		return malformed("server_keys", "are not in order")
+	}
+	if len(r.GetLoads()) != len(r.GetAges()) {
+		return malformed("loads", "do not match the ages")
+	}
+	if len(r.GetServerKeys()) > 0 && len(r.GetServerKeys()) != len(r.GetAges()) {
+		return malformed("server_keys", "do not match the ages")
+	}
+	return checkEntries(r.GetNodes(), r.GetServers())
+}
