--- /dev/null
+++ b/internal/entry/dispatch.go
@@ -0,0 +1,285 @@
+package entry
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/pkg/errors"
+
+	"github.com/tarragonmux/tarragonmux/internal/attempt"
+	"github.com/tarragonmux/tarragonmux/internal/grant"
+	"github.com/tarragonmux/tarragonmux/internal/problem"
+)
+
+const (
+	// maxAttempts bounds the servers that one request is sent to, hedges apart.
+	maxAttempts = 3
+	// maxUnused bounds the grants that one request gives back because they expired.
+	maxUnused = 4
+
+	backoffBase = 10 * time.Millisecond
+	backoffCap  = 250 * time.Millisecond
+)
+
+// errReplay ends the dispatch of work whose answer is recorded.
+var errReplay = errors.New("the operation has a recorded answer")
+
+// dispatch asks for grants and decides on retries and hedges.
+type dispatch struct {
+	next Filter
+	cfg  *Config
+}
+
+// failure is an attempt without an answer. The grant is complete.
+type failure struct {
+	kind   problem.Kind
+	detail string
+	// mayHaveRun is set if the server may have run the work.
+	mayHaveRun bool
+	// unused is set if the grant expired before a byte was sent.
+	unused bool
+	// final is set if no other server can do better.
+	final error
+	wait  time.Duration
+}
+
+// Error implements error.
+func (f *failure) Error() string {
+	return string(f.kind) + ": " + f.detail
+}
+
+func newDispatch(_ context.Context, next Filter, cfg *Config, _ string) (Filter, error) {
+	return &dispatch{next: next, cfg: cfg}, nil
+}
+
+// Handle sends the request until an answer comes or nothing more may be tried, and relays the answer.
+func (f *dispatch) Handle(x *Exchange) error {
+	if err := x.buffer(ReplayBytes); err != nil {
+		return err
+	}
+	if !x.body.buffered {
+		// Without full duplex net/http would swallow the rest of the body before the answer.
+		_ = http.NewResponseController(x.w).EnableFullDuplex()
+	}
+	t := &trial{dispatch: f, x: x, request: f.request(x)}
+	winner, err := t.run()
+	if err != nil {
+		return err
+	}
+	return relay(x, winner)
+}
+
+func (f *dispatch) request(x *Exchange) grant.Request {
+	return grant.Request{
+		Service: x.match.Service, Priority: x.match.Priority, Team: x.team.ID, Weight: max(x.team.Weight, 1),
+		Deadline: x.deadline, Fingerprint: workFingerprint(x), Idempotent: x.match.Idempotent,
+	}
+}
+
+// workFingerprint identifies the work, so that a request that crashes servers is recognised when it is sent again.
+func workFingerprint(x *Exchange) uint64 {
+	var d xxhash.Digest
+	d.Reset()
+	for _, part := range [...]string{x.match.Service, x.match.Route, x.r.Method, target(x.r), x.key} {
+		_, _ = d.WriteString(part)
+		_, _ = d.Write([]byte{0})
+	}
+	if x.key == "" && x.body.buffered {
+		_, _ = d.Write(x.body.buffer)
+	}
+	return d.Sum64()
+}
+
+// trial is the sequence of attempts of one request.
+type trial struct {
+	*dispatch
+	x       *Exchange
+	request grant.Request
+	unused  int
+	// last is the failure of the attempt before, if any.
+	last *failure
+}
+
+func (t *trial) run() (*Exchange, error) {
+	for t.x.attempts < maxAttempts {
+		g, err := t.acquire()
+		if err != nil {
+			return nil, err
+		}
+		if g == nil {
+			continue
+		}
+		winner, err := t.attempt(g)
+		if err == nil {
+			return winner, nil
+		}
+		if err := t.judge(err); err != nil {
+			return nil, err
+		}
+	}
+	return nil, t.refusal()
+}
+
+// acquire returns a grant that may be used now, or nil if one was given back and another should be asked for.
+func (t *trial) acquire() (grant.Grant, error) {
+	x := t.x
+	t.request.Purpose = grant.First
+	if x.attempts > 0 {
+		t.request.Purpose = grant.Retry
+	}
+	g, err := t.cfg.Grants.Acquire(x.ctx, t.request)
+	if err != nil {
+		return nil, t.notGranted(err)
+	}
+	if err := t.awaitClaim(); err != nil {
+		g.Complete(grant.Completion{Result: grant.Unused})
+		return nil, err
+	}
+	if time.Now().Before(g.Expires()) {
+		return g, nil
+	}
+	g.Complete(grant.Completion{Result: grant.Unused})
+	return nil, t.expired()
+}
+
+// expired counts a grant that was not used in time.
+func (t *trial) expired() error {
+	t.unused++
+	if t.unused < maxUnused {
+		return nil
+	}
+	if t.last != nil {
+		return t.refusal()
+	}
+	return t.x.refuse(problem.NoCapacity, "grants expired before they could be used").After(backoffCap)
+}
+
+func (t *trial) awaitClaim() error {
+	if t.x.claim == nil {
+		return nil
+	}
+	_, err := t.x.claim.await(t.x)
+	return err
+}
+
+// notGranted prefers the failure of an earlier attempt over the reason why there is no further one.
+func (t *trial) notGranted(err error) error {
+	x := t.x
+	if x.ctx.Err() != nil {
+		return x.ended()
+	}
+	if t.last != nil {
+		return t.refusal()
+	}
+	var p *problem.Problem
+	if errors.As(err, &p) {
+		return p
+	}
+	return x.refuse(problem.NoCapacity, "").After(backoffCap)
+}
+
+// judge returns nil if another server may be tried.
+func (t *trial) judge(err error) error {
+	x := t.x
+	var fail *failure
+	if !errors.As(err, &fail) {
+		return err
+	}
+	if fail.unused {
+		return t.expired()
+	}
+	x.mayHaveRun = x.mayHaveRun || fail.mayHaveRun
+	t.last = fail
+	if fail.final != nil {
+		return t.outcomeOf(fail.final)
+	}
+	if x.ctx.Err() != nil {
+		return x.ended()
+	}
+	if fail.mayHaveRun && !x.repeatable() {
+		return t.refusal()
+	}
+	return t.backOff()
+}
+
+// repeatable tells whether the work may be sent again after it may have run.
+func (x *Exchange) repeatable() bool {
+	return x.match.Idempotent && x.body.buffered
+}
+
+// outcomeOf corrects the outcome of a refusal that an attempt ended with.
+func (t *trial) outcomeOf(err error) error {
+	var p *problem.Problem
+	if errors.As(err, &p) {
+		return t.x.refuse(p.Kind, p.Detail)
+	}
+	return err
+}
+
+func (t *trial) backOff() error {
+	x := t.x
+	if !x.body.buffered && x.body.source.touched.Load() {
+		return t.refusal()
+	}
+	limit := min(backoffBase<<x.attempts, backoffCap)
+	timer := time.NewTimer(rand.N(limit))
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return nil
+	case <-x.ctx.Done():
+		return x.ended()
+	}
+}
+
+// refusal tells the caller of the last failure.
+func (t *trial) refusal() *problem.Problem {
+	return t.x.refuse(t.last.kind, t.last.detail).After(t.last.wait)
+}
+
+// attempt sends the request to the granted server, and to a second one if a hedge is due.
+func (t *trial) attempt(g grant.Grant) (*Exchange, error) {
+	x := t.x
+	x.attempts++
+	t.request.Exclude = append(t.request.Exclude, g.Server().Instance)
+	if x.repeatable() {
+		return t.race(g)
+	}
+	child := x.fork(x.ctx, g)
+	if err := t.next.Handle(child); err != nil {
+		return nil, err
+	}
+	return child, nil
+}
+
+// start tells whether the first byte may be written now.
+func (x *Exchange) start() bool {
+	if !time.Now().Before(x.grant.Expires()) {
+		return false
+	}
+	if x.claim == nil {
+		return true
+	}
+	return x.claim.result.Claim.Start()
+}
+
+// claimOf returns the claim of the work, or nil.
+func (x *Exchange) claimOf() attempt.Claim {
+	if x.claim == nil {
+		return nil
+	}
+	return x.claim.result.Claim
+}
+
+// excluded returns a copy of the instances tried so far.
+func (t *trial) excluded() []string {
+	return append([]string(nil), t.request.Exclude...)
+}
+
+func isDrain(value string) bool {
+	return strings.EqualFold(value, stateDrain)
+}
--- /dev/null
+++ b/internal/entry/entry_test.go
@@ -0,0 +1,114 @@
+package entry_test
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/tarragonmux/tarragonmux/internal/backend"
+	"github.com/tarragonmux/tarragonmux/internal/standin"
+)
+
+// answered is what a caller saw.
+type answered struct {
+	status  int
+	header  http.Header
+	body    string
+	err     error
+	problem struct {
+		Type    string
+		Outcome string
+	}
+}
+
+func (a answered) kind() string {
+	return strings.TrimPrefix(a.problem.Type, "urn:tarragonmux:problem:")
+}
+
+// do sends a request with headers in pairs.
+func (f *fleet) do(method, path, body string, headers ...string) answered {
+	r, err := http.NewRequest(method, "http://"+f.address+path, strings.NewReader(body))
+	Expect(err).NotTo(HaveOccurred())
+	for i := 0; i < len(headers); i += 2 {
+		r.Header.Set(headers[i], headers[i+1])
+	}
+	return f.send(r)
+}
+
+func (f *fleet) send(r *http.Request) (a answered) {
+	response, err := f.client.Do(r)
+	if err != nil {
+		a.err = err
+		return a
+	}
+	defer response.Body.Close()
+	body, err := io.ReadAll(response.Body)
+	a.status, a.header, a.body, a.err = response.StatusCode, response.Header, string(body), err
+	if a.header.Get("Content-Type") == "application/problem+json" {
+		Expect(json.Unmarshal(body, &a.problem)).To(Succeed())
+	}
+	return a
+}
+
+func newStandin(cfg standin.Config) *standin.Server {
+	cfg.Service, cfg.DataCentre = "cuefeed", "a"
+	if cfg.Instance == "" {
+		cfg.Instance = "i-1"
+	}
+	s, err := standin.New(cfg)
+	Expect(err).NotTo(HaveOccurred())
+	Expect(s.Start()).To(Succeed())
+	DeferCleanup(s.Close)
+	return s
+}
+
+var _ = Describe("A request", func() {
+	// A mix-up of answers between callers is the worst fault that a shared proxy can have.
+	It("gets the whole answer to itself under concurrency", func() {
+		b := newStandin(standin.Config{Slots: 64, WorkTime: 2 * time.Millisecond})
+		f := start(nil, b.Address())
+		var wg sync.WaitGroup
+		for i := range 40 {
+			wg.Go(func() {
+				defer GinkgoRecover()
+				for n := range 20 {
+					id := fmt.Sprintf("r-%d-%d", i, n)
+					size := 200 + i*n*97
+					a := f.do("GET", "/read/"+id, "", "Request-Id", id, "Standin-Size", fmt.Sprint(size))
+					Expect(a.err).NotTo(HaveOccurred())
+					Expect(a.status).To(Equal(200), a.body)
+					Expect(a.body).To(HavePrefix("instance=i-1 request=" + id + " "))
+					Expect(a.body).To(HaveLen(size))
+					Expect(a.header.Get("Request-Id")).To(Equal(id))
+				}
+			})
+		}
+		wg.Wait()
+		Expect(b.Ledger().Total.Finished).To(Equal(800))
+	})
+})
+
+var _ = Describe("Announcements", func() {
+	// A stand-in that cannot announce itself would leave every other test without backend servers.
+	It("reach the registry, are renewed and are withdrawn", func() {
+		f := start(nil)
+		b, err := standin.New(standin.Config{
+			Service: "cuefeed", Instance: "i-1", DataCentre: "a", Slots: 3,
+			Entries: []string{refused(), f.address}, RenewEvery: 20 * time.Millisecond, ColdStart: 50 * time.Millisecond,
+		})
+		Expect(err).NotTo(HaveOccurred())
+		Expect(b.Start()).To(Succeed())
+		Eventually(f.backends.all).Should(ContainElement(HaveField("State", backend.Starting)))
+		Eventually(f.backends.all).Should(ContainElement(And(HaveField("State", backend.Ready), HaveField("Slots", 3), HaveField("Address", b.Address()))))
+		b.Close()
+		all := f.backends.all()
+		Expect(all[len(all)-1]).To(And(HaveField("State", backend.Left), HaveField("Incarnation", b.Incarnation())))
+	})
+})
--- /dev/null
+++ b/internal/entry/fakes_test.go
@@ -0,0 +1,334 @@
+package entry_test
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/tarragonmux/tarragonmux/internal/attempt"
+	"github.com/tarragonmux/tarragonmux/internal/backend"
+	"github.com/tarragonmux/tarragonmux/internal/entry"
+	"github.com/tarragonmux/tarragonmux/internal/grant"
+	"github.com/tarragonmux/tarragonmux/internal/invariant"
+	"github.com/tarragonmux/tarragonmux/internal/priority"
+	"github.com/tarragonmux/tarragonmux/internal/problem"
+	"github.com/tarragonmux/tarragonmux/internal/route"
+	"github.com/tarragonmux/tarragonmux/internal/settings"
+)
+
+func TestEntry(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "Entry")
+}
+
+// Every spec fails if the program broke one of its own invariants.
+var _ = BeforeEach(func() {
+	before := invariant.Total()
+	DeferCleanup(func() { Expect(invariant.Total()).To(Equal(before)) })
+})
+
+// fakeRoutes maps the first path segment: /once is non-idempotent, /urgent, /small (body limit) and the rest are idempotent.
+type fakeRoutes struct{ quota uint32 }
+
+func (f fakeRoutes) Current() route.Snapshot   { return f }
+func (fakeRoutes) Revision() uint64            { return 1 }
+func (fakeRoutes) HasService(name string) bool { return name == "cuefeed" }
+
+func (f fakeRoutes) Team(id string) route.Team {
+	if id == "stranger" {
+		return route.Team{ID: id, Weight: 1, Services: []string{"lexview"}}
+	}
+	return route.Team{ID: "default", Weight: 1, InFlightQuota: f.quota}
+}
+
+func (fakeRoutes) Match(_, _, path string) (route.Match, bool) {
+	name := strings.Split(path, "/")[1]
+	m := route.Match{
+		Route: name, Service: "cuefeed", Priority: priority.Normal, Idempotent: true,
+		BodyLimit: 1 << 20, DefaultDeadline: 5 * time.Second,
+	}
+	switch name {
+	case "once":
+		m.Idempotent = false
+	case "urgent":
+		m.Priority = priority.Urgent
+	case "small":
+		m.BodyLimit = 10
+	case "none":
+		return route.Match{}, false
+	}
+	return m, true
+}
+
+// fakeGrants hands out the first address that is not excluded, and records what became of the grants.
+type fakeGrants struct {
+	mu        sync.Mutex
+	addresses []string
+	hedge     time.Duration
+	valid     time.Duration
+	refusal   error
+	results   []grant.Result
+	open      int
+	purposes  []grant.Purpose
+	advised   chan struct{}
+}
+
+func (f *fakeGrants) HedgeDelay(string) time.Duration { return f.hedge }
+
+func (f *fakeGrants) Acquire(_ context.Context, r grant.Request) (grant.Grant, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.refusal != nil {
+		return nil, f.refusal
+	}
+	for _, address := range f.addresses {
+		if slices.Contains(r.Exclude, address) {
+			continue
+		}
+		f.open++
+		f.purposes = append(f.purposes, r.Purpose)
+		valid := f.valid
+		if valid == 0 {
+			valid = 2 * time.Second
+		}
+		return &fakeGrant{source: f, address: address, expires: time.Now().Add(valid)}, nil
+	}
+	return nil, problem.New(problem.NoCapacity, problem.NotRun, "every server was tried").After(time.Second)
+}
+
+func (f *fakeGrants) ended() []grant.Result {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return slices.Clone(f.results)
+}
+
+func (f *fakeGrants) held() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.open
+}
+
+type fakeGrant struct {
+	source  *fakeGrants
+	address string
+	expires time.Time
+	once    sync.Once
+}
+
+func (g *fakeGrant) Server() grant.Server {
+	return grant.Server{Service: "cuefeed", Instance: g.address, Address: g.address, DataCentre: "a"}
+}
+func (g *fakeGrant) Expires() time.Time       { return g.expires }
+func (g *fakeGrant) FirstByte()               {}
+func (g *fakeGrant) Advised() <-chan struct{} { return g.source.advised }
+func (g *fakeGrant) Complete(c grant.Completion) {
+	g.once.Do(func() {
+		g.source.mu.Lock()
+		defer g.source.mu.Unlock()
+		g.source.open--
+		g.source.results = append(g.source.results, c.Result)
+	})
+}
+
+// fakeClaims keeps records in memory, as one register per key.
+type fakeClaims struct {
+	mu      sync.Mutex
+	refusal error
+	delay   time.Duration
+	records map[string]*fakeClaim
+}
+
+type fakeClaim struct {
+	owner     *fakeClaims
+	state     string
+	answer    attempt.Answer
+	abandoned bool
+}
+
+func (f *fakeClaims) Claim(_ context.Context, op attempt.Operation) (attempt.Result, error) {
+	time.Sleep(f.delay)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.refusal != nil {
+		return attempt.Result{}, f.refusal
+	}
+	if f.records == nil {
+		f.records = map[string]*fakeClaim{}
+	}
+	c := f.records[op.Key]
+	switch {
+	case c == nil || c.state == "abandoned":
+		c = &fakeClaim{owner: f, state: "claimed"}
+		f.records[op.Key] = c
+		return attempt.Result{Claim: c}, nil
+	case c.state == "done":
+		return attempt.Result{Replay: &c.answer}, nil
+	case c.state == "claimed":
+		return attempt.Result{}, problem.New(problem.InProgress, problem.NotRun, "")
+	default:
+		return attempt.Result{}, problem.New(problem.OutcomeUnknown, problem.Unknown, "")
+	}
+}
+
+func (f *fakeClaims) state(key string) string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.records[key] == nil {
+		return ""
+	}
+	return f.records[key].state
+}
+
+func (c *fakeClaim) set(state string) {
+	c.owner.mu.Lock()
+	defer c.owner.mu.Unlock()
+	if c.state == "claimed" {
+		c.state = state
+	}
+}
+
+func (c *fakeClaim) Start() bool             { return !c.abandoned }
+func (c *fakeClaim) Rejected()               {}
+func (c *fakeClaim) Abandon(context.Context) { c.set("abandoned") }
+func (c *fakeClaim) Unknown()                { c.set("unknown") }
+func (c *fakeClaim) Done(a attempt.Answer) {
+	c.answer = a
+	c.set("done")
+}
+
+// fakeBackends records announcements.
+type fakeBackends struct {
+	mu        sync.Mutex
+	announced []backend.Server
+	draining  []string
+	err       error
+}
+
+func (f *fakeBackends) Servers(string) []backend.Server { return nil }
+
+func (f *fakeBackends) Announce(_ context.Context, s backend.Server) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.announced = append(f.announced, s)
+	return f.err
+}
+
+func (f *fakeBackends) MarkDraining(_, instance string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.draining = append(f.draining, instance)
+}
+
+func (f *fakeBackends) all() []backend.Server {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return slices.Clone(f.announced)
+}
+
+// fleet is one entry server with its fakes.
+type fleet struct {
+	server   *entry.Server
+	grants   *fakeGrants
+	claims   *fakeClaims
+	backends *fakeBackends
+	observed *observations
+	address  string
+	client   *http.Client
+	served   chan error
+}
+
+type observations struct {
+	mu  sync.Mutex
+	all []entry.Observation
+}
+
+func (o *observations) Observe(each entry.Observation) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.all = append(o.all, each)
+}
+
+func (o *observations) outcomes() []string {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	var list []string
+	for _, each := range o.all {
+		list = append(list, each.Outcome)
+	}
+	return list
+}
+
+// start runs an entry server in front of the addresses until the spec ends.
+func start(change func(*entry.Config), addresses ...string) *fleet {
+	f := &fleet{
+		grants: &fakeGrants{addresses: addresses}, claims: &fakeClaims{}, backends: &fakeBackends{},
+		observed: &observations{}, served: make(chan error, 1),
+		client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64, DisableCompression: true}},
+	}
+	cfg := entry.Config{
+		Settings: settings.Entry{EndpointTTL: settings.Duration(100 * time.Millisecond), BodyTimeout: settings.Duration(200 * time.Millisecond)},
+		Routes:   fakeRoutes{}, Grants: f.grants, Claims: f.claims, Backends: f.backends, Observer: f.observed,
+		Endpoints: func(string, string) []entry.Endpoint {
+			return []entry.Endpoint{{Address: "127.0.0.1:1", DataCentre: "a"}}
+		},
+	}
+	if change != nil {
+		change(&cfg)
+	}
+	var err error
+	f.server, err = entry.New(cfg)
+	Expect(err).NotTo(HaveOccurred())
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	Expect(err).NotTo(HaveOccurred())
+	f.address = l.Addr().String()
+	go func() { f.served <- f.server.Serve(l) }()
+	DeferCleanup(func() {
+		f.client.CloseIdleConnections()
+		ctx, cancel := context.WithCancel(context.Background())
+		cancel()
+		Expect(f.server.Shutdown(ctx)).To(Succeed())
+		Expect(f.grants.held()).To(BeZero(), "a grant was not completed")
+	})
+	return f
+}
+
+// serve runs a backend server until the spec ends and returns its address.
+func serve(h http.HandlerFunc) string {
+	s := httptest.NewServer(h)
+	DeferCleanup(s.Close)
+	return s.Listener.Addr().String()
+}
+
+// raw runs a backend server that hands each connection to the function.
+func raw(handle func(net.Conn)) string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	Expect(err).NotTo(HaveOccurred())
+	DeferCleanup(l.Close)
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go handle(c)
+		}
+	}()
+	return l.Addr().String()
+}
+
+// refused returns an address that refuses connections.
+func refused() string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	Expect(err).NotTo(HaveOccurred())
+	defer l.Close()
+	return l.Addr().String()
+}
--- /dev/null
+++ b/internal/entry/forward.go
@@ -0,0 +1,243 @@
+package entry
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"slices"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/tarragonmux/tarragonmux/internal/entry/roundtrip"
+	"github.com/tarragonmux/tarragonmux/internal/grant"
+	"github.com/tarragonmux/tarragonmux/internal/problem"
+)
+
+// forward sends the request to the granted backend server and reads the beginning of its answer.
+type forward struct {
+	cfg  *Config
+	pool *roundtrip.Pool
+}
+
+func newForward(ctx context.Context, _ Filter, cfg *Config, _ string) (Filter, error) {
+	pool := roundtrip.New(cfg.Pool)
+	context.AfterFunc(ctx, pool.Close)
+	return &forward{cfg: cfg, pool: pool}, nil
+}
+
+// Handle leaves the answer in the exchange. On a failure it completes the grant and returns a *failure.
+func (f *forward) Handle(x *Exchange) error {
+	server := x.grant.Server()
+	x.sent = time.Now()
+	answer, err := f.pool.Send(x.ctx, server.Address, f.outgoing(x))
+	if err != nil {
+		return f.failed(x, err)
+	}
+	x.answer = answer
+	if isDrain(answer.Header.Get(headerState)) {
+		x.draining = true
+		f.cfg.Backends.MarkDraining(server.Service, server.Instance)
+	}
+	if answer.Status == http.StatusServiceUnavailable && answer.Header.Get(headerOutcome) == outcomeNot {
+		return f.rejected(x)
+	}
+	return f.prefetch(x)
+}
+
+func (f *forward) outgoing(x *Exchange) *roundtrip.Request {
+	r := &roundtrip.Request{
+		Method: x.r.Method, Target: target(x.r), Host: x.r.Host, Header: x.r.Header, Skip: skipper(x.r.Header),
+		MaxIdle: roundtrip.DefaultIdleTimeout, Until: x.grant.Expires(), Start: x.begin, FirstByte: x.firstByte,
+		Extra: []roundtrip.Field{
+			{Name: headerRequestID, Value: x.id},
+			{Name: headerTimeout, Value: formatTimeout(time.Until(x.deadline))},
+			{Name: "Via", Value: viaValue},
+		},
+	}
+	if !x.match.Idempotent {
+		r.MaxIdle = staleForOnce
+	}
+	if x.body.buffered {
+		r.Body = x.body.buffer
+		return r
+	}
+	r.Stream = x.body.stream()
+	r.Length = x.body.length
+	return r
+}
+
+// skipper tells which of the caller's headers end at the proxy.
+func skipper(h http.Header) func(string) bool {
+	listed := connectionNames(h)
+	return func(name string) bool {
+		switch name {
+		case headerRequestID, headerTimeout:
+			return true
+		}
+		return hopByHop(name) || hasInternalPrefix(name) || slices.Contains(listed, name)
+	}
+}
+
+func hasInternalPrefix(name string) bool {
+	return len(name) >= len(headerPrefix) && name[:len(headerPrefix)] == headerPrefix
+}
+
+// target returns path and query as the caller sent them.
+func target(r *http.Request) string {
+	if len(r.RequestURI) > 0 && r.RequestURI[0] == '/' {
+		return r.RequestURI
+	}
+	return r.URL.RequestURI()
+}
+
+// begin is called just before the first byte is written.
+func (x *Exchange) begin() bool {
+	if !x.start() {
+		return false
+	}
+	x.sent = time.Now()
+	return true
+}
+
+func (x *Exchange) firstByte() {
+	x.first = time.Since(x.sent)
+	x.grant.FirstByte()
+}
+
+// prefetch reads a short answer whole, so that a break in it can still be told or retried.
+func (f *forward) prefetch(x *Exchange) error {
+	a := x.answer
+	if x.r.Method != http.MethodHead && (a.Length < 0 || a.Length > copyBytes) {
+		return nil
+	}
+	var err error
+	if x.r.Method == http.MethodHead {
+		_, err = io.Copy(io.Discard, a)
+	} else {
+		x.whole, err = readWhole(a)
+	}
+	if err != nil {
+		return f.broken(x, err)
+	}
+	x.fetched = true
+	x.complete(resultOf(a.Status))
+	return nil
+}
+
+func readWhole(a *roundtrip.Answer) ([]byte, error) {
+	read := make([]byte, a.Length)
+	if _, err := io.ReadFull(a, read); err != nil {
+		return nil, err
+	}
+	// Reading the end lets the connection be reused.
+	var end [1]byte
+	if _, err := a.Read(end[:]); err != io.EOF {
+		return nil, errors.Wrap(err, "the answer is longer than stated")
+	}
+	return read, nil
+}
+
+func (f *forward) broken(x *Exchange, err error) error {
+	x.complete(resultOfContext(x.ctx, grant.Broken))
+	return &failure{kind: problem.AnswerTruncated, detail: err.Error(), mayHaveRun: true}
+}
+
+// rejected handles a server that refused the request before running it.
+func (f *forward) rejected(x *Exchange) error {
+	wait := retryAfter(x.answer.Header)
+	// Reading a short refusal to its end lets the connection be reused.
+	_, _ = io.CopyN(io.Discard, x.answer, copyBytes)
+	x.complete(grant.Shed)
+	if claim := x.claimOf(); claim != nil {
+		claim.Rejected()
+	}
+	return &failure{kind: problem.NoCapacity, detail: "the backend server rejected the request before running it", wait: wait}
+}
+
+// failed classifies a round trip without an answer.
+func (f *forward) failed(x *Exchange, err error) error {
+	var e *roundtrip.Error
+	if !errors.As(err, &e) {
+		x.complete(grant.Broken)
+		return &failure{kind: problem.BackendFailed, detail: err.Error(), mayHaveRun: true}
+	}
+	if !e.Written && x.claimOf() != nil && e.Stage >= roundtrip.Send {
+		// The claim was started but nothing was written: the server cannot run the work.
+		x.claimOf().Rejected()
+	}
+	if x.ctx.Err() == nil && (e.Stage == roundtrip.Start || e.Stage == roundtrip.Wait) {
+		x.complete(grant.Unused)
+		return &failure{kind: problem.NoCapacity, detail: e.Err.Error(), unused: true, wait: backoffCap}
+	}
+	if final := x.callerFault(e); final != nil {
+		x.complete(grant.Cancelled)
+		return &failure{kind: problem.BadRequest, mayHaveRun: e.Written, final: final}
+	}
+	x.complete(resultOfContext(x.ctx, resultOfStage(e)))
+	return &failure{kind: problem.BackendFailed, detail: e.Error(), mayHaveRun: e.Written}
+}
+
+// callerFault returns how the request ends if its body could not be read from the caller.
+func (x *Exchange) callerFault(e *roundtrip.Error) error {
+	source := x.body.source
+	if x.body.buffered || source == nil || x.ctx.Err() != nil {
+		return nil
+	}
+	if failed := source.failed.Load(); failed != nil {
+		return x.bodyError(*failed)
+	}
+	return nil
+}
+
+func resultOfStage(e *roundtrip.Error) grant.Result {
+	switch {
+	case e.Stage == roundtrip.Connect:
+		return grant.ConnectFailed
+	case e.Written:
+		return grant.Broken
+	default:
+		return grant.ConnectFailed
+	}
+}
+
+// resultOfContext returns why a cancelled attempt ended, else the given result.
+func resultOfContext(ctx context.Context, otherwise grant.Result) grant.Result {
+	switch {
+	case ctx.Err() == nil:
+		return otherwise
+	case context.Cause(ctx) == context.DeadlineExceeded:
+		return grant.Timeout
+	default:
+		return grant.Cancelled
+	}
+}
+
+func resultOf(status int) grant.Result {
+	if status >= http.StatusInternalServerError {
+		return grant.Error
+	}
+	return grant.OK
+}
+
+// complete ends the attempt: it gives back the connection, the context and the grant.
+func (x *Exchange) complete(result grant.Result) {
+	if x.completed {
+		return
+	}
+	x.completed = true
+	if x.answer != nil {
+		x.answer.Close()
+	}
+	if x.release != nil {
+		x.release()
+	}
+	x.grant.Complete(grant.Completion{
+		Result: result, FirstByte: x.first, Total: time.Since(x.sent), Draining: x.draining,
+	})
+}
+
+// discard ends an attempt that lost the race.
+func (x *Exchange) discard() {
+	x.complete(grant.Cancelled)
+}
--- /dev/null
+++ b/internal/entry/inflight.go
@@ -0,0 +1,35 @@
+package entry
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"github.com/tarragonmux/tarragonmux/internal/problem"
+)
+
+const busyRetryAfter = time.Second
+
+// inFlight bounds the requests on this host and refuses all while it starts.
+type inFlight struct {
+	next  Filter
+	cfg   *Config
+	count atomic.Int64
+}
+
+func newInFlight(_ context.Context, next Filter, cfg *Config, _ string) (Filter, error) {
+	return &inFlight{next: next, cfg: cfg}, nil
+}
+
+// Handle counts the request while it is in flight.
+func (f *inFlight) Handle(x *Exchange) error {
+	defer f.count.Add(-1)
+	if f.count.Add(1) > int64(f.cfg.Settings.MaxRequests) {
+		return problem.New(problem.QueueFull, problem.NotRun, "the host has too many requests in flight").After(busyRetryAfter)
+	}
+	x.snapshot = f.cfg.Routes.Current()
+	if x.snapshot == nil || !f.cfg.Ready() {
+		return problem.New(problem.Starting, problem.NotRun, "").After(busyRetryAfter)
+	}
+	return f.next.Handle(x)
+}
--- /dev/null
+++ b/internal/entry/recovery.go
@@ -0,0 +1,94 @@
+package entry
+
+import (
+	"context"
+	"net/http"
+	"runtime/debug"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/tarragonmux/tarragonmux/internal/problem"
+)
+
+// recovery tells the caller how its request ended, whatever happened inside.
+type recovery struct {
+	next Filter
+	cfg  *Config
+}
+
+func newRecovery(_ context.Context, next Filter, cfg *Config, _ string) (Filter, error) {
+	return &recovery{next: next, cfg: cfg}, nil
+}
+
+// Handle writes refusals. It panics with http.ErrAbortHandler to break the caller's connection.
+func (f *recovery) Handle(x *Exchange) error {
+	err := f.guarded(x)
+	abort := x.begun && err != nil
+	refusal := asProblem(err)
+	if refusal != nil && !x.begun {
+		f.write(x, refusal)
+	}
+	f.observe(x, err, refusal)
+	if abort || err == errCallerGone {
+		panic(http.ErrAbortHandler)
+	}
+	return nil
+}
+
+// guarded turns a panic into a refusal. What ran before the panic is not known.
+func (f *recovery) guarded(x *Exchange) (err error) {
+	defer func() {
+		if v := recover(); v != nil {
+			f.cfg.Log.Error("a filter panicked", "request", x.id, "panic", v, "stack", string(debug.Stack()))
+			err = problem.New(problem.Internal, problem.Unknown, "")
+		}
+	}()
+	return f.next.Handle(x)
+}
+
+func (f *recovery) write(x *Exchange, p *problem.Problem) {
+	h := x.w.Header()
+	clear(h)
+	if x.id != "" {
+		h.Set(headerRequestID, x.id)
+	}
+	if x.leaving || x.unread() {
+		// The rest of an unread body must not be taken for the next request.
+		h.Set("Connection", "close")
+	}
+	x.status = p.Status()
+	p.Write(x.w, x.id)
+}
+
+func (f *recovery) observe(x *Exchange, err error, refusal *problem.Problem) {
+	o := Observation{
+		Match: x.match, Matched: x.matched, TeamBucket: teamBucket(x.team.ID),
+		Status: x.status, Latency: time.Since(x.arrived), Attempts: x.attempts, Hedged: x.hedged,
+	}
+	switch {
+	case err == errCallerGone:
+		o.Outcome = OutcomeCallerGone
+	case x.begun && err != nil:
+		o.Outcome = OutcomeBroken
+	case refusal != nil:
+		o.Outcome = string(refusal.Kind)
+	case x.replayed:
+		o.Outcome = OutcomeReplayed
+	default:
+		o.Outcome = OutcomeAnswered
+	}
+	f.cfg.Observer.Observe(o)
+}
+
+// asProblem returns the refusal in an error; other errors become an internal failure.
+func asProblem(err error) *problem.Problem {
+	if err == nil || err == errCallerGone || err == errBroken {
+		return nil
+	}
+	var p *problem.Problem
+	if errors.As(err, &p) {
+		return p
+	}
+	return problem.New(problem.Internal, problem.Unknown, "")
+}
--- /dev/null
+++ b/internal/entry/requestid.go
@@ -0,0 +1,45 @@
+package entry
+
+import (
+	"context"
+	"encoding/hex"
+	"math/rand/v2"
+
+	"github.com/tarragonmux/tarragonmux/internal/problem"
+)
+
+// requestID gives each request an id that is echoed and passed on.
+type requestID struct {
+	next Filter
+}
+
+func newRequestID(_ context.Context, next Filter, _ *Config, _ string) (Filter, error) {
+	return &requestID{next: next}, nil
+}
+
+// Handle keeps the caller's id if it is well formed.
+func (f *requestID) Handle(x *Exchange) error {
+	id, ok := single(x.r.Header, headerRequestID)
+	if !ok || id != "" && !printable(id, MaxIDBytes) {
+		x.id = newID()
+		return problem.New(problem.BadRequest, problem.NotRun, "Request-Id must be one value of at most 128 printable ASCII characters")
+	}
+	if id == "" {
+		id = newID()
+	}
+	x.id = id
+	return f.next.Handle(x)
+}
+
+// newID returns 128 random bits in hexadecimal.
+func newID() string {
+	var raw [16]byte
+	var text [32]byte
+	high, low := rand.Uint64(), rand.Uint64()
+	for i := range 8 {
+		raw[i] = byte(high >> (8 * i))
+		raw[8+i] = byte(low >> (8 * i))
+	}
+	hex.Encode(text[:], raw[:])
+	return string(text[:])
+}
--- /dev/null
+++ b/internal/entry/roundtrip/conn.go
@@ -0,0 +1,83 @@
+package roundtrip
+
+import (
+	"bufio"
+	"net"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+)
+
+// conn is one connection to a backend server. It is used by one request at a time.
+type conn struct {
+	net.Conn
+	server  *server
+	br      *bufio.Reader
+	bw      *bufio.Writer
+	written atomic.Int64
+	// headBudget bounds what is read while an answer's headers are awaited; negative means unlimited.
+	headBudget int64
+	idleSince  time.Time
+	closeOnce  sync.Once
+	raw        syscall.RawConn
+}
+
+func newConn(nc net.Conn, s *server) *conn {
+	c := &conn{Conn: nc, server: s, headBudget: -1}
+	c.br = bufio.NewReaderSize(c, bufferBytes)
+	c.bw = bufio.NewWriterSize(c, bufferBytes)
+	if sc, ok := nc.(syscall.Conn); ok {
+		// Without a raw connection only the idle time guards reuse.
+		c.raw, _ = sc.SyscallConn()
+	}
+	return c
+}
+
+// Write counts the bytes that were handed to the network.
+func (c *conn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	c.written.Add(int64(n))
+	return n, err
+}
+
+// Read enforces the bound on the headers of an answer.
+func (c *conn) Read(p []byte) (int, error) {
+	if c.headBudget == 0 {
+		return 0, ErrHeadTooLarge
+	}
+	if c.headBudget > 0 && int64(len(p)) > c.headBudget {
+		p = p[:c.headBudget]
+	}
+	n, err := c.Conn.Read(p)
+	if c.headBudget > 0 {
+		c.headBudget -= int64(n)
+	}
+	return n, err
+}
+
+// abort closes the connection under a reader or writer that is blocked on it.
+func (c *conn) abort() {
+	c.closeOnce.Do(func() {
+		// The connection is given up either way.
+		_ = c.Conn.Close()
+	})
+}
+
+// quiet tells whether the idle connection is open and has nothing to read.
+func (c *conn) quiet() bool {
+	if c.br.Buffered() > 0 {
+		return false
+	}
+	if c.raw == nil {
+		return true
+	}
+	quiet := false
+	err := c.raw.Read(func(fd uintptr) bool {
+		var b [1]byte
+		_, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		quiet = err == syscall.EAGAIN || err == syscall.EWOULDBLOCK
+		return true
+	})
+	return err == nil && quiet
+}
--- /dev/null
+++ b/internal/entry/roundtrip/errors.go
@@ -0,0 +1,68 @@
+package roundtrip
+
+import "github.com/pkg/errors"
+
+// Stage is the step at which a round trip failed.
+type Stage uint8
+
+// The stages, in order.
+const (
+	// Wait for a free connection.
+	Wait Stage = iota + 1
+	// Connect opens the connection.
+	Connect
+	// Start asks the holder of the request whether it may be written.
+	Start
+	// Send writes the request.
+	Send
+	// Await waits for the first byte of the answer.
+	Await
+	// Head reads the status line and the headers.
+	Head
+	// Body reads the body of the answer.
+	Body
+)
+
+var stageNames = map[Stage]string{
+	Wait: "wait for a connection", Connect: "connect", Start: "start",
+	Send: "send the request", Await: "await the answer", Head: "read the answer's headers", Body: "read the answer's body",
+}
+
+// String returns what the stage does.
+func (s Stage) String() string {
+	return stageNames[s]
+}
+
+// Error is the failure of one round trip.
+type Error struct {
+	Stage Stage
+	// Written is set when at least one byte of the request was handed to the network.
+	Written bool
+	Err     error
+}
+
+// Error returns stage and cause.
+func (e *Error) Error() string {
+	return "cannot " + e.Stage.String() + ": " + e.Err.Error()
+}
+
+// Unwrap returns the cause.
+func (e *Error) Unwrap() error {
+	return e.Err
+}
+
+// Causes of failed round trips.
+var (
+	// ErrNotStarted means that Request.Start forbade the write.
+	ErrNotStarted = errors.New("the request was withdrawn before it was written; acquire a new grant")
+	// ErrNoConnection means that all connections to the server stayed busy.
+	ErrNoConnection = errors.New("all connections to the backend server are busy; retry later")
+	// ErrNoLength means that an answer's end cannot be told from a broken connection.
+	ErrNoLength = errors.New("the answer states no length; the backend server must send Content-Length or chunks")
+	// ErrHeadTooLarge means that the headers of an answer exceed MaxHeadBytes.
+	ErrHeadTooLarge = errors.New("the answer's headers are too large; the backend server must send fewer or shorter headers")
+	// ErrStatus means that an answer has a status that ends no request.
+	ErrStatus = errors.New("the answer has an unexpected informational status; the backend server must send a final status")
+	// ErrClosed means that the pool was closed.
+	ErrClosed = errors.New("the connection pool is closed; use another host")
+)
--- /dev/null
+++ b/internal/standin/listener.go
@@ -0,0 +1,88 @@
+package standin
+
+import (
+	"net"
+	"sync"
+)
+
+// limitedListener closes connections beyond the limit, and all new ones while inbound is refused.
+type limitedListener struct {
+	net.Listener
+	refuse func() bool
+	limit  int64
+	mu     sync.Mutex
+	open   map[*trackedConn]struct{}
+}
+
+// trackedConn tells its listener when it closes.
+type trackedConn struct {
+	net.Conn
+	listener *limitedListener
+	once     sync.Once
+}
+
+// Accept implements net.Listener.
+func (l *limitedListener) Accept() (net.Conn, error) {
+	for {
+		nc, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		if c := l.admit(nc); c != nil {
+			return c, nil
+		}
+		reset(nc)
+	}
+}
+
+func (l *limitedListener) admit(nc net.Conn) *trackedConn {
+	refused := l.refuse()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if refused || int64(len(l.open)) >= l.limit {
+		return nil
+	}
+	if l.open == nil {
+		l.open = map[*trackedConn]struct{}{}
+	}
+	c := &trackedConn{Conn: nc, listener: l}
+	l.open[c] = struct{}{}
+	return c
+}
+
+// breakAll resets all open connections.
+func (l *limitedListener) breakAll() {
+	l.mu.Lock()
+	broken := make([]*trackedConn, 0, len(l.open))
+	for c := range l.open {
+		broken = append(broken, c)
+	}
+	l.mu.Unlock()
+	for _, c := range broken {
+		reset(c.Conn)
+		c.forget()
+	}
+}
+
+// Close implements net.Conn.
+func (c *trackedConn) Close() error {
+	c.forget()
+	return c.Conn.Close()
+}
+
+func (c *trackedConn) forget() {
+	c.once.Do(func() {
+		c.listener.mu.Lock()
+		defer c.listener.mu.Unlock()
+		delete(c.listener.open, c)
+	})
+}
+
+// reset closes a connection so that the peer sees a reset, as after a crash.
+func reset(nc net.Conn) {
+	if tcp, ok := nc.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0)
+	}
+	// The connection is given up either way.
+	_ = nc.Close()
+}
--- /dev/null
+++ b/internal/standin/report.go
@@ -0,0 +1,124 @@
+package standin
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"time"
+)
+
+const (
+	sampleEvery     = 20 * time.Millisecond
+	maxFaultsBytes  = 4 << 10
+	jsonContentType = "application/json"
+)
+
+// sample is what the lagging endpoints report later.
+type sample struct {
+	at      time.Time
+	healthy bool
+	load    float64
+}
+
+// load returns the share of slots in use now.
+func (s *Server) load() float64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.life == nil {
+		return 0
+	}
+	return float64(s.life.running.Load()) / float64(s.cfg.Slots)
+}
+
+// sampleLoad keeps the samples of the last HealthLag.
+func (s *Server) sampleLoad() {
+	for sleep(s.ctx, sampleEvery) {
+		now := sample{at: time.Now(), healthy: s.healthy(), load: s.load()}
+		s.mu.Lock()
+		s.samples = append(s.samples, now)
+		for len(s.samples) > 1 && now.at.Sub(s.samples[1].at) >= s.cfg.HealthLag {
+			s.samples = s.samples[1:]
+		}
+		s.mu.Unlock()
+	}
+}
+
+// healthy is what the server believes of itself: stalled work does not count.
+func (s *Server) healthy() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.life != nil && !s.draining && time.Since(s.life.born) >= s.cfg.ColdStart
+}
+
+// lagged returns the report of HealthLag ago.
+func (s *Server) lagged() sample {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if len(s.samples) == 0 {
+		return sample{healthy: true}
+	}
+	return s.samples[0]
+}
+
+func (s *Server) health(w http.ResponseWriter, r *http.Request) {
+	if !sleep(r.Context(), s.cfg.ProbeTime) {
+		return
+	}
+	report := s.lagged()
+	if !report.healthy || s.Faults().ReportUnhealthy {
+		http.Error(w, "unhealthy", http.StatusServiceUnavailable)
+		return
+	}
+	fmt.Fprintln(w, "healthy")
+}
+
+func (s *Server) reportLoad(w http.ResponseWriter, r *http.Request) {
+	if !sleep(r.Context(), s.cfg.ProbeTime) {
+		return
+	}
+	load := s.lagged().load
+	if s.Faults().ReportIdle {
+		load = 0
+	}
+	writeJSON(w, struct {
+		Load float64 `json:"load"`
+	}{load})
+}
+
+// controlPaths serves the control listener.
+func (s *Server) controlPaths() http.Handler {
+	m := http.NewServeMux()
+	m.HandleFunc("GET /standin/faults", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, s.Faults()) })
+	m.HandleFunc("PUT /standin/faults", s.putFaults)
+	m.HandleFunc("GET /standin/log", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, s.Ledger()) })
+	m.HandleFunc("POST /standin/drain", func(w http.ResponseWriter, _ *http.Request) {
+		s.mu.Lock()
+		s.draining = true
+		s.mu.Unlock()
+		w.WriteHeader(http.StatusNoContent)
+	})
+	return m
+}
+
+func (s *Server) putFaults(w http.ResponseWriter, r *http.Request) {
+	var f Faults
+	decoder := json.NewDecoder(io.LimitReader(r.Body, maxFaultsBytes))
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(&f); err != nil {
+		http.Error(w, "the faults are malformed: "+err.Error()+"; send the known fields only", http.StatusBadRequest)
+		return
+	}
+	if wrong := f.valid(); wrong != "" {
+		http.Error(w, wrong, http.StatusBadRequest)
+		return
+	}
+	s.SetFaults(f)
+	w.WriteHeader(http.StatusNoContent)
+}
+
+func writeJSON(w http.ResponseWriter, v any) {
+	w.Header().Set("Content-Type", jsonContentType)
+	// The reader may be gone; there is nobody left to tell.
+	_ = json.NewEncoder(w).Encode(v)
+}
--- /dev/null
+++ b/internal/standin/server.go
@@ -0,0 +1,327 @@
+package standin
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/tarragonmux/tarragonmux/internal/backend"
+)
+
+const (
+	idleAnnouncer = 5 * time.Second
+	// idleTimeout is longer than the proxy keeps idle connections.
+	idleTimeout       = time.Minute
+	readHeaderTimeout = 5 * time.Second
+	// listenRetry is the pause between attempts to listen again after a crash.
+	listenRetry = 20 * time.Millisecond
+)
+
+// Server is one stand-in backend server. It is safe for concurrent use.
+type Server struct {
+	cfg     Config
+	ledger  *ledger
+	control *http.Server
+	// controlListener never closes before Close.
+	controlListener net.Listener
+
+	ctx    context.Context
+	cancel context.CancelFunc
+	tasks  sync.WaitGroup
+
+	mu       sync.Mutex
+	random   *rand.Rand
+	faults   Faults
+	faultsAt time.Time
+	life     *life
+	address  string
+	draining bool
+	// held is closed and replaced when the faults change, to wake stalled work.
+	held        chan struct{}
+	incarnation uint64
+	samples     []sample
+	closed      bool
+}
+
+// life is the time from one start to the next crash.
+type life struct {
+	ctx         context.Context
+	cancel      context.CancelFunc
+	listener    net.Listener
+	http        *http.Server
+	born        time.Time
+	incarnation uint64
+	slots       chan struct{}
+	waiting     atomic.Int64
+	running     atomic.Int64
+	// pending counts all work from arrival to the end of its answer.
+	pending atomic.Int64
+}
+
+// New builds a stand-in. It listens after Start.
+func New(cfg Config) (*Server, error) {
+	cfg, err := cfg.withDefaults()
+	if err != nil {
+		return nil, err
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	return &Server{
+		cfg: cfg, ledger: newLedger(cfg.LedgerLimit), ctx: ctx, cancel: cancel,
+		random: rand.New(rand.NewPCG(cfg.Seed, cfg.Seed)), held: make(chan struct{}), address: cfg.Address,
+	}, nil
+}
+
+// Start listens, serves and announces until Close.
+func (s *Server) Start() error {
+	control, err := net.Listen("tcp", s.cfg.ControlAddress)
+	if err != nil {
+		return errors.Wrap(err, "standin: cannot listen for control; choose a free control address")
+	}
+	if err := s.begin(); err != nil {
+		// The listener was not served yet.
+		_ = control.Close()
+		return err
+	}
+	s.controlListener = control
+	s.control = &http.Server{Handler: s.controlPaths(), ReadHeaderTimeout: readHeaderTimeout}
+	s.spawn(func() { _ = s.control.Serve(control) })
+	s.spawn(s.sampleLoad)
+	if len(s.cfg.Entries) > 0 {
+		s.spawn(s.announceUntilClosed)
+	}
+	return nil
+}
+
+func (s *Server) spawn(task func()) {
+	s.tasks.Add(1)
+	go func() {
+		defer s.tasks.Done()
+		task()
+	}()
+}
+
+// begin starts a life: cold, with a new incarnation, at the address of the last one.
+func (s *Server) begin() error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.closed {
+		return errors.New("standin: the server is closed; build a new one")
+	}
+	l, err := net.Listen("tcp", s.address)
+	if err != nil {
+		return errors.Wrap(err, "standin: cannot listen for work; choose a free address")
+	}
+	s.address = l.Addr().String()
+	// The wall clock makes incarnations rise over restarts of the process; the second term over fast crashes.
+	s.incarnation = max(uint64(time.Now().UnixMilli()), s.incarnation+1)
+	ctx, cancel := context.WithCancel(s.ctx)
+	v := &life{
+		ctx: ctx, cancel: cancel, born: time.Now(), incarnation: s.incarnation, slots: make(chan struct{}, s.cfg.Slots),
+	}
+	v.listener = &limitedListener{Listener: l, refuse: s.refusesInbound, limit: int64(s.cfg.Connections)}
+	v.http = &http.Server{
+		Handler: s.workPaths(v), ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout,
+		BaseContext: func(net.Listener) context.Context { return ctx },
+	}
+	s.life = v
+	s.spawn(func() { _ = v.http.Serve(v.listener) })
+	return nil
+}
+
+// Address returns the ip:port for work.
+func (s *Server) Address() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.address
+}
+
+// ControlAddress returns the ip:port of the control listener.
+func (s *Server) ControlAddress() string {
+	return s.controlListener.Addr().String()
+}
+
+// Instance returns the instance's name.
+func (s *Server) Instance() string {
+	return s.cfg.Instance
+}
+
+// Incarnation returns the incarnation of the current or last life.
+func (s *Server) Incarnation() uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.incarnation
+}
+
+// Faults returns the faults in force.
+func (s *Server) Faults() Faults {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.faults
+}
+
+// SetFaults replaces the faults in force.
+func (s *Server) SetFaults(f Faults) {
+	s.mu.Lock()
+	s.faults = f
+	s.faultsAt = time.Now()
+	close(s.held)
+	s.held = make(chan struct{})
+	v := s.life
+	s.mu.Unlock()
+	if f.RefuseInbound && v != nil {
+		v.listener.(*limitedListener).breakAll()
+	}
+}
+
+// Ledger returns a copy of the log of work.
+func (s *Server) Ledger() Ledger {
+	return s.ledger.copy()
+}
+
+// Server returns what would be announced now.
+func (s *Server) Server() backend.Server {
+	state := s.state()
+	load := s.load()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.faults.ReportIdle {
+		load = 0
+	}
+	return backend.Server{
+		Service: s.cfg.Service, Instance: s.cfg.Instance, Incarnation: s.incarnation, Address: s.address,
+		DataCentre: s.cfg.DataCentre, State: state, Slots: s.cfg.Slots, Connections: s.cfg.Connections,
+		WarmUp: s.cfg.WarmUp, Load: load,
+	}
+}
+
+// state returns the announced state; Left while the server is down.
+func (s *Server) state() backend.State {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	switch {
+	case s.life == nil:
+		return backend.Left
+	case s.draining:
+		return backend.Draining
+	case time.Since(s.life.born) < s.cfg.ColdStart:
+		return backend.Starting
+	default:
+		return backend.Ready
+	}
+}
+
+// Drain announces draining, rejects new work, and returns when the accepted work has ended or the
+// context has.
+func (s *Server) Drain(ctx context.Context) error {
+	s.mu.Lock()
+	s.draining = true
+	s.mu.Unlock()
+	ticker := time.NewTicker(listenRetry)
+	defer ticker.Stop()
+	for s.pendingWork() > 0 {
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return errors.Wrap(context.Cause(ctx), "standin: work is still running")
+		}
+	}
+	return nil
+}
+
+func (s *Server) pendingWork() int64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.life == nil {
+		return 0
+	}
+	return s.life.pending.Load()
+}
+
+// Resume ends draining.
+func (s *Server) Resume() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.draining = false
+}
+
+// Crash breaks all connections and stops listening. The server starts again after RestartAfter.
+func (s *Server) Crash() {
+	s.mu.Lock()
+	v := s.life
+	s.life = nil
+	restart := !s.closed && s.cfg.RestartAfter >= 0
+	if v != nil && restart {
+		s.spawn(s.restart)
+	}
+	s.mu.Unlock()
+	if v != nil {
+		v.end()
+	}
+}
+
+func (v *life) end() {
+	v.cancel()
+	// Closing also breaks the connections that are in use.
+	_ = v.http.Close()
+	v.listener.(*limitedListener).breakAll()
+}
+
+func (s *Server) restart() {
+	if !sleep(s.ctx, s.cfg.RestartAfter) {
+		return
+	}
+	for {
+		err := s.begin()
+		if err == nil || s.ctx.Err() != nil {
+			return
+		}
+		s.cfg.Log.Warn("cannot start again; retrying", "error", err)
+		if !sleep(s.ctx, listenRetry) {
+			return
+		}
+	}
+}
+
+// Close withdraws the announcement, ends all work and returns when nothing runs any more.
+func (s *Server) Close() {
+	s.mu.Lock()
+	if s.closed {
+		s.mu.Unlock()
+		return
+	}
+	s.closed = true
+	v := s.life
+	s.life = nil
+	s.mu.Unlock()
+	s.withdraw()
+	s.cancel()
+	if v != nil {
+		v.end()
+	}
+	if s.control != nil {
+		_ = s.control.Close()
+	}
+	s.tasks.Wait()
+	s.cfg.Client.CloseIdleConnections()
+}
+
+// sleep returns false if the context ended first.
+func sleep(ctx context.Context, d time.Duration) bool {
+	if d <= 0 {
+		return ctx.Err() == nil
+	}
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
--- /dev/null
+++ b/internal/standin/work.go
@@ -0,0 +1,266 @@
+package standin
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/tarragonmux/tarragonmux/internal/backend"
+)
+
+// Headers that steer or describe work.
+const (
+	HeaderWork     = "Standin-Work"
+	HeaderSize     = "Standin-Size"
+	HeaderStatus   = "Standin-Status"
+	HeaderCrash    = "Standin-Crash"
+	HeaderInstance = "Standin-Instance"
+
+	headerRequestID = "Request-Id"
+	headerKey       = "Idempotency-Key"
+	headerTimeout   = "Grpc-Timeout"
+	headerState     = "Tarragon-State"
+	headerOutcome   = "Tarragon-Outcome"
+
+	maxBodyBytes   = 64 << 20
+	maxAnswerBytes = 64 << 20
+	// jitter is the share by which work times vary around their mean.
+	jitter = 0.2
+)
+
+// workPaths serves work, health and load.
+func (s *Server) workPaths(v *life) http.Handler {
+	m := http.NewServeMux()
+	m.HandleFunc("GET /healthz", s.health)
+	m.HandleFunc("GET /load", s.reportLoad)
+	m.HandleFunc("/", func(w http.ResponseWriter, r *http.Request) { s.work(v, w, r) })
+	return m
+}
+
+// work runs one request, or rejects it before running it.
+func (s *Server) work(v *life, w http.ResponseWriter, r *http.Request) {
+	v.pending.Add(1)
+	defer v.pending.Add(-1)
+	state := s.state()
+	if state == backend.Draining {
+		w.Header().Set(headerState, "draining")
+	}
+	if state != backend.Ready {
+		s.reject(w, "not ready")
+		return
+	}
+	hash := sha256.New()
+	read, err := io.Copy(hash, io.LimitReader(r.Body, maxBodyBytes))
+	if err != nil {
+		// The request is not whole, so it is not run.
+		panic(http.ErrAbortHandler)
+	}
+	ctx, cancel := withTimeout(r.Context(), r.Header.Get(headerTimeout))
+	defer cancel()
+	if !s.enter(ctx, v) {
+		s.reject(w, "no slot")
+		return
+	}
+	defer v.leave()
+	s.run(ctx, v, w, r, fmt.Sprintf("%d:%s", read, hex.EncodeToString(hash.Sum(nil))))
+}
+
+// enter takes a slot. It returns false if the queue is full or the wait is over.
+func (s *Server) enter(ctx context.Context, v *life) bool {
+	select {
+	case v.slots <- struct{}{}:
+		v.running.Add(1)
+		return true
+	default:
+	}
+	defer v.waiting.Add(-1)
+	if v.waiting.Add(1) > int64(s.cfg.Queue) {
+		return false
+	}
+	select {
+	case v.slots <- struct{}{}:
+		v.running.Add(1)
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+func (v *life) leave() {
+	v.running.Add(-1)
+	<-v.slots
+}
+
+func (s *Server) reject(w http.ResponseWriter, reason string) {
+	s.ledger.reject()
+	w.Header().Set(headerOutcome, "not-run")
+	w.Header().Set(HeaderInstance, s.cfg.Instance)
+	http.Error(w, reason, http.StatusServiceUnavailable)
+}
+
+func (s *Server) run(ctx context.Context, v *life, w http.ResponseWriter, r *http.Request, body string) {
+	request, key := r.Header.Get(headerRequestID), r.Header.Get(headerKey)
+	s.ledger.note(request, key, started)
+	if r.Header.Get(HeaderCrash) != "" {
+		s.Crash()
+		panic(http.ErrAbortHandler)
+	}
+	if !s.hold(ctx) || !sleep(ctx, s.workTime(v, r)) {
+		s.ledger.note(request, key, cancelled)
+		w.Header().Set(HeaderInstance, s.cfg.Instance)
+		http.Error(w, "the deadline passed or the caller went away", http.StatusGatewayTimeout)
+		return
+	}
+	s.ledger.note(request, key, finished)
+	if s.Faults().DropAnswers {
+		// The answer is lost; the connection stays open until the proxy gives up.
+		<-r.Context().Done()
+		panic(http.ErrAbortHandler)
+	}
+	s.answer(w, r, fmt.Sprintf("instance=%s request=%s key=%s path=%s body=%s\n", s.cfg.Instance, request, key, r.URL.RequestURI(), body))
+}
+
+// hold waits while work is stalled. It returns false if the context ended first.
+func (s *Server) hold(ctx context.Context) bool {
+	for {
+		s.mu.Lock()
+		since := time.Since(s.faultsAt)
+		stalled := s.faults.stalled(since)
+		changed := s.held
+		flap := time.Duration(s.faults.FlapMS) * time.Millisecond
+		s.mu.Unlock()
+		if !stalled {
+			return ctx.Err() == nil
+		}
+		if !waitFor(ctx, changed, untilFlip(since, flap)) {
+			return false
+		}
+	}
+}
+
+// untilFlip returns the time to the next change of a flapping server; 0 if it does not flap.
+func untilFlip(since, period time.Duration) time.Duration {
+	if period <= 0 {
+		return 0
+	}
+	return period - since%period
+}
+
+// waitFor waits for a change or, if positive, the time. It returns false if the context ended first.
+func waitFor(ctx context.Context, changed <-chan struct{}, d time.Duration) bool {
+	var after <-chan time.Time
+	if d > 0 {
+		timer := time.NewTimer(d)
+		defer timer.Stop()
+		after = timer.C
+	}
+	select {
+	case <-changed:
+		return true
+	case <-after:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+func (s *Server) workTime(v *life, r *http.Request) time.Duration {
+	d := s.cfg.WorkTime
+	if stated, err := time.ParseDuration(r.Header.Get(HeaderWork)); err == nil {
+		d = stated
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	factor := 1 - jitter + 2*jitter*s.random.Float64()
+	if s.faults.SlowFactor > 0 {
+		factor *= s.faults.SlowFactor
+	}
+	warm := time.Since(v.born) - s.cfg.ColdStart
+	if warm < s.cfg.WarmUp {
+		factor *= 1 + (s.cfg.ColdFactor-1)*(1-float64(warm)/float64(s.cfg.WarmUp))
+	}
+	return time.Duration(float64(d) * factor)
+}
+
+// answer sends the text, padded to the size that the request asks for.
+func (s *Server) answer(w http.ResponseWriter, r *http.Request, text string) {
+	size, err := strconv.Atoi(r.Header.Get(HeaderSize))
+	if err != nil || size < len(text) || size > maxAnswerBytes {
+		size = len(text)
+	}
+	failed, truncated := s.draw()
+	status, err := strconv.Atoi(r.Header.Get(HeaderStatus))
+	if err != nil || status < http.StatusOK || status > 599 {
+		status = http.StatusOK
+	}
+	if failed {
+		status = http.StatusInternalServerError
+	}
+	w.Header().Set(HeaderInstance, s.cfg.Instance)
+	w.Header().Set("Content-Length", strconv.Itoa(size))
+	if s.state() == backend.Draining {
+		w.Header().Set(headerState, "draining")
+	}
+	w.WriteHeader(status)
+	if truncated {
+		size /= 2
+	}
+	writePadded(w, text, size)
+	if truncated {
+		panic(http.ErrAbortHandler)
+	}
+}
+
+func writePadded(w io.Writer, text string, size int) {
+	if len(text) > size {
+		text = text[:size]
+	}
+	// The proxy may be gone; there is nobody left to tell.
+	_, _ = io.WriteString(w, text)
+	padding := make([]byte, min(size-len(text), 32<<10))
+	for i := range padding {
+		padding[i] = '.'
+	}
+	for left := size - len(text); left > 0; {
+		n, err := w.Write(padding[:min(left, len(padding))])
+		if err != nil {
+			return
+		}
+		left -= n
+	}
+}
+
+// draw decides whether this request meets one of the random faults.
+func (s *Server) draw() (failed, truncated bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	failed = s.faults.ErrorShare > 0 && s.random.Float64() < s.faults.ErrorShare
+	truncated = s.faults.TruncateShare > 0 && s.random.Float64() < s.faults.TruncateShare
+	return failed, truncated
+}
+
+func (s *Server) refusesInbound() bool {
+	return s.Faults().RefuseInbound
+}
+
+// withTimeout applies a Grpc-Timeout value; one that is not understood is ignored.
+func withTimeout(ctx context.Context, text string) (context.Context, context.CancelFunc) {
+	units := map[byte]time.Duration{
+		'H': time.Hour, 'M': time.Minute, 'S': time.Second, 'm': time.Millisecond, 'u': time.Microsecond, 'n': time.Nanosecond,
+	}
+	last := len(text) - 1
+	if last < 1 {
+		return context.WithCancel(ctx)
+	}
+	n, err := strconv.ParseUint(text[:last], 10, 31)
+	unit, ok := units[text[last]]
+	if err != nil || !ok {
+		return context.WithCancel(ctx)
+	}
+	return context.WithTimeout(ctx, time.Duration(n)*unit)
+}
