Assemble nodes and control replicas and run them from the command line

Adds the fx wiring, the operator verbs, the demo on an in-process fleet and the decisions benchmark.

--- /dev/null
+++ b/internal/app/fleet.go
@@ -0,0 +1,180 @@
+package app
+
+import (
+	"context"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/tarragonmux/tarragonmux/internal/backend"
+	"github.com/tarragonmux/tarragonmux/internal/burn"
+	"github.com/tarragonmux/tarragonmux/internal/dispatch"
+	"github.com/tarragonmux/tarragonmux/internal/dispatchrpc"
+	"github.com/tarragonmux/tarragonmux/internal/election"
+	"github.com/tarragonmux/tarragonmux/internal/hostset"
+	"github.com/tarragonmux/tarragonmux/internal/membership"
+	"github.com/tarragonmux/tarragonmux/internal/records"
+	"github.com/tarragonmux/tarragonmux/proto/fleetpb"
+)
+
+// errNoNode answers calls that only a node can serve.
+var errNoNode = errors.New("this process runs no node; send the call to a node")
+
+// fleetService serves fleetpb.Fleet by handing each call to the part that owns the state. On a
+// control replica without a node only membership is set.
+type fleetService struct {
+	id         string
+	membership *membership.Runner
+	elections  *election.Runner
+	dispatcher *dispatchrpc.Server
+	claimer    *records.Claimer
+	recorder   *burn.Recorder
+	source     hostset.Source
+	drain      func()
+}
+
+var _ fleetpb.DRPCFleetServer = (*fleetService)(nil)
+
+// Gossip exchanges membership.
+func (f *fleetService) Gossip(ctx context.Context, r *fleetpb.GossipRequest) (*fleetpb.GossipReply, error) {
+	return f.membership.Gossip(ctx, r)
+}
+
+// Probe answers a probe, or probes another node for the sender.
+func (f *fleetService) Probe(ctx context.Context, r *fleetpb.ProbeRequest) (*fleetpb.ProbeReply, error) {
+	return f.membership.Probe(ctx, r)
+}
+
+// Vote answers a candidate for the dispatcher role.
+func (f *fleetService) Vote(ctx context.Context, r *fleetpb.VoteRequest) (*fleetpb.VoteReply, error) {
+	if f.elections == nil {
+		return nil, errNoNode
+	}
+	return f.elections.Vote(ctx, r)
+}
+
+// Attempt tells the state of an attempt of this node.
+func (f *fleetService) Attempt(ctx context.Context, r *fleetpb.AttemptRequest) (*fleetpb.AttemptReply, error) {
+	if f.claimer == nil {
+		return nil, errNoNode
+	}
+	return f.claimer.Attempts().Attempt(ctx, r)
+}
+
+// Burn returns the service-level counts.
+func (f *fleetService) Burn(context.Context, *fleetpb.BurnRequest) (*fleetpb.BurnReply, error) {
+	if f.recorder == nil {
+		return nil, errNoNode
+	}
+	return f.recorder.Reply(f.id, time.Now()), nil
+}
+
+// Hosts lists the members as this process sees them.
+func (f *fleetService) Hosts(context.Context, *fleetpb.HostsRequest) (*fleetpb.HostsReply, error) {
+	reply := &fleetpb.HostsReply{}
+	for _, m := range f.membership.Members() {
+		reply.Nodes = append(reply.Nodes, memberProto(m))
+	}
+	return reply, nil
+}
+
+func memberProto(m membership.Member) *fleetpb.Node {
+	return &fleetpb.Node{
+		Id:                  m.ID,
+		Incarnation:         m.Incarnation,
+		State:               m.State,
+		DataCentre:          m.DataCentre,
+		EntryAddress:        m.EntryAddress,
+		FleetAddress:        m.FleetAddress,
+		Revision:            m.Revision,
+		Ready:               m.Ready,
+		UnreachableServices: m.Unreachable,
+		Role:                m.Role,
+		AgeMs:               heardAge(m),
+	}
+}
+
+func heardAge(m membership.Member) int64 {
+	if m.Heard.IsZero() {
+		return -1
+	}
+	return time.Since(m.Heard).Milliseconds()
+}
+
+// Backends lists the backend servers, with judgements where this node dispatches the service.
+func (f *fleetService) Backends(_ context.Context, r *fleetpb.BackendsRequest) (*fleetpb.BackendsReply, error) {
+	if f.dispatcher == nil {
+		return nil, errNoNode
+	}
+	reply := &fleetpb.BackendsReply{}
+	for _, service := range f.services(r.GetService()) {
+		view, _, dispatching := f.dispatcher.View(service)
+		for _, s := range f.membership.Servers(service) {
+			b := &fleetpb.Backend{Server: serverProto(s)}
+			if dispatching {
+				judge(b, view, s.Instance)
+			}
+			reply.Backends = append(reply.Backends, b)
+		}
+		if h, ok := f.elections.Dispatcher(service); ok {
+			reply.Dispatchers = append(reply.Dispatchers, &fleetpb.DispatcherInfo{Service: service, Node: h.Node, Term: h.Term})
+		}
+	}
+	return reply, nil
+}
+
+func (f *fleetService) services(asked string) []string {
+	if asked != "" {
+		return []string{asked}
+	}
+	fleet := f.source.Fleet()
+	if fleet == nil {
+		return nil
+	}
+	names := make([]string, 0, len(fleet.Services))
+	for _, s := range fleet.Services {
+		names = append(names, s.Name)
+	}
+	return names
+}
+
+func judge(b *fleetpb.Backend, view dispatch.View, instance string) {
+	for _, s := range view.Servers {
+		if s.Instance == instance {
+			b.Judgement = s.State
+			b.InFlight = uint32(s.InFlight)
+			b.Limit = uint32(s.Limit)
+		}
+	}
+}
+
+func serverProto(s backend.Server) *fleetpb.Server {
+	return &fleetpb.Server{
+		Service:     s.Service,
+		Instance:    s.Instance,
+		Incarnation: s.Incarnation,
+		Address:     s.Address,
+		DataCentre:  s.DataCentre,
+		State:       fleetpb.ServerState(s.State),
+		Slots:       uint32(s.Slots),
+		Connections: uint32(s.Connections),
+		AgeMs:       time.Since(s.Renewed).Milliseconds(),
+		WarmUpMs:    s.WarmUp.Milliseconds(),
+		Load:        s.Load,
+	}
+}
+
+// Drain shuts this process down gracefully, or drains one backend server.
+func (f *fleetService) Drain(_ context.Context, r *fleetpb.DrainRequest) (*fleetpb.DrainReply, error) {
+	if r.GetService() == "" && r.GetInstance() == "" {
+		f.drain()
+		return &fleetpb.DrainReply{}, nil
+	}
+	for _, s := range f.membership.Servers(r.GetService()) {
+		if s.Instance == r.GetInstance() {
+			f.membership.MarkDraining(r.GetService(), r.GetInstance())
+			return &fleetpb.DrainReply{}, nil
+		}
+	}
+	return &fleetpb.DrainReply{Error: "the backend server " + r.GetService() + "/" + r.GetInstance() + " is not known; list them with: tarragonmux backends"}, nil
+}
--- /dev/null
+++ b/internal/app/node.go
@@ -0,0 +1,388 @@
+package app
+
+import (
+	"context"
+	"net"
+	"path/filepath"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/pkg/errors"
+	"github.com/prometheus/client_golang/prometheus"
+	"go.uber.org/fx"
+
+	"github.com/tarragonmux/tarragonmux/internal/admin"
+	"github.com/tarragonmux/tarragonmux/internal/agreement"
+	"github.com/tarragonmux/tarragonmux/internal/burn"
+	"github.com/tarragonmux/tarragonmux/internal/configuration"
+	"github.com/tarragonmux/tarragonmux/internal/configuration/feed"
+	"github.com/tarragonmux/tarragonmux/internal/configuration/store"
+	"github.com/tarragonmux/tarragonmux/internal/dispatchrpc"
+	"github.com/tarragonmux/tarragonmux/internal/election"
+	"github.com/tarragonmux/tarragonmux/internal/entry"
+	"github.com/tarragonmux/tarragonmux/internal/entry/roundtrip"
+	"github.com/tarragonmux/tarragonmux/internal/grant"
+	"github.com/tarragonmux/tarragonmux/internal/hostset"
+	"github.com/tarragonmux/tarragonmux/internal/membership"
+	"github.com/tarragonmux/tarragonmux/internal/metrics"
+	"github.com/tarragonmux/tarragonmux/internal/records"
+	"github.com/tarragonmux/tarragonmux/internal/settings"
+	"github.com/tarragonmux/tarragonmux/internal/transport"
+	"github.com/tarragonmux/tarragonmux/proto/configpb"
+	"github.com/tarragonmux/tarragonmux/proto/dispatchpb"
+	"github.com/tarragonmux/tarragonmux/proto/fleetpb"
+)
+
+const (
+	// reportEvery is how often the node tells the fleet what it has in force and what it can reach.
+	reportEvery = 100 * time.Millisecond
+	// burnRollEvery is how often the service-level buckets are looked at.
+	burnRollEvery = time.Second
+	// burnSaveEvery is how often the service-level counts are written to the data folder.
+	burnSaveEvery = 30 * time.Second
+)
+
+// nodeParts are the parts of a node that benchmarks and tests look at.
+type nodeParts struct {
+	Store      *store.Store
+	Membership *membership.Runner
+	Elections  *election.Runner
+	Dispatcher *dispatchrpc.Server
+	Grants     grant.Source
+	Claimer    *records.Claimer
+	Recorder   *burn.Recorder
+	Entry      *entry.Server
+}
+
+// GrantsFactory makes a source of grants from the parts of a node.
+type GrantsFactory func(n GrantParts) (grant.Source, func(context.Context) error)
+
+// GrantParts is what a source of grants may use.
+type GrantParts struct {
+	ID         string
+	DataCentre string
+	Settings   dispatchrpc.Settings
+	Membership *membership.Runner
+	Client     *dispatchrpc.Client
+}
+
+func nodeModule() fx.Option {
+	return fx.Options(
+		fx.Provide(
+			newStore,
+			func(s *store.Store) hostset.Source {
+				return &fleetSource{document: func() *configpb.Document { return storedDocument(s) }}
+			},
+			func(s *store.Store) revisionHints { return s.Hint },
+			newElections,
+			newDispatchSettings,
+			newDispatcher,
+			newGrantClient,
+			newGrantSource,
+			newRecordsProposer,
+			newClaimer,
+			newRecorder,
+			newDirectory,
+			newEntryServer,
+			newNodeParts,
+		),
+		fx.Invoke(registerNode, serveFleet, reportNode, serveEntry),
+	)
+}
+
+func storedDocument(s *store.Store) *configpb.Document {
+	snapshot := s.Snapshot()
+	if snapshot == nil {
+		return nil
+	}
+	return snapshot.Document()
+}
+
+func newStore(lc fx.Lifecycle, b *background, s *settings.Settings, client feed.Client, logger *log.Logger) *store.Store {
+	folder := ""
+	if s.DataFolder != "" {
+		folder = filepath.Join(s.DataFolder, "configuration")
+	}
+	made := store.New(store.Options{
+		ID:         s.ID,
+		DataCentre: s.DataCentre,
+		Address:    s.Fleet.Advertise,
+		Control:    controlAddresses(s),
+		Peers:      s.Peers,
+		Client:     client,
+		Folder:     folder,
+		Logger:     logger.WithPrefix("configuration"),
+	})
+	start(lc, b, "configuration", made.Run)
+	return made
+}
+
+func controlAddresses(s *settings.Settings) []string {
+	addresses := make([]string, 0, len(s.ControlReplicas))
+	for _, replica := range s.ControlReplicas {
+		addresses = append(addresses, replica.Address)
+	}
+	return addresses
+}
+
+func newElections(lc fx.Lifecycle, b *background, s *settings.Settings, i incarnation, source hostset.Source, pool *transport.Pool, logger *log.Logger) *election.Runner {
+	runner := election.NewRunner(election.Options{
+		ID:          s.ID,
+		Incarnation: uint64(i),
+		Source:      source,
+		Caller:      election.NewCaller(pool),
+		Logger:      logger.WithPrefix("election"),
+	})
+	start(lc, b, "election", runner.Run)
+	return runner
+}
+
+func newDispatchSettings(s *settings.Settings, st *store.Store, source hostset.Source, m *membership.Runner) dispatchrpc.Settings {
+	return &dispatchSettings{self: s.ID, snapshot: func() *configuration.Snapshot { return st.Snapshot() }, source: source, members: m.Member}
+}
+
+func newDispatcher(lc fx.Lifecycle, b *background, s *settings.Settings, ds dispatchrpc.Settings, m *membership.Runner, e *election.Runner, logger *log.Logger) *dispatchrpc.Server {
+	server := dispatchrpc.NewServer(dispatchrpc.ServerConfig{
+		Node:      s.ID,
+		Settings:  ds,
+		Registry:  m,
+		Elections: e,
+		Logger:    logger.WithPrefix("dispatch"),
+	})
+	start(lc, b, "dispatcher", server.Run)
+	return server
+}
+
+func newGrantClient(lc fx.Lifecycle, b *background, s *settings.Settings, i incarnation, ds dispatchrpc.Settings, m *membership.Runner, e *election.Runner, pool *transport.Pool, local *dispatchrpc.Server, logger *log.Logger) *dispatchrpc.Client {
+	client := dispatchrpc.NewClient(dispatchrpc.ClientConfig{
+		Node:        s.ID,
+		DataCentre:  s.DataCentre,
+		Incarnation: uint64(i),
+		Settings:    ds,
+		Registry:    m,
+		Elections:   e,
+		Pool:        pool,
+		Local:       local,
+		Logger:      logger.WithPrefix("grants"),
+	})
+	start(lc, b, "grants", client.Run)
+	return client
+}
+
+func newGrantSource(lc fx.Lifecycle, b *background, o Options, s *settings.Settings, ds dispatchrpc.Settings, m *membership.Runner, client *dispatchrpc.Client) grant.Source {
+	if o.Grants == nil {
+		return client
+	}
+	source, run := o.Grants(GrantParts{ID: s.ID, DataCentre: s.DataCentre, Settings: ds, Membership: m, Client: client})
+	if run != nil {
+		start(lc, b, "baseline", run)
+	}
+	return source
+}
+
+func newRecordsProposer(s *settings.Settings, pool *transport.Pool, logger *log.Logger) agreement.Proposer {
+	return agreement.NewProposer(agreement.ProposerConfig{
+		ID:         s.ID,
+		FirstGroup: groupMembers(s),
+		Client:     agreement.NewTransportClient(pool),
+		Logger:     logger.WithPrefix("records"),
+	})
+}
+
+func groupMembers(s *settings.Settings) []agreement.Member {
+	members := make([]agreement.Member, 0, len(s.ControlReplicas))
+	for _, replica := range s.ControlReplicas {
+		members = append(members, agreement.Member{ID: replica.ID, Address: replica.Address})
+	}
+	return members
+}
+
+func newClaimer(s *settings.Settings, i incarnation, proposer agreement.Proposer, pool *transport.Pool, logger *log.Logger) *records.Claimer {
+	return records.New(records.Options{
+		Node:        s.ID,
+		Incarnation: uint64(i),
+		Address:     s.Fleet.Advertise,
+		Proposer:    proposer,
+		Peers:       records.NewPeers(pool),
+		Logger:      logger.WithPrefix("records"),
+	})
+}
+
+func newRecorder(lc fx.Lifecycle, b *background, s *settings.Settings, logger *log.Logger) *burn.Recorder {
+	recorder := burn.NewRecorder(time.Now())
+	prefixed := logger.WithPrefix("burn")
+	if s.DataFolder != "" {
+		if err := recorder.Load(s.DataFolder, time.Now()); err != nil {
+			prefixed.Warn("starting with empty counts", "err", err)
+		}
+	}
+	save := func() {
+		if s.DataFolder == "" {
+			return
+		}
+		if err := recorder.Save(s.DataFolder, s.ID, time.Now()); err != nil {
+			prefixed.Warn("could not save the counts", "err", err)
+		}
+	}
+	start(lc, b, "burn", func(ctx context.Context) error { return keepCounts(ctx, recorder, save) })
+	lc.Append(fx.StopHook(save))
+	return recorder
+}
+
+func keepCounts(ctx context.Context, recorder *burn.Recorder, save func()) error {
+	roll := time.NewTicker(burnRollEvery)
+	defer roll.Stop()
+	saveTicker := time.NewTicker(burnSaveEvery)
+	defer saveTicker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case now := <-roll.C:
+			recorder.Roll(now)
+		case <-saveTicker.C:
+			save()
+		}
+	}
+}
+
+func newDirectory(s *settings.Settings, source hostset.Source, m *membership.Runner) *hostset.Directory {
+	return hostset.NewDirectory(source, m, s.Entry.EndpointTTL.D())
+}
+
+func newEntryServer(o Options, s *settings.Settings, st *store.Store, grants grant.Source, claimer *records.Claimer, m *membership.Runner, directory *hostset.Directory, recorder *burn.Recorder, registry *prometheus.Registry, logger *log.Logger) (*entry.Server, error) {
+	return entry.New(entry.Config{
+		Settings:  *s.Entry,
+		Routes:    st,
+		Grants:    grants,
+		Claims:    claimer,
+		Backends:  m,
+		Endpoints: endpoints(directory),
+		Ready:     st.Ready,
+		Observer:  entry.Observers{metrics.NewRequests(registry), burnObserver{recorder}},
+		Log:       logger,
+		Pool:      roundtrip.Config{Dial: backendDial(o)},
+	})
+}
+
+func backendDial(o Options) func(context.Context, string) (net.Conn, error) {
+	return func(ctx context.Context, address string) (net.Conn, error) {
+		return o.BackendDialer.DialContext(ctx, "tcp", address)
+	}
+}
+
+func endpoints(directory *hostset.Directory) entry.Endpoints {
+	return func(service, caller string) []entry.Endpoint {
+		chosen, _ := directory.Endpoints(service, caller)
+		result := make([]entry.Endpoint, 0, len(chosen))
+		for _, e := range chosen {
+			result = append(result, entry.Endpoint{Address: e.Address, DataCentre: e.DataCentre})
+		}
+		return result
+	}
+}
+
+func newNodeParts(st *store.Store, m *membership.Runner, e *election.Runner, d *dispatchrpc.Server, g grant.Source, c *records.Claimer, r *burn.Recorder, server *entry.Server) *nodeParts {
+	return &nodeParts{Store: st, Membership: m, Elections: e, Dispatcher: d, Grants: g, Claimer: c, Recorder: r, Entry: server}
+}
+
+func registerNode(mux *transport.Mux, s *settings.Settings, parts *nodeParts, source hostset.Source, b *background) error {
+	service := &fleetService{
+		id:         s.ID,
+		membership: parts.Membership,
+		elections:  parts.Elections,
+		dispatcher: parts.Dispatcher,
+		claimer:    parts.Claimer,
+		recorder:   parts.Recorder,
+		source:     source,
+		drain:      b.requestDrain,
+	}
+	if err := mux.Register(service, fleetpb.DRPCFleetDescription{}); err != nil {
+		return err
+	}
+	if s.Control == nil {
+		if err := mux.Register(parts.Store, configpb.DRPCFeedDescription{}); err != nil {
+			return err
+		}
+	}
+	return mux.Register(parts.Dispatcher, dispatchpb.DRPCDispatcherDescription{})
+}
+
+// reportNode keeps the fleet informed of what this node has in force and what it can reach.
+func reportNode(lc fx.Lifecycle, b *background, parts *nodeParts, client *dispatchrpc.Client, ds dispatchrpc.Settings, readiness *admin.Readiness) {
+	readiness.Set("configuration", "starting")
+	start(lc, b, "report", func(ctx context.Context) error {
+		ticker := time.NewTicker(reportEvery)
+		defer ticker.Stop()
+		for {
+			parts.report(client, ds, readiness)
+			select {
+			case <-ctx.Done():
+				return nil
+			case <-ticker.C:
+			case <-parts.Store.Changed():
+			}
+		}
+	})
+}
+
+func (n *nodeParts) report(client *dispatchrpc.Client, ds dispatchrpc.Settings, readiness *admin.Readiness) {
+	ready := n.Store.Ready()
+	reason := ""
+	if !ready {
+		reason = "the newest revision is not known yet"
+	}
+	readiness.Set("configuration", reason)
+	n.Membership.SetRevision(n.Store.Revision())
+	n.Membership.SetReady(ready && !n.Entry.Leaving())
+	var unreachable []string
+	for _, service := range ds.Services() {
+		if !client.Reaches(service) {
+			unreachable = append(unreachable, service)
+		}
+	}
+	n.Membership.SetUnreachable(unreachable)
+}
+
+// serveEntry opens the callers' listener last and closes it first.
+func serveEntry(lc fx.Lifecycle, o Options, s *settings.Settings, b *background, parts *nodeParts, readiness *admin.Readiness, logger *log.Logger) {
+	prefixed := logger.WithPrefix("entry")
+	lc.Append(fx.Hook{
+		OnStart: func(context.Context) error {
+			l, err := o.Listen(s.Entry.Address)
+			if err != nil {
+				return listenError("entry.address", err)
+			}
+			b.run("entry", func(context.Context) error { return parts.serve(b, l) })
+			return nil
+		},
+		OnStop: func(ctx context.Context) error {
+			readiness.Set("entry", "leaving")
+			prefixed.Info("leaving; callers are told to use other hosts")
+			return parts.leave(ctx)
+		},
+	})
+}
+
+// serve returns when the listener is closed and the process ends.
+func (n *nodeParts) serve(b *background, l net.Listener) error {
+	err := n.Entry.Serve(l)
+	if err == nil {
+		<-b.ctx.Done()
+	}
+	return err
+}
+
+// leave takes the node out of the fleet without cutting a request.
+func (n *nodeParts) leave(ctx context.Context) error {
+	n.Entry.Leave()
+	n.Membership.Leave(ctx)
+	err := n.Entry.Shutdown(ctx)
+	n.Elections.Resign(ctx)
+	drainErr := n.Claimer.Drain(ctx)
+	n.Claimer.Close()
+	if err != nil {
+		return errors.Wrap(err, "finish the requests in flight")
+	}
+	return errors.Wrap(drainErr, "record the last outcomes; resends of them are told that the outcome is unknown")
+}
--- /dev/null
+++ b/internal/bench/load/caller.go
@@ -0,0 +1,270 @@
+package load
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"net/url"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/tarragonmux/tarragonmux/internal/entry"
+	"github.com/tarragonmux/tarragonmux/internal/problem"
+	"github.com/tarragonmux/tarragonmux/internal/standin"
+)
+
+const (
+	// endpointTimeout bounds one question for endpoints.
+	endpointTimeout = time.Second
+	// answerGrace is how long after its deadline a caller still waits for a refusal.
+	answerGrace = 2 * time.Second
+	maxAnswer   = 1 << 20
+)
+
+// Fault is what a caller must never see.
+type Fault string
+
+// The faults.
+const (
+	// NotOwn is an answer to another request.
+	NotOwn Fault = "answer of another request"
+	// NotWhole is an answer that ends early and looks whole.
+	NotWhole Fault = "answer is not whole"
+	// NoOutcome is a refusal without a valid outcome.
+	NoOutcome Fault = "refusal without an outcome"
+)
+
+// Outcome describes the end of one request.
+type Outcome struct {
+	Class   string
+	ID      string
+	Key     string
+	Team    string
+	Latency time.Duration
+	// Status is 0 if no answer came.
+	Status int
+	// Kind and Refusal are set on a refusal of the fleet.
+	Kind    problem.Kind
+	Refusal problem.Outcome
+	// Instance is the stand-in that answered.
+	Instance string
+	// Err is set if the connection failed or the answer broke off.
+	Err error
+	// Fault is set if the fleet broke a promise.
+	Fault Fault
+	// At is when the request ended.
+	At time.Time
+}
+
+// OK tells whether a stand-in answered with a status below 500.
+func (o Outcome) OK() bool {
+	return o.Err == nil && o.Kind == "" && o.Status != 0 && o.Status < 500
+}
+
+// request is one request to send.
+type request struct {
+	id    string
+	key   string
+	team  string
+	class *Class
+}
+
+// caller keeps endpoints and connections of its own, as a small caller would.
+type caller struct {
+	name    string
+	entries []string
+	client  *http.Client
+
+	mu        sync.Mutex
+	endpoints map[string]endpoints
+}
+
+type endpoints struct {
+	addresses []string
+	expires   time.Time
+	next      int
+}
+
+func newCaller(i int, entries []string) *caller {
+	transport := &http.Transport{MaxIdleConnsPerHost: idlePerHost, DisableCompression: true, IdleConnTimeout: 30 * time.Second}
+	return &caller{
+		name:      "caller-" + strconv.Itoa(i),
+		entries:   entries,
+		client:    &http.Client{Transport: transport},
+		endpoints: map[string]endpoints{},
+	}
+}
+
+func (c *caller) close() {
+	c.client.CloseIdleConnections()
+}
+
+// address returns the next address for the service, asking for endpoints when the old answer has aged out.
+func (c *caller) address(service string) (string, error) {
+	c.mu.Lock()
+	e := c.endpoints[service]
+	if len(e.addresses) > 0 && time.Now().Before(e.expires) {
+		e.next++
+		c.endpoints[service] = e
+		c.mu.Unlock()
+		return e.addresses[e.next%len(e.addresses)], nil
+	}
+	c.mu.Unlock()
+	fresh, err := c.ask(service)
+	if err != nil {
+		return "", err
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.endpoints[service] = fresh
+	return fresh.addresses[0], nil
+}
+
+// forget drops the endpoints of a service after an address failed.
+func (c *caller) forget(service string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	delete(c.endpoints, service)
+}
+
+// ask asks entry hosts in random order until one knows endpoints.
+func (c *caller) ask(service string) (endpoints, error) {
+	err := errors.New("no entry host is known")
+	begin := rand.IntN(len(c.entries))
+	for i := range c.entries {
+		var e endpoints
+		e, err = c.askOne(c.entries[(begin+i)%len(c.entries)], service)
+		if err == nil {
+			return e, nil
+		}
+	}
+	return endpoints{}, err
+}
+
+func (c *caller) askOne(address, service string) (endpoints, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), endpointTimeout)
+	defer cancel()
+	target := "http://" + address + "/v1/endpoints?service=" + url.QueryEscape(service) + "&caller=" + c.name
+	r, err := http.NewRequestWithContext(ctx, http.MethodGet, target, nil)
+	if err != nil {
+		return endpoints{}, errors.WithStack(err)
+	}
+	response, err := c.client.Do(r)
+	if err != nil {
+		return endpoints{}, errors.WithStack(err)
+	}
+	defer response.Body.Close()
+	var answer entry.EndpointAnswer
+	if err := json.NewDecoder(io.LimitReader(response.Body, maxAnswer)).Decode(&answer); err != nil {
+		return endpoints{}, errors.WithStack(err)
+	}
+	if response.StatusCode != http.StatusOK || len(answer.Endpoints) == 0 {
+		return endpoints{}, errors.Errorf("no endpoints for %s from %s: status %d", service, address, response.StatusCode)
+	}
+	e := endpoints{expires: time.Now().Add(time.Duration(answer.TTLMS) * time.Millisecond)}
+	for _, endpoint := range answer.Endpoints {
+		e.addresses = append(e.addresses, endpoint.Address)
+	}
+	return e, nil
+}
+
+// do sends the request and judges the answer.
+func (c *caller) do(r request) Outcome {
+	start := time.Now()
+	o := Outcome{Class: r.class.Name, ID: r.id, Key: r.key, Team: r.team}
+	c.send(r, &o)
+	o.At = time.Now()
+	o.Latency = o.At.Sub(start)
+	if o.Err != nil {
+		c.forget(r.class.Service)
+	}
+	return o
+}
+
+func (c *caller) send(r request, o *Outcome) {
+	address, err := c.address(r.class.Service)
+	if err != nil {
+		o.Err = err
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), r.class.Deadline+answerGrace)
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, r.class.Method, "http://"+address+r.class.Path, nil)
+	if err != nil {
+		o.Err = errors.WithStack(err)
+		return
+	}
+	setHeaders(request.Header, r)
+	response, err := c.client.Do(request)
+	if err != nil {
+		o.Err = errors.WithStack(err)
+		return
+	}
+	defer response.Body.Close()
+	body, err := io.ReadAll(io.LimitReader(response.Body, maxAnswer))
+	if err != nil {
+		o.Err = errors.WithStack(err)
+		return
+	}
+	judge(r, response, body, o)
+}
+
+func setHeaders(h http.Header, r request) {
+	h.Set("Request-Id", r.id)
+	h.Set("Grpc-Timeout", strconv.FormatInt(r.class.Deadline.Milliseconds(), 10)+"m")
+	if r.team != "" {
+		h.Set("Tarragon-Team", r.team)
+	}
+	if r.key != "" {
+		h.Set("Idempotency-Key", r.key)
+	}
+	if r.class.Work > 0 {
+		h.Set(standin.HeaderWork, r.class.Work.String())
+	}
+}
+
+// judge checks that the answer is whole and the request's own, or that the refusal is well formed.
+func judge(r request, response *http.Response, body []byte, o *Outcome) {
+	o.Status = response.StatusCode
+	if strings.HasPrefix(response.Header.Get("Content-Type"), problem.ContentType) {
+		judgeRefusal(body, o)
+		return
+	}
+	o.Instance = response.Header.Get(standin.HeaderInstance)
+	if response.StatusCode >= http.StatusInternalServerError {
+		return
+	}
+	text := string(body)
+	switch {
+	case !strings.HasSuffix(strings.TrimRight(text, "."), "\n"):
+		o.Fault = NotWhole
+	case r.key != "" && !strings.Contains(text, " key="+r.key+" "):
+		o.Fault = NotOwn
+	case r.key == "" && !strings.Contains(text, " request="+r.id+" "):
+		o.Fault = NotOwn
+	}
+}
+
+func judgeRefusal(body []byte, o *Outcome) {
+	var document struct {
+		Type    string          `json:"type"`
+		Outcome problem.Outcome `json:"outcome"`
+	}
+	if err := json.Unmarshal(body, &document); err != nil {
+		o.Fault = NoOutcome
+		return
+	}
+	o.Kind = problem.Kind(strings.TrimPrefix(document.Type, problem.TypePrefix))
+	o.Refusal = document.Outcome
+	switch document.Outcome {
+	case problem.NotRun, problem.Unknown, problem.Run:
+	default:
+		o.Fault = NoOutcome
+	}
+}
--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -1,14 +1,91 @@
-// Package cli holds the commands of the binary.
+// Package cli holds the commands of the binary. Output is for people by default and
+// for programs with --json.
 package cli
 
 import (
+	"context"
 	"fmt"
 	"io"
+	"os/signal"
+	"syscall"
+
+	"github.com/alecthomas/kong"
+	"github.com/pkg/errors"
+)
+
+// Exit statuses.
+const (
+	exitOK      = 0
+	exitFailure = 1
+	exitUsage   = 2
 )
 
+// ErrUnmet is returned by a command that ran and whose result is negative, such as a benchmark
+// below its target. The command has already printed why.
+var ErrUnmet = errors.New("not every row met its target")
+
+// commands is the command line.
+type commands struct {
+	Node          nodeCommand          `cmd:"" help:"Run an entry host, with a control replica if its settings have a control section."`
+	Control       controlCommand       `cmd:"" help:"Run a control replica."`
+	Backend       backendCommand       `cmd:"" help:"Run a stand-in backend server."`
+	Demo          demoCommand          `cmd:"" help:"Run an embedded fleet with a load, all in one process."`
+	Config        configCommands       `cmd:"" help:"Read and change the replicated configuration."`
+	Hosts         hostsCommand         `cmd:"" help:"List the hosts as a node sees them."`
+	Backends      backendsCommand      `cmd:"" help:"List the backend servers with the dispatchers' judgement."`
+	Drain         drainCommand         `cmd:"" help:"Drain a host or a backend server."`
+	Report        reportCommands       `cmd:"" help:"Reports."`
+	Bench         benchCommands        `cmd:"" help:"Load and experiment tool."`
+	CheckSettings checkSettingsCommand `cmd:"" help:"Validate a settings file or a configuration file."`
+}
+
+// output is where a command prints.
+type output struct {
+	out  io.Writer
+	errs io.Writer
+}
+
 // Run executes the command line and returns the exit status.
 func Run(args []string, stdout, stderr io.Writer) int {
-	fmt.Fprintln(stderr, "tarragonmux: no commands yet", len(args))
-	_ = stdout
-	return 2
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
+	defer stop()
+	return run(ctx, args, stdout, stderr)
+}
+
+func run(ctx context.Context, args []string, stdout, stderr io.Writer) int {
+	exited := false
+	status := exitOK
+	parser, err := kong.New(&commands{},
+		kong.Name("tarragonmux"),
+		kong.Description("A proxy fleet for backend servers with gray failures."),
+		kong.Writers(stdout, stderr),
+		kong.UsageOnError(),
+		kong.ConfigureHelp(kong.HelpOptions{Compact: true}),
+		kong.Exit(func(code int) { exited, status = true, code }),
+		kong.BindTo(ctx, (*context.Context)(nil)),
+		kong.Bind(&output{out: stdout, errs: stderr}),
+	)
+	if err != nil {
+		fmt.Fprintln(stderr, "tarragonmux:", err)
+		return exitUsage
+	}
+	parsed, err := parser.Parse(args)
+	if exited {
+		return status
+	}
+	if err != nil {
+		fmt.Fprintf(stderr, "tarragonmux: %v; see tarragonmux --help\n", err)
+		return exitUsage
+	}
+	return report(parsed.Run(), stderr)
+}
+
+func report(err error, stderr io.Writer) int {
+	if err == nil {
+		return exitOK
+	}
+	if !errors.Is(err, ErrUnmet) {
+		fmt.Fprintln(stderr, "tarragonmux:", err)
+	}
+	return exitFailure
 }
--- /dev/null
+++ b/internal/cli/process.go
@@ -0,0 +1,144 @@
+package cli
+
+import (
+	"context"
+	"os"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/tarragonmux/tarragonmux/internal/app"
+	"github.com/tarragonmux/tarragonmux/internal/configuration"
+	"github.com/tarragonmux/tarragonmux/internal/logging"
+	"github.com/tarragonmux/tarragonmux/internal/settings"
+	"github.com/tarragonmux/tarragonmux/internal/standin"
+)
+
+// standinDrainTimeout bounds how long a stand-in waits for its accepted work at a stop.
+const standinDrainTimeout = time.Minute
+
+type nodeCommand struct {
+	Settings string `arg:"" help:"Settings file." type:"path"`
+}
+
+// Run runs an entry host until it is told to stop.
+func (c *nodeCommand) Run(ctx context.Context, out *output) error {
+	s, err := settings.Load(c.Settings)
+	if err != nil {
+		return err
+	}
+	if s.Entry == nil {
+		return errors.New("the settings have no entry section; add one, or run: tarragonmux control")
+	}
+	return app.Run(ctx, s, out.errs)
+}
+
+type controlCommand struct {
+	Settings string `arg:"" help:"Settings file." type:"path"`
+}
+
+// Run runs a control replica until it is told to stop.
+func (c *controlCommand) Run(ctx context.Context, out *output) error {
+	s, err := settings.Load(c.Settings)
+	if err != nil {
+		return err
+	}
+	if s.Control == nil {
+		return errors.New("the settings have no control section; add one, or run: tarragonmux node")
+	}
+	return app.Run(ctx, s, out.errs)
+}
+
+type backendCommand struct {
+	Service      string        `help:"Service that the stand-in belongs to." required:""`
+	Instance     string        `help:"Name of the stand-in, unique in its service." required:""`
+	DataCentre   string        `help:"Data centre that is announced." required:""`
+	Address      string        `help:"Address (ip:port) for work." default:"127.0.0.1:0"`
+	Control      string        `help:"Address (ip:port) for faults and the log of work." default:"127.0.0.1:0"`
+	Entry        []string      `help:"Entry hosts (ip:port) to announce to." placeholder:"ADDRESS"`
+	Slots        int           `help:"Requests that run at once." default:"6"`
+	Connections  int           `help:"Connections that are accepted at once." default:"330"`
+	WorkTime     time.Duration `help:"Mean time of one request." default:"20ms"`
+	ColdStart    time.Duration `help:"Time in the state starting." default:"0s"`
+	WarmUp       time.Duration `help:"Time from ready to full speed." default:"0s"`
+	HealthLag    time.Duration `help:"Age of the answers of the health and load endpoints." default:"0s"`
+	RestartAfter time.Duration `help:"Time from a crash to the next start; negative means never." default:"1s"`
+}
+
+// Run runs a stand-in backend server until it is told to stop, then drains it.
+func (c *backendCommand) Run(ctx context.Context, out *output) error {
+	logger := logging.New(out.errs, logging.LevelInfo, false).WithPrefix("backend")
+	server, err := standin.New(standin.Config{
+		Service:        c.Service,
+		Instance:       c.Instance,
+		DataCentre:     c.DataCentre,
+		Address:        c.Address,
+		ControlAddress: c.Control,
+		Entries:        c.Entry,
+		Slots:          c.Slots,
+		Connections:    c.Connections,
+		WorkTime:       c.WorkTime,
+		ColdStart:      c.ColdStart,
+		WarmUp:         c.WarmUp,
+		HealthLag:      c.HealthLag,
+		RestartAfter:   c.RestartAfter,
+		Log:            logger,
+	})
+	if err != nil {
+		return err
+	}
+	if err := server.Start(); err != nil {
+		return err
+	}
+	logger.Info("started", "work", server.Address(), "control", server.ControlAddress())
+	<-ctx.Done()
+	logger.Info("draining")
+	drainCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), standinDrainTimeout)
+	defer cancel()
+	err = server.Drain(drainCtx)
+	server.Close()
+	return err
+}
+
+type checkSettingsCommand struct {
+	Files         []string `arg:"" help:"Settings files." type:"existingfile"`
+	Configuration bool     `help:"The files are configuration documents."`
+}
+
+// Run validates each file and fails if one is at fault.
+func (c *checkSettingsCommand) Run(out *output) error {
+	failed := false
+	for _, path := range c.Files {
+		if err := c.check(path); err != nil {
+			failed = true
+			out.warnf("%s:\n%v\n", path, err)
+			continue
+		}
+		if err := out.printf("%s: valid\n", path); err != nil {
+			return err
+		}
+	}
+	if failed {
+		return ErrUnmet
+	}
+	return nil
+}
+
+func (c *checkSettingsCommand) check(path string) error {
+	if !c.Configuration {
+		_, err := settings.Load(path)
+		return err
+	}
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return errors.Wrap(err, "read the configuration file; check its path")
+	}
+	document, err := configuration.ParseDocument(data)
+	if err != nil {
+		return err
+	}
+	if rejection := configuration.ValidateDocument(document); rejection != nil {
+		return rejection
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/cli/report.go
@@ -0,0 +1,71 @@
+package cli
+
+import (
+	"context"
+	"os"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/tarragonmux/tarragonmux/internal/burn"
+	"github.com/tarragonmux/tarragonmux/internal/operator"
+	"github.com/tarragonmux/tarragonmux/proto/fleetpb"
+)
+
+type reportCommands struct {
+	Burn burnCommand `cmd:"" help:"Show how fast the error budgets of the service levels burn."`
+}
+
+type burnCommand struct {
+	target
+	HTML string `help:"Also write the report with plots to this file." type:"path" placeholder:"FILE"`
+}
+
+// Run merges the counts of every node that answers and prints the report.
+func (c *burnCommand) Run(ctx context.Context, out *output) error {
+	client, err := c.client()
+	if err != nil {
+		return err
+	}
+	nodes, err := client.Nodes(ctx)
+	if err != nil {
+		return err
+	}
+	answers := operator.Ask(ctx, client, nodes, func(ctx context.Context, f fleetpb.DRPCFleetClient) (*fleetpb.BurnReply, error) {
+		return f.Burn(ctx, &fleetpb.BurnRequest{})
+	})
+	var replies []*fleetpb.BurnReply
+	var unreachable []string
+	for _, answer := range answers {
+		if answer.Err != nil {
+			unreachable = append(unreachable, answer.Host.GetId())
+			continue
+		}
+		replies = append(replies, answer.Reply)
+	}
+	return c.print(out, burn.Merge(replies, unreachable, time.Now()))
+}
+
+func (c *burnCommand) print(out *output, report *burn.Report) error {
+	if c.HTML != "" {
+		if err := writePage(c.HTML, report); err != nil {
+			return err
+		}
+	}
+	if c.JSON {
+		return out.json(report)
+	}
+	return report.WriteText(out.out)
+}
+
+func writePage(path string, report *burn.Report) error {
+	file, err := os.Create(path)
+	if err != nil {
+		return errors.Wrap(err, "create the report file; check the path")
+	}
+	err = report.WriteHTML(file)
+	if closeErr := file.Close(); err == nil {
+		err = errors.Wrap(closeErr, "write the report file")
+	}
+	return err
+}
--- /dev/null
+++ b/internal/cli/target.go
@@ -0,0 +1,34 @@
+package cli
+
+import (
+	"github.com/pkg/errors"
+
+	"github.com/tarragonmux/tarragonmux/internal/operator"
+	"github.com/tarragonmux/tarragonmux/internal/settings"
+	"github.com/tarragonmux/tarragonmux/internal/transport"
+)
+
+// target says which fleet an operator command talks to.
+type target struct {
+	Control  []string `help:"Fleet addresses (ip:port) of control replicas." env:"TARRAGONMUX_CONTROL" placeholder:"ADDRESS"`
+	Settings string   `help:"Settings file to take the control replicas from." env:"TARRAGONMUX_SETTINGS" type:"path" placeholder:"FILE"`
+	JSON     bool     `help:"Print JSON for programs."`
+}
+
+// client returns the operators' client for the target.
+func (t *target) client() (*operator.Client, error) {
+	addresses := t.Control
+	if len(addresses) == 0 && t.Settings != "" {
+		s, err := settings.Load(t.Settings)
+		if err != nil {
+			return nil, err
+		}
+		for _, replica := range s.ControlReplicas {
+			addresses = append(addresses, replica.Address)
+		}
+	}
+	if len(addresses) == 0 {
+		return nil, errors.New("no control replica is named; use --control ADDRESS or --settings FILE, or set TARRAGONMUX_CONTROL")
+	}
+	return operator.New(transport.NewPool(transport.NewDialer()), addresses), nil
+}
--- a/internal/logging/logging.go
+++ b/internal/logging/logging.go
@@ -33,3 +33,12 @@
 func Discard() *log.Logger {
 	return log.New(io.Discard)
 }
+
+// Err returns the text of an error for a log line. The logger would otherwise print the stack that
+// pkg/errors carries, which makes a short line long.
+func Err(err error) string {
+	if err == nil {
+		return ""
+	}
+	return err.Error()
+}
--- a/internal/operator/client.go
+++ b/internal/operator/client.go
@@ -111,20 +111,19 @@
 	return epoch, err
 }
 
-// Apply asks for a change on top of the expected revision. While the verdict is unknown it resends
-// with the same request id, which is safe, since a change with a known id is never applied twice.
-func (c *Client) Apply(ctx context.Context, expected uint64, author string, change *configpb.Change) (*configpb.ApplyReply, error) {
-	request := &configpb.ApplyRequest{
+// NewApplyRequest returns a request for a change on top of the expected revision, with a new request id.
+func NewApplyRequest(expected uint64, author string, change *configpb.Change) *configpb.ApplyRequest {
+	return &configpb.ApplyRequest{
 		ExpectedRevision: expected,
 		RequestId:        uuid.NewString(),
 		Author:           author,
 		Change:           change,
 	}
-	return c.ApplyRequest(ctx, request)
 }
 
-// ApplyRequest is Apply with a request that the caller made, to resend an earlier one.
-func (c *Client) ApplyRequest(ctx context.Context, request *configpb.ApplyRequest) (*configpb.ApplyReply, error) {
+// Apply asks for a change. While the verdict is unknown it resends the request, which is safe, since
+// a change with a known request id is never applied twice.
+func (c *Client) Apply(ctx context.Context, request *configpb.ApplyRequest) (*configpb.ApplyReply, error) {
 	var reply *configpb.ApplyReply
 	var err error
 	for attempt := range verdictAttempts {
--- a/internal/standin/server.go
+++ b/internal/standin/server.go
@@ -34,6 +34,8 @@
 	ctx    context.Context
 	cancel context.CancelFunc
 	tasks  sync.WaitGroup
+	// arrived counts the requests for work that reached the server.
+	arrived atomic.Int64
 
 	mu       sync.Mutex
 	random   *rand.Rand
@@ -184,6 +186,11 @@
 	return s.ledger.copy()
 }
 
+// Arrivals returns how many requests for work reached the server, run or not.
+func (s *Server) Arrivals() int {
+	return int(s.arrived.Load())
+}
+
 // Server returns what would be announced now.
 func (s *Server) Server() backend.Server {
 	state := s.state()
--- a/internal/standin/work.go
+++ b/internal/standin/work.go
@@ -44,6 +44,7 @@
 
 // work runs one request, or rejects it before running it.
 func (s *Server) work(v *life, w http.ResponseWriter, r *http.Request) {
+	s.arrived.Add(1)
 	v.pending.Add(1)
 	defer v.pending.Add(-1)
 	state := s.state()
