--- a/internal/configuration/teams.go
+++ b/internal/configuration/teams.go
@@ -70,7 +70,11 @@
 
 func (t teamTable) without(id string) teamTable {
 	next := t.copied(id)
-	delete(next.shards[shardOf(id)], id)
+	shard := &next.shards[shardOf(id)]
+	delete(*shard, id)
+	if len(*shard) == 0 {
+		*shard = nil
+	}
 	if id == DefaultTeam {
 		next.fallback = compileTeam(&configpb.Team{Id: DefaultTeam})
 	}
