Test the request path against broken, late and lying backend servers

The tests found four faults, which this change fixes: - a caller whose body is refused and who stops sending held its connection for good, since net/http waits for the rest of the body without a bound; - a slow sender of a streamed body was taken for a caller that had gone, because a read deadline ends the context of the request; - the goroutine that sends a body could read it after the request had ended; it is now interrupted and waited for; - a failed write closed the connection although an early answer of the backend server could still be read from it.

--- a/internal/entry/announcement.go
+++ b/internal/entry/announcement.go
@@ -31,7 +31,7 @@
 	maxWarmUp         = 10 * time.Minute
 	defaultWarmUp     = 10 * time.Second
 	announceTimeout   = time.Second
-	announceBodyLimit = 2 * time.Second
+	announceBodyLimit = time.Second
 )
 
 var namePattern = regexp.MustCompile(`^[A-Za-z0-9]([A-Za-z0-9._-]*[A-Za-z0-9])?$`)
@@ -205,5 +205,6 @@
 // refuseAnnouncement closes the connection, since a part of the body may be unread.
 func refuseAnnouncement(w http.ResponseWriter, refusal *problem.Problem) {
 	w.Header().Set("Connection", "close")
+	limitDrain(w)
 	refusal.Write(w, "")
 }
--- /dev/null
+++ b/internal/entry/answer_test.go
@@ -0,0 +1,208 @@
+package entry_test
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/tarragonmux/tarragonmux/internal/entry"
+	"github.com/tarragonmux/tarragonmux/internal/grant"
+	"github.com/tarragonmux/tarragonmux/internal/standin"
+)
+
+// once reads one request on a connection, sends the text and breaks the connection.
+func once(text string) string {
+	return raw(func(c net.Conn) {
+		defer c.Close()
+		if r, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
+			_, _ = io.Copy(io.Discard, r.Body)
+			_, _ = io.WriteString(c, text)
+		}
+	})
+}
+
+var _ = Describe("An answer that breaks off", func() {
+	// A caller that takes a part for the whole shows a shorter cue list, without knowing.
+	DescribeTable("is an error to the caller, at whatever byte", func(head, body string) {
+		var cut atomic.Int64
+		text := head + body
+		b := raw(func(c net.Conn) {
+			defer c.Close()
+			if _, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
+				_, _ = io.WriteString(c, text[:cut.Load()])
+			}
+		})
+		f := start(nil, b)
+		for n := range text {
+			cut.Store(int64(n))
+			a := f.do("GET", "/read", "")
+			if a.err == nil {
+				Expect(a.kind()).To(Or(Equal("backend-failed"), Equal("answer-truncated")), "cut at byte %d gave %d %q", n, a.status, a.body)
+				Expect(a.problem.Outcome).To(Equal("unknown"))
+			}
+		}
+		cut.Store(int64(len(text)))
+		a := f.do("GET", "/read", "")
+		Expect(a.err).NotTo(HaveOccurred())
+		Expect(a.status).To(Equal(200))
+		Expect(a.body).To(HaveLen(20))
+	},
+		Entry("with a length", "HTTP/1.1 200 OK\r\nContent-Length: 20\r\n\r\n", "01234567890123456789"),
+		Entry("in chunks", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", "a\r\n0123456789\r\na\r\n0123456789\r\n0\r\n\r\n"),
+	)
+
+	// Beyond the prefetched size the headers have been sent; only a broken connection is left to tell.
+	It("breaks the caller's connection when it is long", func() {
+		b := newStandin(standin.Config{WorkTime: -1})
+		b.SetFaults(standin.Faults{TruncateShare: 1})
+		f := start(nil, b.Address())
+		a := f.do("GET", "/read", "", "Standin-Size", "500000")
+		Expect(a.status).To(Equal(200))
+		Expect(a.err).To(MatchError(io.ErrUnexpectedEOF))
+		Eventually(f.observed.outcomes).Should(Equal([]string{entry.OutcomeBroken}))
+		Expect(f.grants.ended()).To(Equal([]grant.Result{grant.Broken}))
+	})
+
+	// Idempotent work can be asked of another server, which the caller need not know of.
+	It("is fetched from another server if it is short and the work is idempotent", func() {
+		good := newStandin(standin.Config{WorkTime: -1})
+		f := start(nil, once("HTTP/1.1 200 OK\r\nContent-Length: 20\r\n\r\nshort"), good.Address())
+		a := f.do("POST", "/read", "body")
+		Expect(a.status).To(Equal(200))
+		Expect(a.body).To(HavePrefix("instance=i-1"))
+		Expect(f.grants.ended()).To(Equal([]grant.Result{grant.Broken, grant.OK}))
+		Expect(f.grants.purposes).To(Equal([]grant.Purpose{grant.First, grant.Retry}))
+	})
+})
+
+var _ = Describe("Cancellation", func() {
+	// Work for callers that no longer wait takes slots from those that do.
+	It("reaches the backend server when the caller leaves", func() {
+		b := newStandin(standin.Config{})
+		b.SetFaults(standin.Faults{StallWork: true})
+		f := start(nil, b.Address())
+		ctx, cancel := context.WithCancel(context.Background())
+		r, err := http.NewRequestWithContext(ctx, "GET", "http://"+f.address+"/read", nil)
+		Expect(err).NotTo(HaveOccurred())
+		go func() {
+			defer GinkgoRecover()
+			Eventually(func() int { return b.Ledger().Total.Started }).Should(Equal(1))
+			cancel()
+		}()
+		Expect(f.send(r).err).To(MatchError(context.Canceled))
+		Eventually(func() int { return b.Ledger().Total.Cancelled }).Should(Equal(1))
+		Eventually(f.grants.ended).Should(Equal([]grant.Result{grant.Cancelled}))
+		Eventually(f.observed.outcomes).Should(Equal([]string{entry.OutcomeCallerGone}))
+	})
+
+	// A late answer is for nobody; its connection must carry no later request.
+	It("reaches the backend server at the deadline, which it is told of", func() {
+		var timeout atomic.Value
+		gone := make(chan struct{})
+		b := serve(func(_ http.ResponseWriter, r *http.Request) {
+			timeout.Store(r.Header.Get("Grpc-Timeout"))
+			<-r.Context().Done()
+			close(gone)
+		})
+		f := start(nil, b)
+		a := f.do("GET", "/read", "", "Grpc-Timeout", "80m")
+		Expect(a.kind()).To(Equal("deadline-passed"))
+		Expect(a.problem.Outcome).To(Equal("unknown"))
+		Eventually(gone).Should(BeClosed())
+		left, err := time.ParseDuration(strings.Replace(timeout.Load().(string), "u", "us", 1))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(left).To(And(BeNumerically(">", 0), BeNumerically("<=", 80*time.Millisecond)))
+		Expect(f.grants.ended()).To(Equal([]grant.Result{grant.Timeout}))
+	})
+})
+
+var _ = Describe("A hedge", func() {
+	hedged := func(f *fleet, addresses ...string) {
+		f.grants.addresses = addresses
+		f.grants.hedge = 30 * time.Millisecond
+	}
+
+	// The loser's work must be cancelled and its grant freed, or hedges eat the capacity.
+	It("wins over a stalled server, whose work is cancelled", func() {
+		slow := newStandin(standin.Config{Instance: "slow"})
+		slow.SetFaults(standin.Faults{StallWork: true})
+		fast := newStandin(standin.Config{Instance: "fast", WorkTime: -1})
+		f := start(nil)
+		hedged(f, slow.Address(), fast.Address())
+		a := f.do("GET", "/urgent", "")
+		Expect(a.body).To(HavePrefix("instance=fast "))
+		Eventually(func() int { return slow.Ledger().Total.Cancelled }).Should(Equal(1))
+		Eventually(f.grants.ended).Should(ConsistOf(grant.Cancelled, grant.OK))
+		Expect(f.grants.purposes).To(Equal([]grant.Purpose{grant.First, grant.Hedge}))
+	})
+
+	It("loses against a first attempt that answers sooner, and is cancelled", func() {
+		first := newStandin(standin.Config{Instance: "first", WorkTime: 80 * time.Millisecond})
+		second := newStandin(standin.Config{Instance: "second"})
+		second.SetFaults(standin.Faults{StallWork: true})
+		f := start(nil)
+		hedged(f, first.Address(), second.Address())
+		Expect(f.do("GET", "/urgent", "").body).To(HavePrefix("instance=first "))
+		Eventually(func() int { return second.Ledger().Total.Cancelled }).Should(Equal(1))
+		Eventually(f.grants.ended).Should(ConsistOf(grant.Cancelled, grant.OK))
+	})
+
+	// A hedge of work that must not repeat would run it twice.
+	It("is never sent for non-idempotent work", func() {
+		first := newStandin(standin.Config{Instance: "first", WorkTime: 150 * time.Millisecond})
+		second := newStandin(standin.Config{Instance: "second"})
+		f := start(nil)
+		hedged(f, first.Address(), second.Address())
+		Expect(f.do("POST", "/once", "x", "Idempotency-Key", "k").status).To(Equal(200))
+		Expect(second.Ledger().Total.Started).To(BeZero())
+	})
+
+	// Requests that wait on an ejected server would wait for their whole deadline.
+	It("is sent at once when the first server is ejected", func() {
+		slow := newStandin(standin.Config{Instance: "slow"})
+		slow.SetFaults(standin.Faults{StallWork: true})
+		fast := newStandin(standin.Config{Instance: "fast", WorkTime: -1})
+		f := start(nil, slow.Address(), fast.Address())
+		f.grants.advised = make(chan struct{})
+		time.AfterFunc(150*time.Millisecond, func() { close(f.grants.advised) })
+		Expect(f.do("GET", "/read", "").body).To(HavePrefix("instance=fast "))
+		Expect(f.grants.purposes).To(Equal([]grant.Purpose{grant.First, grant.Retry}))
+	})
+})
+
+var _ = Describe("Headers", func() {
+	// Hop-by-hop and internal headers that pass through break framing or tell callers of each other.
+	It("end where they belong", func() {
+		seen := make(chan http.Header, 1)
+		b := serve(func(w http.ResponseWriter, r *http.Request) {
+			seen <- r.Header
+			w.Header().Set("Tarragon-State", "draining")
+			w.Header().Set("Connection", "X-Hop")
+			w.Header().Set("X-Hop", "1")
+			w.Header().Set("X-End", "1")
+			fmt.Fprint(w, "ok")
+		})
+		f := start(nil, b)
+		a := f.do("GET", "/read?q=%2F", "", "Tarragon-Team", "t", "Connection", "X-Mine", "X-Mine", "1", "X-Kept", "1", "Proxy-Authorization", "p", "Te", "trailers")
+		request := <-seen
+		for _, name := range []string{"Tarragon-Team", "X-Mine", "Proxy-Authorization", "Te", "Connection"} {
+			Expect(request).NotTo(HaveKey(name))
+		}
+		Expect(request).To(HaveKeyWithValue("X-Kept", []string{"1"}))
+		Expect(request).To(HaveKeyWithValue("Via", []string{"1.1 tarragonmux"}))
+		Expect(request["Request-Id"]).To(Equal(a.header["Request-Id"]))
+		Expect(a.header).NotTo(HaveKey("Tarragon-State"))
+		Expect(a.header).NotTo(HaveKey("X-Hop"))
+		Expect(a.header).To(HaveKey("X-End"))
+		Expect(f.backends.draining).To(Equal([]string{b}))
+	})
+})
--- a/internal/entry/body.go
+++ b/internal/entry/body.go
@@ -36,7 +36,9 @@
 	ended atomic.Bool
 	// touched is set once a part that is not in the buffer was read.
 	touched atomic.Bool
-	refusal *problem.Problem
+	// interrupted is set when nobody wants the rest.
+	interrupted atomic.Bool
+	refusal     *problem.Problem
 	// failed is the first error, for the goroutine that did not see it.
 	failed atomic.Pointer[error]
 }
@@ -117,7 +119,7 @@
 // Read implements io.Reader. Refusals of slow or too large bodies are *problem.Problem.
 func (s *callerBody) Read(p []byte) (int, error) {
 	n, err := s.read(p)
-	if err != nil && err != io.EOF {
+	if err != nil && err != io.EOF && err != errInterrupted {
 		s.failed.CompareAndSwap(nil, &err)
 	}
 	return n, err
@@ -132,6 +134,10 @@
 		return 0, io.EOF
 	}
 	s.limitRead()
+	// The check follows the new read deadline, which may have replaced that of an interrupt.
+	if s.interrupted.Load() {
+		return 0, errInterrupted
+	}
 	n, err := s.reader.Read(p)
 	s.left -= int64(n)
 	switch {
@@ -141,6 +147,8 @@
 	case err == io.EOF:
 		s.ended.Store(true)
 		s.unlimitRead()
+	case err != nil && s.interrupted.Load():
+		return 0, errInterrupted
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		s.refusal = s.tooSlow()
 		return 0, s.refusal
@@ -155,6 +163,15 @@
 	return problem.New(problem.BadRequest, problem.NotRun, fmt.Sprintf("no part of the body arrived for %s", s.gap))
 }
 
+// errInterrupted ends the reading of a body that nobody wants any more.
+var errInterrupted = errors.New("the body is no longer wanted")
+
+// interrupt makes a blocked read return. The caller's connection cannot be used again.
+func (s *callerBody) interrupt() {
+	s.interrupted.Store(true)
+	_ = s.control.SetReadDeadline(time.Now())
+}
+
 func (s *callerBody) limitRead() {
 	limit := time.Now().Add(s.gap)
 	if s.until.Before(limit) {
@@ -169,6 +186,12 @@
 	_ = s.control.SetReadDeadline(time.Time{})
 }
 
+// limitDrain bounds how long net/http waits for the rest of a body after the answer. It has no
+// bound of its own, so a caller that stops sending would hold the connection for good.
+func limitDrain(w http.ResponseWriter) {
+	_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(drainTimeout))
+}
+
 // limitWrites bounds how long a caller that does not read can hold the request.
 func (x *Exchange) limitWrites() {
 	_ = http.NewResponseController(x.w).SetWriteDeadline(x.deadline.Add(writeMargin))
--- a/internal/entry/config.go
+++ b/internal/entry/config.go
@@ -36,6 +36,8 @@
 	leaveMargin = 2 * time.Second
 	// abandonTimeout bounds the write of an abandoned claim, which delays a refusal.
 	abandonTimeout = 500 * time.Millisecond
+	// drainTimeout bounds the wait for the rest of a body that was refused.
+	drainTimeout = 300 * time.Millisecond
 	// staleForOnce is the longest idle time of a connection that non-idempotent work may reuse: a
 	// connection that the server closes at that moment leaves the outcome unknown.
 	staleForOnce = 2 * time.Second
--- a/internal/entry/dispatch.go
+++ b/internal/entry/dispatch.go
@@ -197,6 +197,10 @@
 	if fail.final != nil {
 		return t.outcomeOf(fail.final)
 	}
+	if !x.body.buffered && x.body.source.interrupted.Load() {
+		// The interrupt ended the context; the caller is still there.
+		return t.refusal()
+	}
 	if x.ctx.Err() != nil {
 		return x.ended()
 	}
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -22,6 +22,7 @@
 	header  http.Header
 	body    string
 	err     error
+	closing bool
 	problem struct {
 		Type    string
 		Outcome string
@@ -51,6 +52,7 @@
 	defer response.Body.Close()
 	body, err := io.ReadAll(response.Body)
 	a.status, a.header, a.body, a.err = response.StatusCode, response.Header, string(body), err
+	a.closing = response.Close
 	if a.header.Get("Content-Type") == "application/problem+json" {
 		Expect(json.Unmarshal(body, &a.problem)).To(Succeed())
 	}
--- a/internal/entry/forward.go
+++ b/internal/entry/forward.go
@@ -64,6 +64,7 @@
 	}
 	r.Stream = x.body.stream()
 	r.Length = x.body.length
+	r.Interrupt = x.body.source.interrupt
 	return r
 }
 
@@ -170,7 +171,7 @@
 		x.complete(grant.Unused)
 		return &failure{kind: problem.NoCapacity, detail: e.Err.Error(), unused: true, wait: backoffCap}
 	}
-	if final := x.callerFault(e); final != nil {
+	if final := x.callerFault(); final != nil {
 		x.complete(grant.Cancelled)
 		return &failure{kind: problem.BadRequest, mayHaveRun: e.Written, final: final}
 	}
@@ -179,9 +180,9 @@
 }
 
 // callerFault returns how the request ends if its body could not be read from the caller.
-func (x *Exchange) callerFault(e *roundtrip.Error) error {
+func (x *Exchange) callerFault() error {
 	source := x.body.source
-	if x.body.buffered || source == nil || x.ctx.Err() != nil {
+	if x.body.buffered || source == nil {
 		return nil
 	}
 	if failed := source.failed.Load(); failed != nil {
--- a/internal/entry/recovery.go
+++ b/internal/entry/recovery.go
@@ -30,6 +30,9 @@
 		f.write(x, refusal)
 	}
 	f.observe(x, err, refusal)
+	if x.unread() {
+		limitDrain(x.w)
+	}
 	if abort || err == errCallerGone {
 		panic(http.ErrAbortHandler)
 	}
--- a/internal/entry/roundtrip/roundtrip.go
+++ b/internal/entry/roundtrip/roundtrip.go
@@ -41,6 +41,8 @@
 	// Stream is sent instead of Body; Length is its length in bytes, or -1 if it is unknown.
 	Stream io.Reader
 	Length int64
+	// Interrupt makes a blocked read of Stream return. It is required with Stream.
+	Interrupt func()
 	// MaxIdle bounds how long a reused connection may have been idle.
 	MaxIdle time.Duration
 	// Until bounds the wait for a free connection.
@@ -71,9 +73,9 @@
 
 // sender writes a request body beside the reading of the answer.
 type sender struct {
+	request  *Request
 	done     chan struct{}
 	finished atomic.Bool
-	err      error
 }
 
 var (
@@ -97,10 +99,9 @@
 		return nil, &Error{Stage: Start, Err: ErrNotStarted}
 	}
 	if failure := a.exchange(r); failure != nil {
-		a.giveUp()
-		// A sender may be inside a write that has not returned yet.
-		failure.Written = a.sender != nil || c.written.Load() > 0
 		failure.Err = a.cause(failure.Err)
+		a.giveUp()
+		failure.Written = c.written.Load() > 0
 		return nil, failure
 	}
 	return a, nil
@@ -121,63 +122,85 @@
 		_, _ = a.conn.bw.Write(r.Body)
 		return a.conn.bw.Flush()
 	}
-	a.sender = &sender{done: make(chan struct{})}
-	go a.sender.run(a.conn, r)
+	a.sender = &sender{request: r, done: make(chan struct{})}
+	go a.sender.run(a.conn)
 	return nil
 }
 
-func (s *sender) run(c *conn, r *Request) {
+func (s *sender) run(c *conn) {
 	defer close(s.done)
-	s.err = writeBody(c.bw, r)
-	if s.err != nil {
-		// The server must not take the part for a whole request.
-		c.abort()
+	if s.request.Stream == nil {
+		_, _ = c.bw.Write(s.request.Body)
+		s.finished.Store(c.bw.Flush() == nil)
 		return
 	}
-	s.finished.Store(true)
-}
-
-func writeBody(bw *bufio.Writer, r *Request) error {
-	if r.Stream == nil {
-		_, _ = bw.Write(r.Body)
-		return bw.Flush()
-	}
-	if r.Length < 0 {
-		return writeChunks(bw, r.Stream)
-	}
-	n, err := io.Copy(bw, r.Stream)
-	if err == nil && n != r.Length {
-		err = errors.WithStack(io.ErrUnexpectedEOF)
-	}
-	if err != nil {
-		return err
+	sent, readErr := s.copyStream(c.bw)
+	if readErr != nil {
+		// The server must not take the part for a whole request. After a failed write the
+		// connection stays open, since an answer may be on its way.
+		c.abort()
+		return
 	}
-	return bw.Flush()
+	s.finished.Store(sent)
 }
 
-func writeChunks(bw *bufio.Writer, stream io.Reader) error {
+// copyStream returns whether the whole stream was written, and the error of reading it.
+func (s *sender) copyStream(bw *bufio.Writer) (sent bool, readErr error) {
 	buffer := make([]byte, inlineBytes)
+	left := s.request.Length
 	for {
-		n, err := stream.Read(buffer)
+		n, err := s.request.Stream.Read(buffer)
 		if n > 0 {
-			_, _ = bw.WriteString(strconv.FormatInt(int64(n), 16))
-			_, _ = bw.WriteString("\r\n")
-			_, _ = bw.Write(buffer[:n])
-			_, _ = bw.WriteString("\r\n")
-			if err := bw.Flush(); err != nil {
-				return err
+			left -= int64(n)
+			s.writePart(bw, buffer[:n])
+			if bw.Flush() != nil {
+				return false, nil
 			}
 		}
 		if err == io.EOF {
-			_, _ = bw.WriteString("0\r\n\r\n")
-			return bw.Flush()
+			return s.endStream(bw, left)
 		}
 		if err != nil {
-			return err
+			return false, err
 		}
 	}
 }
 
+// writePart frames a part. Errors of a bufio.Writer are kept and returned by Flush.
+func (s *sender) writePart(bw *bufio.Writer, part []byte) {
+	if s.request.Length >= 0 {
+		_, _ = bw.Write(part)
+		return
+	}
+	_, _ = bw.WriteString(strconv.FormatInt(int64(len(part)), 16))
+	_, _ = bw.WriteString("\r\n")
+	_, _ = bw.Write(part)
+	_, _ = bw.WriteString("\r\n")
+}
+
+func (s *sender) endStream(bw *bufio.Writer, left int64) (sent bool, readErr error) {
+	if s.request.Length < 0 {
+		_, _ = bw.WriteString("0\r\n\r\n")
+	} else if left != 0 {
+		return false, errors.WithStack(io.ErrUnexpectedEOF)
+	}
+	return bw.Flush() == nil, nil
+}
+
+// stopSender ends the sending of a body and waits until its stream is no longer read.
+func (a *Answer) stopSender() (sent bool) {
+	s := a.sender
+	if s == nil || s.finished.Load() {
+		return true
+	}
+	a.conn.abort()
+	if s.request.Interrupt != nil {
+		s.request.Interrupt()
+	}
+	<-s.done
+	return false
+}
+
 func writeHead(bw *bufio.Writer, r *Request) {
 	// Errors of a bufio.Writer are kept and returned by Flush.
 	_, _ = bw.WriteString(r.Method)
@@ -284,12 +307,8 @@
 // Close ends the request. The connection is reused if the answer was read to its end.
 func (a *Answer) Close() {
 	attached := a.detach()
-	sent := a.sender == nil || a.sender.finished.Load()
-	clean := a.whole && attached && sent && !a.last
-	if a.sender != nil && !sent {
-		a.conn.abort()
-	}
-	a.pool.release(a.conn, clean)
+	sent := a.stopSender()
+	a.pool.release(a.conn, a.whole && attached && sent && !a.last)
 }
 
 // Whole tells whether the answer was read to its stated end.
@@ -300,20 +319,12 @@
 func (a *Answer) giveUp() {
 	a.detach()
 	a.conn.abort()
+	a.stopSender()
 	a.pool.release(a.conn, false)
 }
 
-// cause prefers the reason for which the connection was closed over the error of the closed connection.
+// cause prefers the end of the context over the error of the connection that was closed for it.
 func (a *Answer) cause(err error) error {
-	if a.sender != nil {
-		select {
-		case <-a.sender.done:
-			if a.sender.err != nil && a.ctx.Err() == nil {
-				return a.sender.err
-			}
-		default:
-		}
-	}
 	if a.ctx.Err() != nil {
 		return context.Cause(a.ctx)
 	}
--- /dev/null
+++ b/internal/entry/roundtrip/roundtrip_test.go
@@ -0,0 +1,291 @@
+package roundtrip_test
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"github.com/tarragonmux/tarragonmux/internal/entry/roundtrip"
+)
+
+// listen hands each connection, with its number from 1, to the function.
+func listen(t testing.TB, handle func(n int, c net.Conn, br *bufio.Reader)) string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { l.Close() })
+	go func() {
+		for n := 1; ; n++ {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go handle(n, c, bufio.NewReader(c))
+		}
+	}()
+	return l.Addr().String()
+}
+
+func newPool(t testing.TB, cfg roundtrip.Config) *roundtrip.Pool {
+	p := roundtrip.New(cfg)
+	t.Cleanup(p.Close)
+	return p
+}
+
+func get(target string) *roundtrip.Request {
+	return &roundtrip.Request{
+		Method: "GET", Target: target, Host: "h", MaxIdle: time.Minute, Until: time.Now().Add(200 * time.Millisecond),
+	}
+}
+
+func fetch(ctx context.Context, p *roundtrip.Pool, address, target string) (string, error) {
+	a, err := p.Send(ctx, address, get(target))
+	if err != nil {
+		return "", err
+	}
+	defer a.Close()
+	body, err := io.ReadAll(a)
+	return string(body), err
+}
+
+// echo answers with the request's target until the connection ends.
+func echo(c net.Conn, br *bufio.Reader) {
+	for {
+		r, err := http.ReadRequest(br)
+		if err != nil {
+			return
+		}
+		fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(r.RequestURI), r.RequestURI)
+	}
+}
+
+// A late answer on a reused connection would be given to the next request, of another caller.
+func TestLateAnswerIsNeverReused(t *testing.T) {
+	g := NewWithT(t)
+	var conns atomic.Int64
+	address := listen(t, func(n int, c net.Conn, br *bufio.Reader) {
+		conns.Store(int64(n))
+		if n == 1 {
+			_, _ = http.ReadRequest(br)
+			time.Sleep(60 * time.Millisecond)
+			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nlate")
+			return
+		}
+		echo(c, br)
+	})
+	p := newPool(t, roundtrip.Config{})
+	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Millisecond)
+	defer cancel()
+	_, err := fetch(ctx, p, address, "/one")
+	g.Expect(err).To(MatchError(context.DeadlineExceeded))
+	for range 5 {
+		g.Expect(fetch(context.Background(), p, address, "/two")).To(Equal("/two"))
+		time.Sleep(20 * time.Millisecond)
+	}
+	g.Expect(conns.Load()).To(BeEquivalentTo(2), "a clean connection is reused")
+}
+
+// Bytes after an answer, with it or later, must not become the beginning of the next answer.
+func TestSurplusBytesEndTheConnection(t *testing.T) {
+	const surplus = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nother"
+	for name, pause := range map[string]time.Duration{"with the answer": 0, "while idle": 20 * time.Millisecond} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			address := listen(t, func(n int, c net.Conn, br *bufio.Reader) {
+				r, err := http.ReadRequest(br)
+				if err != nil {
+					return
+				}
+				answer := fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(r.RequestURI), r.RequestURI)
+				if pause == 0 {
+					_, _ = io.WriteString(c, answer+surplus)
+					return
+				}
+				_, _ = io.WriteString(c, answer)
+				time.Sleep(pause)
+				_, _ = io.WriteString(c, surplus)
+			})
+			p := newPool(t, roundtrip.Config{})
+			g.Expect(fetch(context.Background(), p, address, "/one")).To(Equal("/one"))
+			time.Sleep(2 * pause)
+			g.Expect(fetch(context.Background(), p, address, "/two")).To(Equal("/two"))
+		})
+	}
+}
+
+// A request that is silently sent again on a new connection would run twice.
+func TestBrokenReusedConnectionIsNotRetried(t *testing.T) {
+	g := NewWithT(t)
+	var seen atomic.Int64
+	address := listen(t, func(_ int, c net.Conn, br *bufio.Reader) {
+		defer c.Close()
+		for i := range 2 {
+			if _, err := http.ReadRequest(br); err != nil {
+				return
+			}
+			seen.Add(1)
+			if i == 0 {
+				_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+			}
+		}
+	})
+	p := newPool(t, roundtrip.Config{})
+	_, err := fetch(context.Background(), p, address, "/one")
+	g.Expect(err).NotTo(HaveOccurred())
+	_, err = fetch(context.Background(), p, address, "/two")
+	var e *roundtrip.Error
+	g.Expect(err).To(BeAssignableToTypeOf(e))
+	g.Expect(err.(*roundtrip.Error).Written).To(BeTrue())
+	g.Expect(seen.Load()).To(BeEquivalentTo(2))
+}
+
+// Written decides between not-run and unknown: it must be false before and true after the first byte.
+func TestWrittenIsTruthful(t *testing.T) {
+	g := NewWithT(t)
+	closed, err := net.Listen("tcp", "127.0.0.1:0")
+	g.Expect(err).NotTo(HaveOccurred())
+	closed.Close()
+	p := newPool(t, roundtrip.Config{Connections: 1})
+	expect := func(address string, r *roundtrip.Request, stage roundtrip.Stage, written bool) {
+		t.Helper()
+		ctx, cancel := context.WithTimeout(context.Background(), 100*time.Millisecond)
+		defer cancel()
+		_, err := p.Send(ctx, address, r)
+		var e *roundtrip.Error
+		g.Expect(err).To(BeAssignableToTypeOf(e))
+		e = err.(*roundtrip.Error)
+		g.Expect([]any{e.Stage, e.Written}).To(Equal([]any{stage, written}), e.Error())
+	}
+	expect(closed.Addr().String(), get("/"), roundtrip.Connect, false)
+
+	reads := func(after string) string {
+		return listen(t, func(_ int, c net.Conn, br *bufio.Reader) {
+			_, _ = http.ReadRequest(br)
+			_, _ = io.WriteString(c, after)
+			c.Close()
+		})
+	}
+	withdrawn := get("/")
+	withdrawn.Start = func() bool { return false }
+	expect(reads(""), withdrawn, roundtrip.Start, false)
+	expect(reads(""), get("/"), roundtrip.Await, true)
+	expect(reads("HTTP/1.1 200"), get("/"), roundtrip.Head, true)
+	expect(reads("HTTP/1.1 200 OK\r\n\r\nno length"), get("/"), roundtrip.Head, true)
+	expect(reads("HTTP/1.1 101 Switching Protocols\r\n\r\n"), get("/"), roundtrip.Head, true)
+	expect(reads("HTTP/1.1 200 OK\r\nX: "+strings.Repeat("x", roundtrip.MaxHeadBytes)), get("/"), roundtrip.Head, true)
+
+	busy := listen(t, func(_ int, c net.Conn, br *bufio.Reader) { echo(c, br) })
+	held, err := p.Send(context.Background(), busy, get("/"))
+	g.Expect(err).NotTo(HaveOccurred())
+	soon := get("/")
+	soon.Until = time.Now().Add(10 * time.Millisecond)
+	expect(busy, soon, roundtrip.Wait, false)
+	held.Close()
+}
+
+// A part of an answer that ends like a whole one would be a wrong answer. Any cut, at any
+// byte, of any body, by length or by chunks, must be an error.
+func TestEveryCutIsAnError(t *testing.T) {
+	var answer atomic.Value
+	address := listen(t, func(_ int, c net.Conn, br *bufio.Reader) {
+		_, _ = http.ReadRequest(br)
+		_, _ = io.WriteString(c, answer.Load().(string))
+		c.Close()
+	})
+	p := newPool(t, roundtrip.Config{})
+	rapid.Check(t, func(t *rapid.T) {
+		whole := "HTTP/1.1 200 OK\r\n"
+		body := ""
+		if rapid.Bool().Draw(t, "chunked") {
+			whole += "Transfer-Encoding: chunked\r\n\r\n"
+			for _, chunk := range rapid.SliceOfN(rapid.StringMatching("[a-z0-9\r\n]{1,40}"), 0, 4).Draw(t, "chunks") {
+				whole += fmt.Sprintf("%x\r\n%s\r\n", len(chunk), chunk)
+				body += chunk
+			}
+			whole += "0\r\n\r\n"
+		} else {
+			body = rapid.StringMatching("[a-z0-9\r\n]{0,60}").Draw(t, "body")
+			whole += fmt.Sprintf("Content-Length: %d\r\n\r\n%s", len(body), body)
+		}
+		cut := rapid.IntRange(0, len(whole)).Draw(t, "cut")
+		answer.Store(whole[:cut])
+		got, err := fetch(context.Background(), p, address, "/")
+		if cut < len(whole) && err == nil {
+			t.Fatalf("%d of %d bytes were taken for the whole answer", cut, len(whole))
+		}
+		if cut == len(whole) && (err != nil || got != body) {
+			t.Fatalf("the whole answer became %q, %v", got, err)
+		}
+	})
+}
+
+// Connections beyond what a server accepts would be refused, and look like a failing server.
+func TestConnectionsAreBounded(t *testing.T) {
+	g := NewWithT(t)
+	var open, most atomic.Int64
+	address := listen(t, func(_ int, c net.Conn, br *bufio.Reader) {
+		now := open.Add(1)
+		for seen := most.Load(); now > seen && !most.CompareAndSwap(seen, now); seen = most.Load() {
+		}
+		echo(c, br)
+		c.Close()
+		open.Add(-1)
+	})
+	p := newPool(t, roundtrip.Config{Connections: 3, IdleTimeout: 50 * time.Millisecond})
+	errs := make(chan error)
+	for range 20 {
+		go func() {
+			for range 20 {
+				r := get("/x")
+				r.Until = time.Now().Add(5 * time.Second)
+				a, err := p.Send(context.Background(), address, r)
+				if err != nil {
+					errs <- err
+					return
+				}
+				_, _ = io.Copy(io.Discard, a)
+				a.Close()
+			}
+			errs <- nil
+		}()
+	}
+	for range 20 {
+		g.Expect(<-errs).To(Succeed())
+	}
+	g.Expect(most.Load()).To(BeNumerically("<=", 3))
+	g.Eventually(open.Load).Should(BeZero(), "idle connections are closed after their time")
+	g.Expect(p.Open()).To(BeZero())
+}
+
+// A server that answers before it has read a large body must be heard, and the connection,
+// on which the rest of the body is still due, must not be reused.
+func TestEarlyAnswerToAnUnreadBody(t *testing.T) {
+	g := NewWithT(t)
+	address := listen(t, func(n int, c net.Conn, br *bufio.Reader) {
+		_, _ = http.ReadRequest(br)
+		fmt.Fprintf(c, "HTTP/1.1 503 No\r\nContent-Length: 1\r\n\r\n%d", n)
+	})
+	p := newPool(t, roundtrip.Config{})
+	for want := range 2 {
+		r := get("/")
+		r.Method = "POST"
+		r.Body = make([]byte, 16<<20)
+		a, err := p.Send(context.Background(), address, r)
+		g.Expect(err).NotTo(HaveOccurred())
+		body, err := io.ReadAll(a)
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(string(body)).To(Equal(fmt.Sprint(want + 1)))
+		a.Close()
+	}
+}
