Add bench soak: a real fleet under random faults with checked promises

Aim: find faults of the product that appear only when faults meet. A schedule of faults is drawn from the seed before the start; callers resend keys through other hosts, operators race with equal revisions, and each promise has a check with the bound of the design (3 s, 10 s).

Ruled out: a simulated network or clock, since the parts would then not be those of the real processes; drawing faults while the run goes on, since the machine's load would change what a seed does.

Callers send through the emulated network, so that a frozen host gets their requests late. localfleet gains OperatorAt, load gains Send and a dialer.

--- a/internal/bench/load/caller.go
+++ b/internal/bench/load/caller.go
@@ -17,6 +17,7 @@
 	"github.com/tarragonmux/tarragonmux/internal/entry"
 	"github.com/tarragonmux/tarragonmux/internal/problem"
 	"github.com/tarragonmux/tarragonmux/internal/standin"
+	"github.com/tarragonmux/tarragonmux/internal/transport"
 )
 
 const (
@@ -54,6 +55,8 @@
 	Refusal problem.Outcome
 	// Instance is the stand-in that answered.
 	Instance string
+	// Answer is the body of a stand-in's answer.
+	Answer string
 	// Err is set if the connection failed or the answer broke off.
 	Err error
 	// Fault is set if the fleet broke a promise.
@@ -91,12 +94,11 @@
 	next      int
 }
 
-func newCaller(i int, entries []string) *caller {
-	transport := &http.Transport{MaxIdleConnsPerHost: idlePerHost, DisableCompression: true, IdleConnTimeout: 30 * time.Second}
+func newCaller(i int, entries []string, dialer transport.Dialer) *caller {
 	return &caller{
 		name:      "caller-" + strconv.Itoa(i),
 		entries:   entries,
-		client:    &http.Client{Transport: transport},
+		client:    NewClient(dialer),
 		endpoints: map[string]endpoints{},
 	}
 }
@@ -195,58 +197,28 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), r.class.Deadline+answerGrace)
 	defer cancel()
-	request, err := http.NewRequestWithContext(ctx, r.class.Method, "http://"+address+r.class.Path, nil)
-	if err != nil {
-		o.Err = errors.WithStack(err)
-		return
-	}
-	setHeaders(request.Header, r)
-	response, err := c.client.Do(request)
-	if err != nil {
-		o.Err = errors.WithStack(err)
-		return
-	}
-	defer response.Body.Close()
-	body, err := io.ReadAll(io.LimitReader(response.Body, maxAnswer))
-	if err != nil {
-		o.Err = errors.WithStack(err)
-		return
-	}
-	judge(r, response, body, o)
-}
-
-func setHeaders(h http.Header, r request) {
-	h.Set("Request-Id", r.id)
-	h.Set("Grpc-Timeout", strconv.FormatInt(r.class.Deadline.Milliseconds(), 10)+"m")
-	if r.team != "" {
-		h.Set("Tarragon-Team", r.team)
-	}
-	if r.key != "" {
-		h.Set("Idempotency-Key", r.key)
-	}
-	if r.class.Work > 0 {
-		h.Set(standin.HeaderWork, r.class.Work.String())
-	}
+	exchange(ctx, c.client, address, r.full(), o)
 }
 
 // judge checks that the answer is whole and the request's own, or that the refusal is well formed.
-func judge(r request, response *http.Response, body []byte, o *Outcome) {
+func judge(r Request, response *http.Response, body []byte, o *Outcome) {
 	o.Status = response.StatusCode
 	if strings.HasPrefix(response.Header.Get("Content-Type"), problem.ContentType) {
 		judgeRefusal(body, o)
 		return
 	}
 	o.Instance = response.Header.Get(standin.HeaderInstance)
+	o.Answer = string(body)
 	if response.StatusCode >= http.StatusInternalServerError {
 		return
 	}
-	text := string(body)
+	text := o.Answer
 	switch {
 	case !strings.HasSuffix(strings.TrimRight(text, "."), "\n"):
 		o.Fault = NotWhole
-	case r.key != "" && !strings.Contains(text, " key="+r.key+" "):
+	case r.Key != "" && !strings.Contains(text, " key="+r.Key+" "):
 		o.Fault = NotOwn
-	case r.key == "" && !strings.Contains(text, " request="+r.id+" "):
+	case r.Key == "" && !strings.Contains(text, " request="+r.ID+" "):
 		o.Fault = NotOwn
 	}
 }
--- a/internal/bench/load/load.go
+++ b/internal/bench/load/load.go
@@ -14,6 +14,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"github.com/tarragonmux/tarragonmux/internal/transport"
 )
 
 // Class is a kind of request with its rate.
@@ -46,6 +48,8 @@
 	Seed    uint64
 	// Sink receives every outcome; it must not block. It may be nil.
 	Sink func(Outcome)
+	// Dialer opens the callers' connections; nil means the operating system's.
+	Dialer transport.Dialer
 }
 
 const (
@@ -82,7 +86,7 @@
 		prefix: strconv.FormatUint(config.Seed, 36) + "-" + strconv.FormatInt(time.Now().UnixNano(), 36) + "-",
 	}
 	for i := range max(1, config.Callers) {
-		l.callers = append(l.callers, newCaller(i, config.Entries))
+		l.callers = append(l.callers, newCaller(i, config.Entries, config.Dialer))
 	}
 	for _, c := range config.Classes {
 		if c.Method == "" {
--- /dev/null
+++ b/internal/bench/load/send.go
@@ -0,0 +1,104 @@
+package load
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/tarragonmux/tarragonmux/internal/standin"
+	"github.com/tarragonmux/tarragonmux/internal/transport"
+)
+
+const (
+	idleConnTimeout = 30 * time.Second
+	crashValue      = "now"
+)
+
+// Request is one request to one entry host.
+type Request struct {
+	ID     string
+	Key    string
+	Team   string
+	Method string
+	Path   string
+	Body   string
+	// Deadline is sent to the fleet.
+	Deadline time.Duration
+	// Work is asked from the stand-in; 0 means its own time.
+	Work time.Duration
+	// Crash makes the stand-in that runs the request crash.
+	Crash bool
+}
+
+// NewClient returns a client that opens its connections with the dialer; nil means the operating system's.
+func NewClient(dialer transport.Dialer) *http.Client {
+	t := &http.Transport{MaxIdleConnsPerHost: idlePerHost, DisableCompression: true, IdleConnTimeout: idleConnTimeout}
+	if dialer != nil {
+		t.DialContext = dialer.DialContext
+	}
+	return &http.Client{Transport: t}
+}
+
+// Send sends the request to the entry host at the address and judges the answer. It gives up when
+// the context ends, or 2 s after the deadline.
+func Send(ctx context.Context, client *http.Client, address string, r Request) Outcome {
+	start := time.Now()
+	o := Outcome{ID: r.ID, Key: r.Key, Team: r.Team}
+	ctx, cancel := context.WithTimeout(ctx, r.Deadline+answerGrace)
+	defer cancel()
+	exchange(ctx, client, address, r, &o)
+	o.At = time.Now()
+	o.Latency = o.At.Sub(start)
+	return o
+}
+
+func exchange(ctx context.Context, client *http.Client, address string, r Request, o *Outcome) {
+	request, err := http.NewRequestWithContext(ctx, r.Method, "http://"+address+r.Path, strings.NewReader(r.Body))
+	if err != nil {
+		o.Err = errors.WithStack(err)
+		return
+	}
+	setHeaders(request.Header, r)
+	response, err := client.Do(request)
+	if err != nil {
+		o.Err = errors.WithStack(err)
+		return
+	}
+	defer response.Body.Close()
+	body, err := io.ReadAll(io.LimitReader(response.Body, maxAnswer))
+	if err != nil {
+		o.Err = errors.WithStack(err)
+		return
+	}
+	judge(r, response, body, o)
+}
+
+func setHeaders(h http.Header, r Request) {
+	h.Set("Request-Id", r.ID)
+	h.Set("Grpc-Timeout", strconv.FormatInt(r.Deadline.Milliseconds(), 10)+"m")
+	if r.Team != "" {
+		h.Set("Tarragon-Team", r.Team)
+	}
+	if r.Key != "" {
+		h.Set("Idempotency-Key", r.Key)
+	}
+	if r.Work > 0 {
+		h.Set(standin.HeaderWork, r.Work.String())
+	}
+	if r.Crash {
+		h.Set(standin.HeaderCrash, crashValue)
+	}
+}
+
+// full returns the request with what its class says.
+func (r request) full() Request {
+	return Request{
+		ID: r.id, Key: r.key, Team: r.team, Method: r.class.Method, Path: r.class.Path,
+		Deadline: r.class.Deadline, Work: r.class.Work,
+	}
+}
--- a/internal/bench/localfleet/fleet.go
+++ b/internal/bench/localfleet/fleet.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"net"
 	"os"
+	"slices"
 	"time"
 
 	"github.com/pkg/errors"
@@ -112,6 +113,13 @@
 	return errors.New("no loopback network is free; end other fleets on this machine")
 }
 
+// OperatorAt returns a client of the control replicas that asks the i-th one first.
+func (f *Fleet) OperatorAt(i int) *operator.Client {
+	addresses := f.controlAddresses()
+	first := i % len(addresses)
+	return operator.New(f.pool, slices.Concat(addresses[first:], addresses[:first]))
+}
+
 func nodeID(i int) string    { return fmt.Sprintf("node-%02d", i+1) }
 func controlID(i int) string { return fmt.Sprintf("control-%d", i+1) }
 
--- /dev/null
+++ b/internal/bench/soak/callers.go
@@ -0,0 +1,107 @@
+package soak
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/tarragonmux/tarragonmux/internal/bench/load"
+)
+
+const (
+	keyedCallers  = 6
+	keyedDeadline = 2 * time.Second
+	// keyedPause is the mean pause of a caller between two operations.
+	keyedPause = 100 * time.Millisecond
+	// lostAfter bounds how long a caller waits that loses its answer.
+	lostAfter   = 60 * time.Millisecond
+	mostResends = 3
+	// Shares of operations.
+	lostShare    = 0.3
+	sameTime     = 0.2
+	alteredShare = 0.3
+)
+
+// operation is one piece of non-idempotent work.
+type operation struct {
+	key  string
+	body string
+	path string
+	// sent counts the requests of the operation, for their ids.
+	sent int
+}
+
+func (o *operation) request(body string) load.Request {
+	o.sent++
+	return load.Request{
+		ID: fmt.Sprintf("%s-%d", o.key, o.sent), Key: o.key, Team: "team-1", Method: http.MethodPost, Path: o.path,
+		Body: body, Deadline: keyedDeadline,
+	}
+}
+
+// callers send keyed requests until the context ends, and return after the last answer.
+func (e *environment) callers(ctx context.Context) {
+	var running sync.WaitGroup
+	for i := range keyedCallers {
+		running.Go(func() {
+			random := rand.New(rand.NewPCG(e.options.Seed, 100+uint64(i)))
+			for n := 0; pause(ctx, time.Duration(2*random.Float64()*float64(keyedPause))); n++ {
+				e.operate(ctx, random, e.operation(i, n))
+			}
+		})
+	}
+	running.Wait()
+}
+
+func (e *environment) operation(caller, n int) *operation {
+	key := fmt.Sprintf("%d-key-%d-%d", e.options.Seed, caller, n)
+	return &operation{key: key, body: "body of " + key, path: keyedPath}
+}
+
+// keyedPath is the non-idempotent route of the scenario.
+const keyedPath = "/cuefeed/sign-offs"
+
+// operate sends one operation and resends it through other entry hosts.
+func (e *environment) operate(ctx context.Context, random *rand.Rand, o *operation) {
+	e.promises.begin(o.key)
+	var running sync.WaitGroup
+	defer running.Wait()
+	resends := random.IntN(mostResends + 1)
+	for i := range resends + 1 {
+		entry := e.entry(random.IntN(nodeCount))
+		r := o.request(o.body)
+		wait := longestDeadline
+		if random.Float64() < lostShare {
+			wait = time.Duration(random.Float64() * float64(lostAfter))
+		}
+		beside := random.Float64() < sameTime && i < resends
+		send := func() { e.send(ctx, entry, r, wait) }
+		if beside {
+			running.Go(send)
+			continue
+		}
+		send()
+	}
+	if random.Float64() < alteredShare && e.promises.hasAnswer(o.key) {
+		e.sendAltered(ctx, e.entry(random.IntN(nodeCount)), o)
+	}
+}
+
+func (e *environment) send(ctx context.Context, entry string, r load.Request, wait time.Duration) load.Outcome {
+	ctx, cancel := context.WithTimeout(ctx, wait)
+	defer cancel()
+	outcome := load.Send(ctx, e.client, entry, r)
+	e.judge.report(e.promises.answered(outcome, r.Body))
+	e.count(outcome)
+	return outcome
+}
+
+func (e *environment) sendAltered(ctx context.Context, entry string, o *operation) load.Outcome {
+	outcome := load.Send(ctx, e.client, entry, o.request("altered "+o.body))
+	e.judge.report(e.promises.reused(outcome))
+	e.count(outcome)
+	return outcome
+}
--- /dev/null
+++ b/internal/bench/soak/environment.go
@@ -0,0 +1,198 @@
+package soak
+
+import (
+	"context"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/tarragonmux/tarragonmux/internal/bench/load"
+	"github.com/tarragonmux/tarragonmux/internal/bench/localfleet"
+	"github.com/tarragonmux/tarragonmux/internal/bench/netem"
+	"github.com/tarragonmux/tarragonmux/internal/bench/scenario"
+	"github.com/tarragonmux/tarragonmux/internal/standin"
+	"github.com/tarragonmux/tarragonmux/proto/configpb"
+)
+
+const (
+	nodeCount    = 9
+	controlCount = 3
+	slotsEach    = 4
+	workTime     = 30 * time.Millisecond
+	callerCount  = 20
+	// callerPlace is where the callers and operators are in the emulated network.
+	callerPlace = "callers"
+	// longestDeadline bounds how long a request of the load may wait.
+	longestDeadline = 3 * time.Second
+	// floodWork is the work time of a flood's requests; it keeps the rate of a flood low.
+	floodWork = 200 * time.Millisecond
+	// floodFactor is the size of a flood relative to the capacity of the service.
+	floodFactor = 4
+	// Rates are in requests a second.
+	idempotentRate = 20
+)
+
+// instances are the numbers of stand-ins of the services.
+var instances = []int{8, 6}
+
+// environment is one running fleet with everything that acts on it.
+type environment struct {
+	options  Options
+	user     scenario.User
+	network  *netem.Network
+	fleet    *localfleet.Fleet
+	judge    *judge
+	promises *promises
+	changes  *changes
+	client   *http.Client
+	load     *load.Load
+	// firstRevision is the revision before the operators begin.
+	firstRevision uint64
+
+	mu     sync.Mutex
+	counts Counts
+	// down counts the faults that keep a host down, by host id.
+	down map[string]int
+}
+
+func newEnvironment(ctx context.Context, o Options) (*environment, error) {
+	user := scenario.Hanbit()
+	for i := range user.Backends {
+		user.Backends[i].Instances = instances[i]
+		user.Backends[i].Slots = slotsEach
+		user.Backends[i].WorkTime = workTime
+	}
+	network := netem.New(func(from, to string) time.Duration {
+		if from == to || from == "" {
+			return 0
+		}
+		return user.OneWay
+	})
+	config := user.Fleet(nodeCount, controlCount)
+	config.Network = network
+	config.Logger = o.Logger
+	config.Seed = o.Seed
+	startCtx, cancel := context.WithTimeout(ctx, startTimeout)
+	defer cancel()
+	fleet, err := localfleet.Start(startCtx, config)
+	if err != nil {
+		return nil, errors.Wrap(err, "start the fleet")
+	}
+	dialer := network.Dialer(netem.Place{Host: callerPlace})
+	e := &environment{
+		options: o, user: user, network: network, fleet: fleet, judge: newJudge(o.Show),
+		promises: newPromises(), changes: newChanges(), client: load.NewClient(dialer),
+		counts: Counts{ByKind: map[Kind]int{}, Refused: map[string]int{}}, down: map[string]int{},
+	}
+	e.load = load.New(load.Config{
+		Entries: fleet.EntryAddresses(), Callers: callerCount, Classes: e.classes(), Seed: o.Seed, Sink: e.sink, Dialer: dialer,
+	})
+	document, err := fleet.Operator.Get(startCtx)
+	if err != nil {
+		fleet.Kill()
+		return nil, errors.Wrap(err, "read the first configuration")
+	}
+	e.firstRevision = document.GetRevision()
+	return e, nil
+}
+
+// classes are the idempotent routes, and a flood of the least and of the most urgent work of each service.
+func (e *environment) classes() []load.Class {
+	var classes []load.Class
+	for _, r := range e.user.Routes {
+		if !r.GetIdempotent() {
+			continue
+		}
+		c := load.Class{Name: r.GetId(), Service: r.GetService(), Path: r.GetPathPrefix(), Rate: idempotentRate, Deadline: longestDeadline}
+		classes = append(classes, c)
+		if name := floodOf(r); name != "" {
+			c.Name, c.Rate, c.Work = name, 0, floodWork
+			classes = append(classes, c)
+		}
+	}
+	return classes
+}
+
+func floodOf(r *configpb.Route) string {
+	switch r.GetPriority() {
+	case configpb.Priority_PRIORITY_URGENT:
+		return floodName(r.GetService(), true)
+	case configpb.Priority_PRIORITY_BACKGROUND:
+		return floodName(r.GetService(), false)
+	default:
+		return ""
+	}
+}
+
+func floodName(service string, urgent bool) string {
+	return "flood-" + service + "-" + strconv.FormatBool(urgent)
+}
+
+func (e *environment) service(i int) string { return e.user.Backends[i].Service }
+
+func (e *environment) server(f Fault) *standin.Server {
+	return e.fleet.Backends[e.service(f.Service)][f.Target]
+}
+
+// hosts lists the nodes, then the control replicas.
+func (e *environment) hosts() []*localfleet.Host {
+	return append(append([]*localfleet.Host(nil), e.fleet.Nodes...), e.fleet.Controls...)
+}
+
+// sink takes the outcomes of the load.
+func (e *environment) sink(o load.Outcome) {
+	e.judge.report(e.promises.idempotent(o))
+	e.count(o)
+}
+
+func (e *environment) count(o load.Outcome) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.counts.Requests++
+	switch {
+	case o.Err != nil:
+		e.counts.Lost++
+	case o.Kind != "":
+		e.counts.Refused[string(o.Kind)]++
+	default:
+		e.counts.Answered++
+	}
+}
+
+func (e *environment) totals() Counts {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	c := e.counts
+	c.Accepted, c.Conflicts, c.Unsettled = e.changes.count()
+	e.promises.mu.Lock()
+	defer e.promises.mu.Unlock()
+	c.NotRun = len(e.promises.notRun)
+	c.Keys = len(e.promises.keyed)
+	c.Replays = e.promises.replays
+	c.KeyReuses = e.promises.altered
+	return c
+}
+
+// logs returns the logs of all stand-ins by instance.
+func (e *environment) logs() map[string]standin.Ledger {
+	logs := map[string]standin.Ledger{}
+	for _, servers := range e.fleet.Backends {
+		for _, s := range servers {
+			logs[s.Instance()] = s.Ledger()
+		}
+	}
+	return logs
+}
+
+// pause waits and returns false if the context ended first.
+func pause(ctx context.Context, d time.Duration) bool {
+	select {
+	case <-ctx.Done():
+		return false
+	case <-time.After(d):
+		return true
+	}
+}
--- /dev/null
+++ b/internal/bench/soak/schedule_test.go
@@ -0,0 +1,58 @@
+package soak
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+)
+
+var smallShape = Shape{Nodes: nodeCount, Controls: controlCount, DataCentres: 3, Backends: instances}
+
+// A schedule that depends on anything but the seed would make violations impossible to repeat.
+func TestScheduleDependsOnlyOnItsArguments(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		g := NewWithT(t)
+		seed := rapid.Uint64().Draw(t, "seed")
+		span := time.Duration(rapid.IntRange(1, 120).Draw(t, "seconds")) * time.Second
+		g.Expect(Draw(seed, span, smallShape)).To(Equal(Draw(seed, span, smallShape)))
+	})
+}
+
+// A schedule beyond the promises of the design would blame the fleet for what it never promised.
+func TestScheduleStaysWithinThePromises(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		g := NewWithT(t)
+		span := time.Duration(rapid.IntRange(10, 300).Draw(t, "seconds")) * time.Second
+		faults := Draw(rapid.Uint64().Draw(t, "seed"), span, smallShape)
+		for i, f := range faults {
+			g.Expect(f.end()).To(BeNumerically("<=", span))
+			atOnce := 0
+			for _, b := range faults[:i] {
+				if b.Kind == LoseDisk && f.Kind == LoseDisk {
+					g.Expect(f.At).To(BeNumerically(">=", b.end()+returnSpan))
+				}
+				if b.end() <= f.At {
+					continue
+				}
+				atOnce++
+				bothControl := f.Kind.group() == controlGroup && b.Kind.group() == controlGroup
+				g.Expect(bothControl).To(BeFalse(), "%v and %v", b, f)
+			}
+			g.Expect(atOnce).To(BeNumerically("<", mostAtOnce))
+		}
+	})
+}
+
+// A kind that is never drawn would be a fault that no soak brings about.
+func TestScheduleDrawsEveryKind(t *testing.T) {
+	g := NewWithT(t)
+	seen := map[Kind]bool{}
+	for _, f := range Draw(1, 5*time.Minute, smallShape) {
+		seen[f.Kind] = true
+	}
+	for _, kind := range Kinds() {
+		g.Expect(seen).To(HaveKey(kind))
+	}
+}
--- /dev/null
+++ b/internal/bench/soak/soak.go
@@ -0,0 +1,113 @@
+package soak
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/pkg/errors"
+
+	"github.com/tarragonmux/tarragonmux/internal/invariant"
+)
+
+// Options of a run.
+type Options struct {
+	// Seed decides the faults, the load and the operators.
+	Seed uint64
+	// For is the time in which faults happen. Start, recovery and final checks come on top.
+	For time.Duration
+	// Show receives the timeline while the run goes on; it may be nil.
+	Show func(Event)
+	// Logger receives the log lines of the fleet; nil drops them.
+	Logger *log.Logger
+}
+
+// Counts says how much a run did.
+type Counts struct {
+	Faults     int            `json:"faults"`
+	ByKind     map[Kind]int   `json:"by_kind"`
+	Requests   uint64         `json:"requests"`
+	Answered   uint64         `json:"answered"`
+	Refused    map[string]int `json:"refused"`
+	NotRun     int            `json:"not_run"`
+	Lost       uint64         `json:"lost"`
+	Keys       int            `json:"keys"`
+	Replays    int            `json:"replays"`
+	KeyReuses  int            `json:"key_reuses"`
+	Accepted   int            `json:"accepted_changes"`
+	Conflicts  int            `json:"conflicts"`
+	Unsettled  int            `json:"unsettled_changes"`
+	Views      int            `json:"views"`
+	Revisions  int            `json:"revisions"`
+	Quiet      int            `json:"quiet_checks"`
+	Runs       int            `json:"runs"`
+	Invariants uint64         `json:"invariant_checks"`
+	// Recovery is the time from the end of the last fault until everything was served again.
+	Recovery time.Duration `json:"recovery"`
+}
+
+// Report is the result of a run.
+type Report struct {
+	Seed     uint64        `json:"seed"`
+	For      time.Duration `json:"for"`
+	Timeline []Event       `json:"timeline"`
+	Counts   Counts        `json:"counts"`
+	// Violation is the first broken promise, or nil.
+	Violation *Violation `json:"violation,omitempty"`
+}
+
+const (
+	startTimeout = time.Minute
+	// recoveryBound is the design's time in which the fleet serves everything again.
+	recoveryBound = 10 * time.Second
+)
+
+// Run starts a fleet, brings the faults of the seed about and checks the promises until the end or
+// the first violation, which is in the report. Errors: the fleet could not be started, or the
+// context ended.
+func Run(ctx context.Context, o Options) (*Report, error) {
+	e, err := newEnvironment(ctx, o)
+	if err != nil {
+		return nil, err
+	}
+	defer e.fleet.Kill()
+	checks := invariant.Checks()
+	defer invariant.Subscribe(func(v invariant.Violation) {
+		e.judge.report(found(CheckInvariant, "%s: %s", v.Name, v.Detail))
+	})()
+	e.run(ctx)
+	if err := ctx.Err(); err != nil {
+		return nil, errors.Wrap(err, "the soak was ended early")
+	}
+	e.counts.Invariants = invariant.Checks() - checks
+	timeline, violation := e.judge.verdict()
+	return &Report{Seed: o.Seed, For: o.For, Timeline: timeline, Counts: e.totals(), Violation: violation}, nil
+}
+
+// run goes through the phases: faults under load, recovery under load, final checks.
+func (e *environment) run(ctx context.Context) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	go func() {
+		select {
+		case <-e.judge.violated:
+			cancel()
+		case <-ctx.Done():
+		}
+	}()
+	var watching, working sync.WaitGroup
+	watchCtx, stopWatching := context.WithCancel(ctx)
+	watching.Go(func() { e.watch(watchCtx) })
+	workCtx, stopWorking := context.WithCancel(ctx)
+	working.Go(func() { e.load.Run(workCtx) })
+	working.Go(func() { e.callers(workCtx) })
+	working.Go(func() { e.operators(workCtx) })
+	e.faults(ctx)
+	e.recover(ctx)
+	stopWorking()
+	working.Wait()
+	e.finish(ctx)
+	stopWatching()
+	watching.Wait()
+}
--- a/internal/cli/bench.go
+++ b/internal/cli/bench.go
@@ -11,6 +11,7 @@
 
 type benchCommands struct {
 	Decisions decisionsCommand `cmd:"" help:"Measure how well the fleet decides, beside baselines."`
+	Soak      soakCommand      `cmd:"" help:"Run a fleet under random faults and check its promises."`
 }
 
 // benchOutput prints rows for people or for programs.
