--- a/internal/bench/soak/callers.go
+++ b/internal/bench/soak/callers.go
@@ -49,15 +49,15 @@
 		running.Go(func() {
 			random := rand.New(rand.NewPCG(e.options.Seed, 100+uint64(i)))
 			for n := 0; pause(ctx, time.Duration(2*random.Float64()*float64(keyedPause))); n++ {
-				e.operate(ctx, random, e.operation(i, n))
+				e.operate(ctx, random, newOperation(fmt.Sprintf("%d-key-%d-%d", e.options.Seed, i, n)))
 			}
 		})
 	}
 	running.Wait()
 }
 
-func (e *environment) operation(caller, n int) *operation {
-	key := fmt.Sprintf("%d-key-%d-%d", e.options.Seed, caller, n)
+// newOperation returns the operation of a key; equal keys have equal operations.
+func newOperation(key string) *operation {
 	return &operation{key: key, body: "body of " + key, path: keyedPath}
 }
 
--- a/internal/bench/soak/recovery.go
+++ b/internal/bench/soak/recovery.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http"
-	"strings"
 	"sync"
 	"time"
 
@@ -95,15 +94,15 @@
 }
 
 func (e *environment) probeRoute(ctx context.Context, entry, id string, r *configpb.Route) load.Outcome {
-	request := load.Request{ID: id, Method: r.GetMethods()[0], Path: r.GetPathPrefix(), Deadline: probeDeadline}
 	if r.GetIdempotent() {
+		request := load.Request{ID: id, Method: http.MethodGet, Path: r.GetPathPrefix(), Deadline: probeDeadline}
 		o := load.Send(ctx, e.client, entry, request)
 		e.sink(o)
 		return o
 	}
-	request.Key, request.Method = id, http.MethodPost
-	e.promises.begin(id)
-	return e.send(ctx, entry, request, longestDeadline)
+	o := newOperation(id)
+	e.promises.begin(o.key)
+	return e.send(ctx, entry, o.request(o.body), longestDeadline)
 }
 
 // finish compares everything once more after all work has ended.
@@ -126,10 +125,8 @@
 func (e *environment) resend(ctx context.Context) {
 	random := rand.New(rand.NewPCG(e.options.Seed, 300))
 	for _, key := range e.promises.sample(finalKeys) {
-		o := &operation{key: key, body: "body of " + key, path: keyedPath, sent: finalIDs}
-		if strings.Contains(key, "-probe-") {
-			o.body = ""
-		}
+		o := newOperation(key)
+		o.sent = finalIDs
 		e.send(ctx, e.entry(random.IntN(nodeCount)), o.request(o.body), longestDeadline)
 		e.judge.report(e.insist(ctx, e.entry(random.IntN(nodeCount)), o))
 	}
