Restart drained stand-ins and require every stand-in back after the faults

Within one incarnation a backend server never leaves the state draining, so a drained stand-in stayed out for the rest of the run.

--- a/internal/bench/soak/faults.go
+++ b/internal/bench/soak/faults.go
@@ -214,7 +214,7 @@
 		ended, cancel := context.WithCancel(ctx)
 		cancel()
 		_ = s.Drain(ended)
-		defer s.Resume()
+		defer e.returnDrained(s)
 	} else {
 		s.SetFaults(standin.Faults{RefuseOutbound: true})
 		defer s.SetFaults(standin.Faults{})
@@ -235,6 +235,12 @@
 	e.ended(f, s.Instance())
 }
 
+// returnDrained starts a drained stand-in anew, since an incarnation that drains never gets work again.
+func (e *environment) returnDrained(s *standin.Server) {
+	s.Resume()
+	s.Crash()
+}
+
 func (e *environment) newWork(f Fault, s *standin.Server, before int) *finding {
 	if now := s.Arrivals(); now != before {
 		return found(CheckQuiet, "%s got %d requests more than %v after %s began", s.Instance(), now-before, noNewWorkAfter, f.Kind)
--- a/internal/bench/soak/recovery.go
+++ b/internal/bench/soak/recovery.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/tarragonmux/tarragonmux/internal/agreement"
+	"github.com/tarragonmux/tarragonmux/internal/backend"
 	"github.com/tarragonmux/tarragonmux/internal/bench/load"
 	"github.com/tarragonmux/tarragonmux/internal/problem"
 	"github.com/tarragonmux/tarragonmux/proto/configpb"
@@ -65,10 +66,29 @@
 		if p := h.Process(); p == nil || !p.Node().Store.Ready() {
 			return h.ID + " is not ready"
 		}
+		if unseen := e.unseen(h.Process().Node().Membership); unseen != "" {
+			return h.ID + " knows no ready " + unseen
+		}
 	}
 	return e.probe(ctx, round)
 }
 
+// unseen names a stand-in that the registry does not hold as ready, or returns "".
+func (e *environment) unseen(registry backend.Registry) string {
+	for service, servers := range e.fleet.Backends {
+		usable := map[string]bool{}
+		for _, s := range registry.Servers(service) {
+			usable[s.Instance] = s.Usable(time.Now())
+		}
+		for _, s := range servers {
+			if !usable[s.Instance()] {
+				return s.Instance()
+			}
+		}
+	}
+	return ""
+}
+
 // probe sends a request for every route through every entry host and names one that is not served.
 func (e *environment) probe(ctx context.Context, round int) string {
 	var mu sync.Mutex
