--- a/internal/app/background.go
+++ b/internal/app/background.go
@@ -7,6 +7,8 @@
 	"github.com/charmbracelet/log"
 	"github.com/pkg/errors"
 	"go.uber.org/fx"
+
+	"github.com/tarragonmux/tarragonmux/internal/logging"
 )
 
 // background runs the parts that work until the process ends.
@@ -62,7 +64,7 @@
 		err = errors.New("it ended without an error")
 	}
 	b.cause = errors.Wrapf(err, "part %s failed", name)
-	b.logger.Error("a part failed", "part", name, "err", err)
+	b.logger.Error("a part failed", "part", name, "err", logging.Err(err))
 	close(b.failed)
 }
 
--- a/internal/app/node.go
+++ b/internal/app/node.go
@@ -23,6 +23,7 @@
 	"github.com/tarragonmux/tarragonmux/internal/entry/roundtrip"
 	"github.com/tarragonmux/tarragonmux/internal/grant"
 	"github.com/tarragonmux/tarragonmux/internal/hostset"
+	"github.com/tarragonmux/tarragonmux/internal/logging"
 	"github.com/tarragonmux/tarragonmux/internal/membership"
 	"github.com/tarragonmux/tarragonmux/internal/metrics"
 	"github.com/tarragonmux/tarragonmux/internal/records"
@@ -213,7 +214,7 @@
 	prefixed := logger.WithPrefix("burn")
 	if s.DataFolder != "" {
 		if err := recorder.Load(s.DataFolder, time.Now()); err != nil {
-			prefixed.Warn("starting with empty counts", "err", err)
+			prefixed.Warn("starting with empty counts", "err", logging.Err(err))
 		}
 	}
 	save := func() {
@@ -221,7 +222,7 @@
 			return
 		}
 		if err := recorder.Save(s.DataFolder, s.ID, time.Now()); err != nil {
-			prefixed.Warn("could not save the counts", "err", err)
+			prefixed.Warn("could not save the counts", "err", logging.Err(err))
 		}
 	}
 	start(lc, b, "burn", func(ctx context.Context) error { return keepCounts(ctx, recorder, save) })
--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -14,6 +14,8 @@
 	"storj.io/drpc/drpcpool"
 	"storj.io/drpc/drpcserver"
 	"storj.io/drpc/drpcwire"
+
+	"github.com/tarragonmux/tarragonmux/internal/logging"
 )
 
 const (
@@ -110,7 +112,7 @@
 	server := drpcserver.NewWithOptions(m.mux, drpcserver.Options{
 		Manager: options,
 		Log: func(err error) {
-			logger.Debug("closed a connection", "err", err)
+			logger.Debug("closed a connection", "err", logging.Err(err))
 		},
 	})
 	err := server.Serve(ctx, l)
