Exercise hedging rules with urgent non-idempotent work

A seeded fault that let claimed work race survived, because the test's route was not urgent and no hedge was ever due. With an urgent route the fault is caught.

--- a/internal/entry/answer_test.go
+++ b/internal/entry/answer_test.go
@@ -162,7 +162,7 @@
 		second := newStandin(standin.Config{Instance: "second"})
 		f := start(nil)
 		hedged(f, first.Address(), second.Address())
-		Expect(f.do("POST", "/once", "x", "Idempotency-Key", "k").status).To(Equal(200))
+		Expect(f.do("POST", "/urgent-once", "x", "Idempotency-Key", "k").status).To(Equal(200))
 		Expect(second.Ledger().Total.Started).To(BeZero())
 	})
 
--- a/internal/entry/fakes_test.go
+++ b/internal/entry/fakes_test.go
@@ -36,7 +36,7 @@
 	DeferCleanup(func() { Expect(invariant.Total()).To(Equal(before)) })
 })
 
-// fakeRoutes maps the first path segment: /once is non-idempotent, /urgent, /small (body limit) and the rest are idempotent.
+// fakeRoutes maps the first path segment: /once and /urgent-once are non-idempotent, the rest is idempotent.
 type fakeRoutes struct{ quota uint32 }
 
 func (f fakeRoutes) Current() route.Snapshot   { return f }
@@ -61,6 +61,8 @@
 		m.Idempotent = false
 	case "urgent":
 		m.Priority = priority.Urgent
+	case "urgent-once":
+		m.Priority, m.Idempotent = priority.Urgent, false
 	case "small":
 		m.BodyLimit = 10
 	case "none":
