--- /dev/null
+++ b/internal/bench/entry/entry.go
@@ -0,0 +1,250 @@
+package entry
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"runtime"
+	"syscall"
+	"time"
+
+	hdr "github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/pkg/errors"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/tarragonmux/tarragonmux/internal/entry"
+	"github.com/tarragonmux/tarragonmux/internal/standin"
+)
+
+// Defaults and bounds of a run.
+const (
+	// DefaultFor is the time of the whole run.
+	DefaultFor = 10 * time.Second
+	// DefaultWorkers is the number of requests in flight.
+	DefaultWorkers = 4
+	// DefaultBodyBytes is the size of an answer.
+	DefaultBodyBytes = 1024
+
+	// slices is how often the run turns between direct and through; it spreads the machine's moods over both.
+	slices       = 10
+	maxLatency   = 10 * time.Second
+	significance = 3
+)
+
+// Options set up a run. Zero values mean the defaults.
+type Options struct {
+	// For bounds the run.
+	For time.Duration
+	// Workers is how many requests are in flight at once.
+	Workers int
+	// BodyBytes is the size of an answer in bytes.
+	BodyBytes int
+	// Urgent sends urgent work, for which hedging is prepared.
+	Urgent bool
+}
+
+// Report has the figures of one run.
+type Report struct {
+	Workers   int `json:"workers"`
+	BodyBytes int `json:"body_bytes"`
+	// Direct and Through count the requests that were measured.
+	Direct  int64 `json:"direct_requests"`
+	Through int64 `json:"through_requests"`
+	// Latencies in microseconds.
+	DirectP50  int64 `json:"direct_p50_us"`
+	DirectP99  int64 `json:"direct_p99_us"`
+	ThroughP50 int64 `json:"through_p50_us"`
+	ThroughP99 int64 `json:"through_p99_us"`
+	AddedP50   int64 `json:"added_p50_us"`
+	AddedP99   int64 `json:"added_p99_us"`
+	// CPU is the entry server's processor time per request in microseconds.
+	CPU float64 `json:"cpu_us_per_request"`
+	// PerCore is how many requests one core's time is enough for, per second.
+	PerCore float64 `json:"requests_per_second_per_core"`
+	// Allocations and AllocatedBytes are the entry server's, per request.
+	Allocations    float64 `json:"allocations_per_request"`
+	AllocatedBytes float64 `json:"allocated_bytes_per_request"`
+}
+
+// String returns the report for people.
+func (r Report) String() string {
+	return fmt.Sprintf("%d workers, %d byte answers: %.0f requests/s per core (%.1f µs each), %.1f allocations and %.0f bytes per request, added latency p50 %d µs, p99 %d µs (direct p50 %d µs, p99 %d µs; %d direct and %d proxied requests)",
+		r.Workers, r.BodyBytes, r.PerCore, r.CPU, r.Allocations, r.AllocatedBytes, r.AddedP50, r.AddedP99, r.DirectP50, r.DirectP99, r.Direct, r.Through)
+}
+
+// usage is what a measured stretch cost.
+type usage struct {
+	requests  int64
+	latencies *hdr.Histogram
+	cpu       time.Duration
+	mallocs   uint64
+	bytes     uint64
+}
+
+func newUsage() *usage {
+	return &usage{latencies: hdr.New(1, maxLatency.Microseconds(), significance)}
+}
+
+// Run measures for Options.For. It fails if any request fails.
+func Run(ctx context.Context, o Options) (Report, error) {
+	o = o.withDefaults()
+	b, err := newBench(o)
+	if err != nil {
+		return Report{}, err
+	}
+	defer b.close()
+	direct, through := newUsage(), newUsage()
+	turn := o.For / (2*slices + 2)
+	// The first turn of each warms up and is thrown away.
+	for i := range slices + 1 {
+		if i == 1 {
+			direct, through = newUsage(), newUsage()
+		}
+		if err := b.measure(ctx, b.backend.Address(), turn, direct); err != nil {
+			return Report{}, err
+		}
+		if err := b.measure(ctx, b.address, turn, through); err != nil {
+			return Report{}, err
+		}
+	}
+	return report(o, direct, through), nil
+}
+
+func (o Options) withDefaults() Options {
+	if o.For <= 0 {
+		o.For = DefaultFor
+	}
+	if o.Workers <= 0 {
+		o.Workers = DefaultWorkers
+	}
+	if o.BodyBytes <= 0 {
+		o.BodyBytes = DefaultBodyBytes
+	}
+	return o
+}
+
+func report(o Options, direct, through *usage) Report {
+	r := Report{
+		Workers: o.Workers, BodyBytes: o.BodyBytes, Direct: direct.requests, Through: through.requests,
+		DirectP50: direct.latencies.ValueAtQuantile(50), DirectP99: direct.latencies.ValueAtQuantile(99),
+		ThroughP50: through.latencies.ValueAtQuantile(50), ThroughP99: through.latencies.ValueAtQuantile(99),
+	}
+	r.AddedP50 = r.ThroughP50 - r.DirectP50
+	r.AddedP99 = r.ThroughP99 - r.DirectP99
+	r.CPU = through.each(float64(through.cpu.Microseconds())) - direct.each(float64(direct.cpu.Microseconds()))
+	r.Allocations = through.each(float64(through.mallocs)) - direct.each(float64(direct.mallocs))
+	r.AllocatedBytes = through.each(float64(through.bytes)) - direct.each(float64(direct.bytes))
+	if r.CPU > 0 {
+		r.PerCore = float64(time.Second.Microseconds()) / r.CPU
+	}
+	return r
+}
+
+func (u *usage) each(total float64) float64 {
+	return total / float64(max(u.requests, 1))
+}
+
+// bench is an entry server in front of one stand-in.
+type bench struct {
+	options Options
+	backend *standin.Server
+	server  *entry.Server
+	address string
+	served  errgroup.Group
+}
+
+func newBench(o Options) (*bench, error) {
+	backend, err := standin.New(standin.Config{
+		Service: service, Instance: "bench", DataCentre: "a", Slots: 2 * o.Workers, WorkTime: -1, LedgerLimit: 1,
+	})
+	if err != nil {
+		return nil, err
+	}
+	if err := backend.Start(); err != nil {
+		return nil, err
+	}
+	b := &bench{options: o, backend: backend}
+	if err := b.startEntry(); err != nil {
+		backend.Close()
+		return nil, err
+	}
+	return b, nil
+}
+
+func (b *bench) startEntry() error {
+	server, err := entry.New(entry.Config{
+		Routes: routes{urgent: b.options.Urgent}, Grants: &grants{address: b.backend.Address()}, Claims: noClaims{}, Backends: noBackends{},
+		Endpoints: func(string, string) []entry.Endpoint { return nil },
+	})
+	if err != nil {
+		return err
+	}
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return errors.Wrap(err, "bench: cannot listen on loopback; free a port")
+	}
+	b.server = server
+	b.address = l.Addr().String()
+	b.served.Go(func() error { return server.Serve(l) })
+	return nil
+}
+
+func (b *bench) close() {
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	// The figures are complete; what remains is to stop.
+	_ = b.server.Shutdown(ctx)
+	_ = b.served.Wait()
+	b.backend.Close()
+}
+
+// measure sends requests to the address for the time and adds what they cost.
+func (b *bench) measure(ctx context.Context, address string, d time.Duration, u *usage) error {
+	ctx, cancel := context.WithTimeout(ctx, d)
+	defer cancel()
+	callers := make([]*caller, b.options.Workers)
+	for i := range callers {
+		c, err := newCaller(address, b.options.BodyBytes)
+		if err != nil {
+			return err
+		}
+		defer c.close()
+		callers[i] = c
+	}
+	before := take()
+	var group errgroup.Group
+	for _, c := range callers {
+		group.Go(func() error { return c.run(ctx) })
+	}
+	err := group.Wait()
+	u.add(before, take())
+	for _, c := range callers {
+		u.requests += c.latencies.TotalCount()
+		u.latencies.Merge(c.latencies)
+	}
+	return err
+}
+
+// reading is the state of the process's counters.
+type reading struct {
+	cpu            time.Duration
+	mallocs, bytes uint64
+}
+
+func take() reading {
+	var r syscall.Rusage
+	// It fails for an invalid argument only.
+	_ = syscall.Getrusage(syscall.RUSAGE_SELF, &r)
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return reading{
+		cpu:     time.Duration(r.Utime.Nano() + r.Stime.Nano()),
+		mallocs: m.Mallocs, bytes: m.TotalAlloc,
+	}
+}
+
+func (u *usage) add(before, after reading) {
+	u.cpu += after.cpu - before.cpu
+	u.mallocs += after.mallocs - before.mallocs
+	u.bytes += after.bytes - before.bytes
+}
--- /dev/null
+++ b/internal/bench/entry/entry_test.go
@@ -0,0 +1,35 @@
+package entry_test
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/tarragonmux/tarragonmux/internal/bench/entry"
+)
+
+// A bench that measures nothing, or the wrong way round, would report any change as harmless.
+func TestRunMeasuresBothWays(t *testing.T) {
+	g := NewWithT(t)
+	begun := time.Now()
+	r, err := entry.Run(context.Background(), entry.Options{For: time.Second, Workers: 2, BodyBytes: 300})
+	g.Expect(err).NotTo(HaveOccurred())
+	t.Log(r)
+	g.Expect(time.Since(begun)).To(BeNumerically("<", 4*time.Second))
+	g.Expect(r.Direct).To(BeNumerically(">", 100))
+	g.Expect(r.Through).To(BeNumerically(">", 100))
+	g.Expect(r.ThroughP50).To(BeNumerically(">", r.DirectP50))
+	g.Expect(r.Allocations).To(BeNumerically(">", 1))
+	g.Expect(r.PerCore).To(BeNumerically(">", 100))
+}
+
+// BenchmarkEntry prints the report of one run; -benchtime has no effect on it.
+func BenchmarkEntry(b *testing.B) {
+	r, err := entry.Run(context.Background(), entry.Options{For: 6 * time.Second})
+	if err != nil {
+		b.Fatal(err)
+	}
+	b.Log(r)
+}
