--- a/internal/agreement/serve.go
+++ b/internal/agreement/serve.go
@@ -209,7 +209,7 @@
 	}
 	// A decision may be shown before it is durable, since a majority holds it.
 	r.store.put(prefix, next)
-	
+	r.watchers.notify(prefix, next.index, next.value)
 	if prefix == groupPrefix {
 		r.adoptEncoded(next.index, next.value)
 	}
