Accept withdrawals of backend servers, and let a stopping stand-in linger

Cause 1: a withdrawal names only the server, and the membership refused it for its missing address, so that a stopped server stayed in use until its lease ran out. Cause 2: the stand-in closed its connections right after its accepted work had ended, while nodes may still write on them for up to 3 s; a sign-off written at that moment has an unknown outcome, as it must. Ruled out: the retry budget (the failing requests were non-idempotent) and the entry server's shutdown (no node was stopping).

--- a/internal/cli/process.go
+++ b/internal/cli/process.go
@@ -14,8 +14,14 @@
 	"github.com/tarragonmux/tarragonmux/internal/standin"
 )
 
-// standinDrainTimeout bounds how long a stand-in waits for its accepted work at a stop.
-const standinDrainTimeout = time.Minute
+const (
+	// standinDrainTimeout bounds how long a stand-in waits for its accepted work at a stop.
+	standinDrainTimeout = time.Minute
+	// standinLeave is how long a draining stand-in keeps accepting connections and rejects what
+	// arrives. After 3 s no node sends new work; a server that closes earlier breaks connections
+	// on which a request may just have been written.
+	standinLeave = 3 * time.Second
+)
 
 type nodeCommand struct {
 	Settings string `arg:"" help:"Settings file." type:"path"`
@@ -65,7 +71,7 @@
 	RestartAfter time.Duration `help:"Time from a crash to the next start; negative means never." default:"1s"`
 }
 
-// Run runs a stand-in backend server until it is told to stop, then drains it.
+// Run runs a stand-in backend server until it is told to stop, then drains it before it closes.
 func (c *backendCommand) Run(ctx context.Context, out *output) error {
 	logger := logging.New(out.errs, logging.LevelInfo, false).WithPrefix("backend")
 	server, err := standin.New(standin.Config{
@@ -95,7 +101,9 @@
 	logger.Info("draining")
 	drainCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), standinDrainTimeout)
 	defer cancel()
+	left := time.After(standinLeave)
 	err = server.Drain(drainCtx)
+	<-left
 	server.Close()
 	return err
 }
--- a/internal/membership/servers.go
+++ b/internal/membership/servers.go
@@ -71,6 +71,9 @@
 	if a.Incarnation < old.Incarnation || old.State == backend.Left {
 		return &SupersededError{Service: a.Service, Instance: a.Instance, Known: old.Incarnation}
 	}
+	if a.State == backend.Left {
+		a = withdrawn(old.Server, heard)
+	}
 	if old.State >= backend.Ready {
 		a.ReadySince = old.ReadySince
 	}
@@ -86,6 +89,13 @@
 	return nil
 }
 
+// withdrawn is the server after it left; a withdrawal names only the server.
+func withdrawn(a backend.Server, heard time.Time) backend.Server {
+	a.State = backend.Left
+	a.Renewed = heard
+	return a
+}
+
 // differs compares the fields that an entry's version covers.
 func differs(a, b backend.Server) bool {
 	return a.Address != b.Address || a.DataCentre != b.DataCentre || a.Slots != b.Slots ||
--- a/internal/membership/validate.go
+++ b/internal/membership/validate.go
@@ -106,6 +106,10 @@
 			return err
 		}
 	}
+	if s.GetState() == fleetpb.ServerState_SERVER_STATE_LEFT && s.GetAddress() == "" {
+		// A withdrawal names only the server.
+		return nil
+	}
 	return checkAddress("server.address", s.GetAddress())
 }
 
