--- /dev/null
+++ b/internal/agreement/compaction.go
@@ -0,0 +1,147 @@
+package agreement
+
+import (
+	"github.com/pkg/errors"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/tarragonmux/tarragonmux/internal/invariant"
+	"github.com/tarragonmux/tarragonmux/internal/storage"
+	"github.com/tarragonmux/tarragonmux/proto/agreementpb"
+)
+
+// Compact replaces the registers of the chain below the floor by the snapshot. The caller must know
+// that all of them are decided and that the snapshot holds what they mean. It returns when the
+// change is durable. A floor at or below the present one changes nothing.
+func (r *Replica) Compact(prefix string, floor uint64, snapshot []byte) error {
+	if len(snapshot) > storage.MaxEntryBytes/2 {
+		return errors.Errorf("snapshot of %d bytes exceeds %d; keep a smaller state", len(snapshot), storage.MaxEntryBytes/2)
+	}
+	r.mu.Lock()
+	if r.state != Voting {
+		r.mu.Unlock()
+		return errors.Errorf("the replica is %s; compact when it votes", r.state)
+	}
+	if floor <= r.store.floor(prefix) {
+		r.mu.Unlock()
+		return nil
+	}
+	r.checkCompacted(prefix, floor)
+	wait := r.append(entryCompacted(prefix, floor, snapshot))
+	r.store.compact(prefix, floor, snapshot)
+	journal := r.log
+	r.mu.Unlock()
+	err := journal.Sync(wait)
+	r.failed(journal, err)
+	return errors.Wrap(err, "compact a chain")
+}
+
+// checkCompacted is called with the lock held.
+func (r *Replica) checkCompacted(prefix string, floor uint64) {
+	c := r.store.chains[prefix]
+	invariant.Check(floor > 0 && prefix != groupPrefix, "agreement.compaction-floor", "chain %s at %d", prefix, floor)
+	if c == nil {
+		return
+	}
+	at, _ := c.position(floor)
+	invariant.Check(at <= len(c.registers), "agreement.compaction-range", "chain %s at %d", prefix, floor)
+}
+
+// compactIfDue writes a snapshot in the background when the journal has grown enough.
+func (r *Replica) compactIfDue() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	size := r.log.BytesSinceSnapshot()
+	segment := r.cfg.SegmentBytes
+	if segment <= 0 {
+		segment = storage.DefaultSegmentBytes
+	}
+	due := size > compactSegments*segment || (size > 0 && r.now().Sub(r.compactedAt) >= retainInterval)
+	if !due || r.compacting || r.state == Stopped {
+		return
+	}
+	r.compacting = true
+	r.background.Go(r.compact)
+}
+
+func (r *Replica) compact() {
+	r.mu.Lock()
+	r.dropExpired()
+	journal, sequence := r.log, r.log.Last()
+	head := r.headEntries()
+	views := r.store.view()
+	r.mu.Unlock()
+	err := journal.WriteSnapshot(sequence, func(emit func([]byte) error) error {
+		return emitAll(head, views, emit)
+	})
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.compacting = false
+	r.compactedAt = r.now()
+	if err != nil {
+		// The journal is whole without the snapshot, so the replica goes on.
+		r.logger.Warn("No snapshot could be written; the journal grows until the next try.", "err", err)
+	}
+}
+
+// headEntries is called with the lock held.
+func (r *Replica) headEntries() []*agreementpb.JournalEntry {
+	var head []*agreementpb.JournalEntry
+	if r.store.group != nil {
+		head = append(head, entryGroup(r.store.group))
+	}
+	if r.store.ready != 0 {
+		head = append(head, entryReady(r.store.ready))
+	}
+	for key, sequence := range r.store.seen {
+		head = append(head, entrySeen(key, sequence))
+	}
+	return head
+}
+
+func emitAll(head []*agreementpb.JournalEntry, views []chainView, emit func([]byte) error) error {
+	for _, e := range head {
+		if err := emitEntry(e, emit); err != nil {
+			return err
+		}
+	}
+	for _, v := range views {
+		for _, e := range v.entries() {
+			if err := emitEntry(e, emit); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
+func emitEntry(e *agreementpb.JournalEntry, emit func([]byte) error) error {
+	encoded, err := proto.Marshal(e)
+	if err != nil {
+		return errors.WithStack(err)
+	}
+	return emit(encoded)
+}
+
+// dropExpired removes the chains that Retain gives up. It is called with the lock held.
+func (r *Replica) dropExpired() {
+	if r.cfg.Retain == nil || r.state != Voting {
+		return
+	}
+	for prefix, c := range r.store.chains {
+		if prefix == groupPrefix || c.floor > 0 || r.retained(prefix, c) {
+			continue
+		}
+		r.append(entryDropped(prefix))
+		r.store.drop(prefix)
+	}
+}
+
+func (r *Replica) retained(prefix string, c *chain) bool {
+	for i := len(c.registers) - 1; i >= 0; i-- {
+		state := c.registers[i]
+		if state.hasAccepted {
+			return r.cfg.Retain(registerKey(prefix, state.index), state.value, state.decided)
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/internal/agreement/learn.go
@@ -0,0 +1,255 @@
+package agreement
+
+import (
+	"context"
+	"sort"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/tarragonmux/tarragonmux/proto/agreementpb"
+)
+
+const (
+	// copyTimeout bounds one page of a copy.
+	copyTimeout = 10 * time.Second
+	// copyBytes is the size at which a page of a copy ends; a page has at least one whole chain.
+	copyBytes = 4 << 20
+	// copyChunk is how many entries a learner journals between two syncs.
+	copyChunk = 512
+)
+
+// Copy returns a page of the whole state to a learner, in whole chains. Only a replica that holds
+// its full state, that was found intact and that has moved to the learner's epoch answers.
+func (r *Replica) Copy(_ context.Context, in *agreementpb.CopyRequest) (*agreementpb.CopyReply, error) {
+	r.mu.Lock()
+	p := r.newReply()
+	switch {
+	case in.GetHeader().GetEpoch() != r.store.group.GetEpoch():
+		p.header.Refusal = refusalWrongEpoch
+		p.header.Group = r.store.group
+		r.poke()
+	case !r.verified || r.store.ready == 0:
+		p.header.Refusal = refusalNotVoting
+	}
+	if p.header.Refusal != "" {
+		r.mu.Unlock()
+		return &agreementpb.CopyReply{Header: r.finish(p)}, nil
+	}
+	out := &agreementpb.CopyReply{}
+	r.copyPage(in, out)
+	p.wait = r.log.Last()
+	r.mu.Unlock()
+	out.Header = r.finish(p)
+	if out.Header.GetRefusal() != "" {
+		return &agreementpb.CopyReply{Header: out.Header}, nil
+	}
+	return out, nil
+}
+
+// copyPage is called with the lock held. The order of the chains is fixed with the first page: a
+// chain that begins later belongs to the new epoch and is not needed.
+func (r *Replica) copyPage(in *agreementpb.CopyRequest, out *agreementpb.CopyReply) {
+	order, known := r.copyOrder[in.GetHeader().GetFrom()]
+	if !known || in.GetAfterKey() == "" {
+		order = make([]string, 0, len(r.store.chains))
+		for prefix := range r.store.chains {
+			order = append(order, prefix)
+		}
+		sort.Strings(order)
+		r.copyOrder[in.GetHeader().GetFrom()] = order
+	}
+	at := sort.SearchStrings(order, in.GetAfterKey())
+	if at < len(order) && order[at] == in.GetAfterKey() {
+		at++
+	}
+	size := 0
+	for ; at < len(order) && size < copyBytes; at++ {
+		size += copyChain(order[at], r.store.chains[order[at]], out)
+	}
+	if at < len(order) {
+		return
+	}
+	out.Last = true
+	delete(r.copyOrder, in.GetHeader().GetFrom())
+}
+
+func copyChain(prefix string, c *chain, out *agreementpb.CopyReply) int {
+	// Each page names its last chain, even if that was dropped meanwhile.
+	m := &agreementpb.ChainSnapshot{Prefix: prefix}
+	out.Snapshots = append(out.Snapshots, m)
+	if c == nil {
+		return 0
+	}
+	m.Floor, m.Snapshot = c.floor, c.snapshot
+	size := len(c.snapshot)
+	for _, state := range c.registers {
+		out.Registers = append(out.Registers, state.message(prefix))
+		size += len(state.value) + len(prefix)
+	}
+	return size
+}
+
+// startLearning is called with the lock held.
+func (r *Replica) startLearning(ctx context.Context) {
+	if r.learning {
+		return
+	}
+	r.learning = true
+	group := r.store.group
+	r.background.Go(func() {
+		err := r.learnFrom(ctx, group)
+		r.mu.Lock()
+		r.learning = false
+		if err != nil && r.state == Learning {
+			r.become(Learning, err.Error())
+		}
+		r.mu.Unlock()
+		if err == nil {
+			r.poke()
+		}
+	})
+}
+
+// learnFrom copies the state from a majority of the members of the epoch before, merges it, makes
+// it durable and lets the replica vote.
+func (r *Replica) learnFrom(ctx context.Context, group *agreementpb.Group) error {
+	copies := r.collect(ctx, group)
+	need := majority(len(group.GetPrevious()))
+	if len(copies) < need {
+		return errors.Errorf("%d of %d members of the epoch before gave their state, %d are needed; bring them back or restore their disks",
+			len(copies), len(group.GetPrevious()), need)
+	}
+	entries := mergeCopies(len(group.GetPrevious()), copies)
+	for len(entries) > 0 {
+		n := min(copyChunk, len(entries))
+		if err := r.install(group, entries[:n]); err != nil {
+			return err
+		}
+		entries = entries[n:]
+	}
+	return r.becomeReady(group)
+}
+
+// collect asks all members of the epoch before at once.
+func (r *Replica) collect(ctx context.Context, group *agreementpb.Group) []*replicaCopy {
+	previous := group.GetPrevious()
+	results := make(chan *replicaCopy, len(previous))
+	asked := 0
+	for _, m := range previous {
+		if m.GetId() == r.cfg.ID && m.GetDiskId() == r.disk {
+			continue
+		}
+		asked++
+		go func() {
+			c, err := r.copyFrom(ctx, group.GetEpoch(), m)
+			if err != nil {
+				r.logger.Debug("A member did not give its state.", "member", m.GetId(), "err", err)
+			}
+			results <- c
+		}()
+	}
+	var copies []*replicaCopy
+	for range asked {
+		if c := <-results; c != nil {
+			copies = append(copies, c)
+		}
+	}
+	return copies
+}
+
+// copyFrom reads all pages of one member. The disk must be the one that the epoch before lists.
+func (r *Replica) copyFrom(ctx context.Context, epoch uint64, m *agreementpb.Member) (*replicaCopy, error) {
+	client := r.client.Replica(Member{ID: m.GetId(), Address: m.GetAddress()})
+	c := newReplicaCopy()
+	for after := ""; ; {
+		page, err := r.copyCall(ctx, client, epoch, after)
+		if err != nil {
+			return nil, err
+		}
+		h := page.GetHeader()
+		if h.GetRefusal() != "" || h.GetEpoch() != epoch {
+			return nil, errors.Errorf("member %s refused a copy: %s in epoch %d", m.GetId(), h.GetRefusal(), h.GetEpoch())
+		}
+		if h.GetSequence().GetDiskId() != m.GetDiskId() {
+			return nil, errors.Errorf("member %s has another disk than in the group", m.GetId())
+		}
+		if err := c.add(page); err != nil {
+			return nil, err
+		}
+		if page.GetLast() {
+			return c, nil
+		}
+		after = page.GetSnapshots()[len(page.GetSnapshots())-1].GetPrefix()
+	}
+}
+
+func (r *Replica) copyCall(ctx context.Context, client agreementpb.DRPCReplicaServer, epoch uint64, after string) (*agreementpb.CopyReply, error) {
+	ctx, cancel := context.WithTimeout(ctx, copyTimeout)
+	defer cancel()
+	return client.Copy(ctx, &agreementpb.CopyRequest{
+		Header:   &agreementpb.Header{Epoch: epoch, From: r.cfg.ID},
+		AfterKey: after,
+	})
+}
+
+// install journals merged entries and waits until they are durable.
+func (r *Replica) install(group *agreementpb.Group, entries []mergedEntry) error {
+	r.mu.Lock()
+	if r.store.group.GetEpoch() != group.GetEpoch() || r.state != Learning {
+		r.mu.Unlock()
+		return errors.New("the group changed during the copy; it begins again")
+	}
+	wait := uint64(0)
+	for _, e := range entries {
+		wait = r.installEntry(e)
+	}
+	journal := r.log
+	r.mu.Unlock()
+	err := journal.Sync(wait)
+	r.failed(journal, err)
+	return err
+}
+
+// installEntry is called with the lock held.
+func (r *Replica) installEntry(e mergedEntry) uint64 {
+	if e.floor > 0 {
+		r.store.compact(e.prefix, e.floor, e.snapshot)
+		return r.append(entryCompacted(e.prefix, e.floor, e.snapshot))
+	}
+	known := r.store.get(e.prefix, e.state.index)
+	if known.decided || e.state.index < r.store.floor(e.prefix) {
+		return r.log.Last()
+	}
+	state := r.save(e.prefix, e.state)
+	if state.decided {
+		r.watchers.notify(e.prefix, state.index, state.value)
+	}
+	return state.sequence
+}
+
+func (r *Replica) becomeReady(group *agreementpb.Group) error {
+	r.mu.Lock()
+	if r.store.group.GetEpoch() != group.GetEpoch() || r.state != Learning {
+		r.mu.Unlock()
+		return errors.New("the group changed during the copy; it begins again")
+	}
+	joined := findMember(group, r.cfg.ID).GetJoined()
+	wait := r.append(entryReady(joined))
+	journal := r.log
+	r.mu.Unlock()
+	err := journal.Sync(wait)
+	if r.failed(journal, err) {
+		return err
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.store.group.GetEpoch() != group.GetEpoch() || r.state != Learning {
+		return errors.New("the group changed during the copy; it begins again")
+	}
+	r.store.ready = joined
+	r.verified = true
+	r.logger.Info("The replica has copied the state and votes.", "id", r.cfg.ID, "epoch", group.GetEpoch())
+	r.become(Voting, "")
+	return nil
+}
--- /dev/null
+++ b/internal/agreement/swap.go
@@ -0,0 +1,157 @@
+package agreement
+
+import (
+	"context"
+
+	"github.com/pkg/errors"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/tarragonmux/tarragonmux/proto/agreementpb"
+)
+
+// requestSwap asks a voting peer to put this replica's new disk into its place in the group. It is
+// called with the lock held.
+func (r *Replica) requestSwap(ctx context.Context, s situation) {
+	if r.now().Sub(r.swapAt) < swapInterval {
+		return
+	}
+	for _, m := range s.newest().GetMembers() {
+		if s.answers[m.GetId()].GetState() != string(Voting) {
+			continue
+		}
+		r.swapAt = r.now()
+		request := &agreementpb.SwapRequest{
+			Header:   &agreementpb.Header{Epoch: s.newest().GetEpoch(), From: r.cfg.ID},
+			RemoveId: r.cfg.ID,
+			Add:      r.self(),
+		}
+		r.background.Go(func() { r.sendSwap(ctx, Member{ID: m.GetId(), Address: m.GetAddress()}, request) })
+		return
+	}
+}
+
+func (r *Replica) sendSwap(ctx context.Context, m Member, request *agreementpb.SwapRequest) {
+	ctx, cancel := context.WithTimeout(ctx, defaultDeadline)
+	defer cancel()
+	out, err := r.client.Replica(m).Swap(ctx, request)
+	if err != nil || out.GetError() != "" {
+		r.logger.Warn("The replica was not swapped in; it asks again.", "member", m.ID, "err", err, "answer", out.GetError())
+		return
+	}
+	r.poke()
+}
+
+// Swap replaces one member of the group by another and returns the new group once it is decided.
+// An empty disk id of the new member is asked from it.
+func (r *Replica) Swap(ctx context.Context, in *agreementpb.SwapRequest) (*agreementpb.SwapReply, error) {
+	next, err := r.swap(ctx, in.GetRemoveId(), in.GetAdd())
+	r.mu.Lock()
+	p := r.newReply()
+	r.mu.Unlock()
+	out := &agreementpb.SwapReply{Group: next}
+	if err != nil {
+		out.Error = err.Error()
+	}
+	out.Header = r.finish(p)
+	return out, nil
+}
+
+func (r *Replica) swap(ctx context.Context, removeID string, add *agreementpb.Member) (*agreementpb.Group, error) {
+	add, err := r.identify(ctx, add)
+	if err != nil {
+		return nil, err
+	}
+	r.mu.Lock()
+	current := r.store.group
+	err = r.checkSwap(removeID, add)
+	r.mu.Unlock()
+	if err != nil {
+		return nil, err
+	}
+	if m := findMember(current, add.GetId()); m != nil && m.GetDiskId() == add.GetDiskId() {
+		return current, nil
+	}
+	return r.decideGroup(ctx, nextGroup(current, removeID, add))
+}
+
+// identify asks the new member for its disk id if the request does not have it.
+func (r *Replica) identify(ctx context.Context, add *agreementpb.Member) (*agreementpb.Member, error) {
+	if add.GetId() == "" || add.GetAddress() == "" {
+		return nil, errors.New("the new member has no id or no address; give both")
+	}
+	if add.GetDiskId() != "" {
+		return add, nil
+	}
+	r.mu.Lock()
+	request := r.peerRequest()
+	r.mu.Unlock()
+	out, err := r.client.Replica(Member{ID: add.GetId(), Address: add.GetAddress()}).Peer(ctx, request)
+	if err != nil {
+		return nil, errors.Wrapf(err, "ask the new member %s for its disk; start it first", add.GetId())
+	}
+	if out.GetSelf().GetId() != add.GetId() {
+		return nil, errors.Errorf("the process at %s is %s; correct the id or the address", add.GetAddress(), out.GetSelf().GetId())
+	}
+	return &agreementpb.Member{Id: add.GetId(), DiskId: out.GetSelf().GetDiskId(), Address: add.GetAddress()}, nil
+}
+
+// checkSwap is called with the lock held. It refuses a change after which the new member could not
+// copy the state, because too few of the members that stay hold theirs.
+func (r *Replica) checkSwap(removeID string, add *agreementpb.Member) error {
+	if r.state != Voting {
+		return errors.Errorf("the replica is %s; ask a voting one", r.state)
+	}
+	g := r.store.group
+	if findMember(g, removeID) == nil {
+		return errors.Errorf("the group has no member %s; name one of its members", removeID)
+	}
+	if known := findMember(g, add.GetId()); known != nil && add.GetId() != removeID {
+		return errors.Errorf("%s is a member already; add another replica", add.GetId())
+	}
+	votingStay := 0
+	answers := r.situation().answers
+	for _, m := range g.GetMembers() {
+		if m.GetId() == removeID {
+			continue
+		}
+		a := answers[m.GetId()]
+		if m.GetId() == r.cfg.ID || (a.GetState() == string(Voting) && a.GetSelf().GetDiskId() == m.GetDiskId()) {
+			votingStay++
+		}
+	}
+	if need := majority(len(g.GetMembers())); votingStay < need {
+		return errors.Errorf("%d of the members that stay vote and %d must; wait until the others vote", votingStay, need)
+	}
+	return nil
+}
+
+func nextGroup(current *agreementpb.Group, removeID string, add *agreementpb.Member) *agreementpb.Group {
+	next := &agreementpb.Group{Epoch: current.GetEpoch() + 1, Previous: current.GetMembers()}
+	for _, m := range current.GetMembers() {
+		if m.GetId() == removeID {
+			m = &agreementpb.Member{Id: add.GetId(), DiskId: add.GetDiskId(), Address: add.GetAddress(), Joined: next.Epoch}
+		}
+		next.Members = append(next.Members, m)
+	}
+	return next
+}
+
+func (r *Replica) decideGroup(ctx context.Context, next *agreementpb.Group) (*agreementpb.Group, error) {
+	value, err := proto.MarshalOptions{Deterministic: true}.Marshal(next)
+	if err != nil {
+		return nil, errors.WithStack(err)
+	}
+	p := newProposer(ProposerConfig{ID: r.cfg.ID, FirstGroup: r.cfg.FirstGroup, Client: r.client, Logger: r.cfg.Logger})
+	p.learnGroup(next.GetEpoch()-1, next.GetPrevious())
+	decided, err := p.Propose(ctx, groupPrefix, next.GetEpoch(), value)
+	if err != nil {
+		return nil, err
+	}
+	r.mu.Lock()
+	r.decided(groupPrefix, r.store.get(groupPrefix, next.GetEpoch()), decided)
+	r.mu.Unlock()
+	if string(decided) != string(value) {
+		return nil, errors.New("another change of the group was decided first; look at the group and ask again")
+	}
+	return next, nil
+}
--- /dev/null
+++ b/internal/storage/log.go
@@ -0,0 +1,278 @@
+package storage
+
+import (
+	"crypto/rand"
+	"fmt"
+	"path"
+	"strconv"
+	"strings"
+	"sync"
+
+	"github.com/pkg/errors"
+
+	"github.com/tarragonmux/tarragonmux/internal/invariant"
+)
+
+const (
+	// DefaultSegmentBytes is the size at which a new segment is started.
+	DefaultSegmentBytes = 16 << 20
+	// MaxEntryBytes bounds one entry.
+	MaxEntryBytes = MaxFrameBytes / 2
+	segmentSuffix = ".segment"
+	// maxPendingBytes bounds what is appended between two syncs; Append waits for a sync above it.
+	maxPendingBytes = MaxFrameBytes - 1<<10
+)
+
+// ErrStopped means that a write or sync failed earlier. The kernel may have dropped the data
+// that was not synced, so nothing is written any more until the process is restarted.
+var ErrStopped = errors.New("a write to the disk failed; check the disk and restart the process")
+
+// Config of a log.
+type Config struct {
+	FS     FS
+	Folder string
+	// SegmentBytes is the size at which a new segment is started; 0 means DefaultSegmentBytes.
+	SegmentBytes int64
+}
+
+// Log is a journal in append-only segments with snapshots. It is safe for concurrent use.
+// Entries are numbered from 1.
+type Log struct {
+	fs           FS
+	folder       string
+	segmentBytes int64
+
+	mu      sync.Mutex
+	changed *sync.Cond
+	// pending is the frame that collects entries until the next sync.
+	pending      []byte
+	pendingFirst uint64
+	appended     uint64
+	durable      uint64
+	syncing      bool
+	failure      error
+	closed       bool
+	sinceSnap    int64
+
+	// The open segment belongs to whoever set syncing.
+	segment     File
+	segmentSize int64
+	salt        [saltSize]byte
+	// rotate asks for a new segment before the next frame.
+	rotate bool
+}
+
+// Open reads the folder and calls replay with the entries of the newest snapshot (snapshot true)
+// and with the journal entries that follow it, in order. It creates the folder if it is missing and
+// cuts off a torn tail. The error is ErrDamaged if synced data is damaged or missing.
+func Open(cfg Config, replay func(entry []byte, snapshot bool) error) (*Log, error) {
+	l := &Log{fs: cfg.FS, folder: cfg.Folder, segmentBytes: cfg.SegmentBytes, rotate: true}
+	l.changed = sync.NewCond(&l.mu)
+	if l.segmentBytes <= 0 {
+		l.segmentBytes = DefaultSegmentBytes
+	}
+	if err := l.fs.MkdirAll(l.folder); err != nil {
+		return nil, errors.Wrap(err, "create the data folder")
+	}
+	if err := l.recover(replay); err != nil {
+		return nil, err
+	}
+	l.pendingFirst = l.appended + 1
+	return l, nil
+}
+
+// Append adds entries to the next sync and returns the sequence of the last one. The entries are
+// durable only when Sync returned nil for that sequence. Appends keep their order.
+func (l *Log) Append(entries ...[]byte) (uint64, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.failure != nil {
+		return l.appended, l.failure
+	}
+	for _, entry := range entries {
+		if len(entry) > MaxEntryBytes {
+			return l.appended, errors.Errorf("entry of %d bytes exceeds %d; store a smaller value", len(entry), MaxEntryBytes)
+		}
+	}
+	for _, entry := range entries {
+		for len(l.pending) > 0 && len(l.pending)+len(entry) > maxPendingBytes {
+			if err := l.commit(); err != nil {
+				return l.appended, err
+			}
+		}
+		if len(l.pending) == 0 {
+			l.pending = beginFrame(l.pending)
+			l.pendingFirst = l.appended + 1
+		}
+		l.pending = appendEntry(l.pending, entry)
+		l.appended++
+	}
+	return l.appended, nil
+}
+
+// Sync returns when the entry with the sequence and all before it are durable. Callers that
+// arrive while a sync runs share the next one. After a failure it returns ErrStopped for good,
+// except for entries that were durable before.
+func (l *Log) Sync(sequence uint64) error {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for l.durable < sequence {
+		if l.failure != nil {
+			return l.failure
+		}
+		if sequence > l.appended {
+			return errors.Errorf("journal entry %d was not appended; the last one is %d", sequence, l.appended)
+		}
+		if err := l.commit(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// commit writes and syncs what is pending. It is called with the lock held, which it releases
+// while it writes; if another commit runs, it only waits for that one.
+func (l *Log) commit() error {
+	if l.syncing {
+		l.changed.Wait()
+		return l.failure
+	}
+	if l.closed {
+		return errors.WithStack(ErrStopped)
+	}
+	if len(l.pending) == 0 {
+		return nil
+	}
+	frame, first, last := l.pending, l.pendingFirst, l.appended
+	l.pending = nil
+	l.syncing = true
+	l.mu.Unlock()
+	err := l.write(frame, first)
+	l.mu.Lock()
+	l.syncing = false
+	if err != nil {
+		l.failure = errors.Wrap(ErrStopped, err.Error())
+	} else {
+		invariant.Check(first == l.durable+1, "storage.sequence", "frame starts at %d after %d", first, l.durable)
+		l.durable = last
+		l.sinceSnap += int64(len(frame))
+	}
+	l.changed.Broadcast()
+	return l.failure
+}
+
+// write runs without the lock; the caller has set syncing.
+func (l *Log) write(frame []byte, first uint64) error {
+	if l.rotate || l.segmentSize >= l.segmentBytes {
+		if err := l.startSegment(first); err != nil {
+			return err
+		}
+	}
+	sealFrame(frame, l.salt, first)
+	if _, err := l.segment.Write(frame); err != nil {
+		return err
+	}
+	l.segmentSize += int64(len(frame))
+	return l.segment.Sync()
+}
+
+func (l *Log) startSegment(first uint64) error {
+	if l.segment != nil {
+		if err := l.segment.Close(); err != nil {
+			return err
+		}
+		l.segment = nil
+	}
+	h := fileHeader{magic: segmentMagic, base: first - 1}
+	if _, err := rand.Read(h.salt[:]); err != nil {
+		return err
+	}
+	f, err := createDurable(l.fs, path.Join(l.folder, segmentName(first)), h.encode())
+	if err != nil {
+		return err
+	}
+	if err := l.fs.SyncFolder(l.folder); err != nil {
+		_ = f.Close()
+		return err
+	}
+	l.segment, l.segmentSize, l.salt, l.rotate = f, fileHeaderSize, h.salt, false
+	return nil
+}
+
+// createDurable creates a file with synced content and leaves it open.
+func createDurable(fs FS, name string, content []byte) (File, error) {
+	f, err := fs.Create(name)
+	if err != nil {
+		return nil, err
+	}
+	if _, err := f.Write(content); err != nil {
+		_ = f.Close()
+		return nil, err
+	}
+	if err := f.Sync(); err != nil {
+		_ = f.Close()
+		return nil, err
+	}
+	return f, nil
+}
+
+// Durable returns the sequence of the last durable entry.
+func (l *Log) Durable() uint64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.durable
+}
+
+// Last returns the sequence of the last appended entry.
+func (l *Log) Last() uint64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.appended
+}
+
+// BytesSinceSnapshot returns the journal bytes that a restart would replay.
+func (l *Log) BytesSinceSnapshot() int64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.sinceSnap
+}
+
+// Err returns the failure that stopped the log, or nil.
+func (l *Log) Err() error {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.failure
+}
+
+// Close waits for a running sync and closes the open segment. Entries that were not synced are lost.
+func (l *Log) Close() error {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for l.syncing {
+		l.changed.Wait()
+	}
+	if l.closed {
+		return nil
+	}
+	l.closed = true
+	if l.failure == nil {
+		l.failure = errors.WithStack(ErrStopped)
+	}
+	if l.segment == nil {
+		return nil
+	}
+	return errors.WithStack(l.segment.Close())
+}
+
+func segmentName(first uint64) string {
+	return fmt.Sprintf("%020d%s", first, segmentSuffix)
+}
+
+func parseName(name, suffix string) (uint64, bool) {
+	digits, ok := strings.CutSuffix(name, suffix)
+	if !ok {
+		return 0, false
+	}
+	n, err := strconv.ParseUint(digits, 10, 64)
+	return n, err == nil
+}
--- /dev/null
+++ b/internal/storage/recover.go
@@ -0,0 +1,103 @@
+package storage
+
+import (
+	"path"
+	"strings"
+
+	"github.com/pkg/errors"
+)
+
+// recover replays the newest snapshot and the segments, and cuts off a torn tail.
+func (l *Log) recover(replay func(entry []byte, snapshot bool) error) error {
+	names, err := l.fs.List(l.folder)
+	if err != nil {
+		return errors.Wrap(err, "list the data folder")
+	}
+	if err := l.removeTemporary(names); err != nil {
+		return err
+	}
+	snapshots := numbers(names, snapshotSuffix)
+	start := uint64(0)
+	if len(snapshots) > 0 {
+		start = snapshots[len(snapshots)-1]
+		if err := l.replaySnapshot(start, replay); err != nil {
+			return err
+		}
+	}
+	l.appended = start
+	segments := numbers(names, segmentSuffix)
+	for i, first := range segments {
+		if err := l.replaySegment(first, start, i == len(segments)-1, replay); err != nil {
+			return errors.Wrapf(err, "segment %s", segmentName(first))
+		}
+	}
+	l.durable = l.appended
+	return nil
+}
+
+func (l *Log) removeTemporary(names []string) error {
+	for _, name := range names {
+		if !strings.HasSuffix(name, temporarySuffix) {
+			continue
+		}
+		if err := l.fs.Remove(path.Join(l.folder, name)); err != nil {
+			return errors.Wrap(err, "remove an unfinished snapshot")
+		}
+	}
+	return nil
+}
+
+func (l *Log) replaySnapshot(sequence uint64, replay func([]byte, bool) error) error {
+	content, err := l.fs.ReadFile(path.Join(l.folder, snapshotName(sequence)))
+	if err != nil {
+		return errors.Wrap(err, "read the snapshot")
+	}
+	complete := false
+	_, _, err = readFile(content, snapshotMagic, func(_ uint64, entry []byte) error {
+		if complete {
+			return errors.Wrap(ErrDamaged, "entries after the end of the snapshot")
+		}
+		if string(entry) == string(snapshotEnd) {
+			complete = true
+			return nil
+		}
+		return replay(entry, true)
+	})
+	if errors.Is(err, errTorn) || (err == nil && !complete) {
+		return errors.Wrap(ErrDamaged, "the snapshot is incomplete")
+	}
+	return err
+}
+
+func (l *Log) replaySegment(first, start uint64, newest bool, replay func([]byte, bool) error) error {
+	name := path.Join(l.folder, segmentName(first))
+	content, err := l.fs.ReadFile(name)
+	if err != nil {
+		return err
+	}
+	if newest && len(content) < fileHeaderSize {
+		// The process died while it created the segment, before any entry in it was synced.
+		return l.fs.Remove(name)
+	}
+	if h, err := decodeFileHeader(content, segmentMagic); err == nil && (h.base+1 != first || h.base > l.appended) {
+		return errors.Wrapf(ErrDamaged, "segment starts after %d but the entry before it is %d", h.base, l.appended)
+	}
+	last, size, err := readFile(content, segmentMagic, func(sequence uint64, entry []byte) error {
+		if sequence <= start {
+			return nil
+		}
+		return replay(entry, false)
+	})
+	if errors.Is(err, errTorn) && newest {
+		err = l.fs.Truncate(name, size)
+	}
+	if errors.Is(err, errTorn) {
+		return errors.Wrap(ErrDamaged, "the segment is incomplete and is not the newest")
+	}
+	if err != nil {
+		return err
+	}
+	l.appended = max(l.appended, last)
+	l.sinceSnap += size
+	return nil
+}
--- /dev/null
+++ b/internal/storage/snapshot.go
@@ -0,0 +1,147 @@
+package storage
+
+import (
+	"crypto/rand"
+	"path"
+
+	"github.com/pkg/errors"
+)
+
+const (
+	snapshotSuffix  = ".snapshot"
+	temporarySuffix = ".tmp"
+	// snapshotFrameBytes is about the size of one frame of a snapshot.
+	snapshotFrameBytes = 1 << 20
+)
+
+// snapshotEnd is the last entry of a complete snapshot.
+var snapshotEnd = []byte("end of snapshot")
+
+// WriteSnapshot replaces the journal up to the sequence by the entries that fill emits. It first
+// makes the journal durable up to that sequence. Journal entries after it stay. Only one call may
+// run at a time; appends and syncs go on meanwhile.
+func (l *Log) WriteSnapshot(sequence uint64, fill func(emit func(entry []byte) error) error) error {
+	if err := l.Sync(sequence); err != nil {
+		return err
+	}
+	name := path.Join(l.folder, snapshotName(sequence))
+	if err := l.writeSnapshotFile(name+temporarySuffix, sequence, fill); err != nil {
+		return errors.Wrap(err, "write a snapshot")
+	}
+	if err := l.fs.Rename(name+temporarySuffix, name); err != nil {
+		return errors.Wrap(err, "rename a snapshot")
+	}
+	if err := l.fs.SyncFolder(l.folder); err != nil {
+		return errors.Wrap(err, "sync the data folder")
+	}
+	l.mu.Lock()
+	l.sinceSnap = 0
+	l.mu.Unlock()
+	return l.removeBefore(sequence)
+}
+
+func (l *Log) writeSnapshotFile(name string, sequence uint64, fill func(func([]byte) error) error) error {
+	h := fileHeader{magic: snapshotMagic}
+	if _, err := rand.Read(h.salt[:]); err != nil {
+		return err
+	}
+	f, err := l.fs.Create(name)
+	if err != nil {
+		return err
+	}
+	w := &snapshotWriter{file: f, salt: h.salt}
+	err = w.run(h, sequence, fill)
+	if closeErr := f.Close(); err == nil {
+		err = closeErr
+	}
+	return err
+}
+
+type snapshotWriter struct {
+	file  File
+	salt  [saltSize]byte
+	frame []byte
+	first uint64
+	count uint64
+}
+
+func (w *snapshotWriter) run(h fileHeader, sequence uint64, fill func(func([]byte) error) error) error {
+	if _, err := w.file.Write(h.encode()); err != nil {
+		return err
+	}
+	if err := fill(w.emit); err != nil {
+		return err
+	}
+	if err := w.emit(snapshotEnd); err != nil {
+		return err
+	}
+	if err := w.flush(); err != nil {
+		return err
+	}
+	return w.file.Sync()
+}
+
+func (w *snapshotWriter) emit(entry []byte) error {
+	if len(w.frame) == 0 {
+		w.frame = beginFrame(w.frame)
+		w.first = w.count + 1
+	}
+	w.frame = appendEntry(w.frame, entry)
+	w.count++
+	if len(w.frame) < snapshotFrameBytes {
+		return nil
+	}
+	return w.flush()
+}
+
+func (w *snapshotWriter) flush() error {
+	if len(w.frame) == 0 {
+		return nil
+	}
+	sealFrame(w.frame, w.salt, w.first)
+	_, err := w.file.Write(w.frame)
+	w.frame = w.frame[:0]
+	return err
+}
+
+// removeBefore deletes snapshots before the sequence and segments whose entries all are at or
+// before it.
+func (l *Log) removeBefore(sequence uint64) error {
+	names, err := l.fs.List(l.folder)
+	if err != nil {
+		return err
+	}
+	segments := numbers(names, segmentSuffix)
+	for i, first := range segments {
+		if i+1 >= len(segments) || segments[i+1] > sequence+1 {
+			break
+		}
+		if err := l.fs.Remove(path.Join(l.folder, segmentName(first))); err != nil {
+			return errors.Wrap(err, "remove an old segment")
+		}
+	}
+	for _, at := range numbers(names, snapshotSuffix) {
+		if at >= sequence {
+			continue
+		}
+		if err := l.fs.Remove(path.Join(l.folder, snapshotName(at))); err != nil {
+			return errors.Wrap(err, "remove an old snapshot")
+		}
+	}
+	return nil
+}
+
+func snapshotName(sequence uint64) string {
+	return segmentName(sequence)[:20] + snapshotSuffix
+}
+
+// numbers returns the numbers in the names with the suffix, in the order of the names.
+func numbers(names []string, suffix string) []uint64 {
+	var out []uint64
+	for _, name := range names {
+		if n, ok := parseName(name, suffix); ok {
+			out = append(out, n)
+		}
+	}
+	return out
+}
