Test dispatch on virtual time and judge evidence by chance

Evidence against a server is compared with what the other servers answer at the same moment, and a server is ejected only if a healthy one would show it with a probability under 1e-8. Nodes confirm how many actions reached them, so that a node that is cut off in one direction is no witness.

The test on goodput of other teams found that the turn of a team was never charged, so a flooding team kept its turn for ever.

--- a/internal/dispatch/classify.go
+++ b/internal/dispatch/classify.go
@@ -10,6 +10,10 @@
 	pathBlockFor = 5 * time.Second
 	// pathBlockCap bounds the doubled time.
 	pathBlockCap = time.Minute
+	// pathSuccesses is how many usual answers show that others succeed.
+	pathSuccesses = 2
+	// pathFactor is how much more often the nodes of other data centres fail over a bad path.
+	pathFactor = 3
 	// isolateFor is how long the evidence of a node does not count after its paths looked bad.
 	isolateFor = 2 * time.Second
 )
@@ -25,17 +29,49 @@
 		s.doubted = true
 		return
 	}
-	if m.onlyForeign(s, p) {
-		m.blockCentres(now, s, p)
-		return
-	}
-	if why != causeStall && m.othersSucceed(now, s, p) {
+	if m.badPath(s, p) {
 		m.blockCentres(now, s, p)
 		return
 	}
 	m.eject(now, s, why)
 }
 
+// badPath tells whether the network between data centres is the likely cause: the nodes of other
+// data centres fail far more often at the server than those of its own, or only one data centre
+// fails while others succeed.
+func (m *Machine) badPath(s *server, p *proof) bool {
+	if m.onlyForeign(s, p) {
+		return true
+	}
+	ownGood, foreignGood := m.goodSince(s, p.oldest)
+	if p.foreign == 0 {
+		return foreignGood >= pathSuccesses
+	}
+	if ownGood < pathSuccesses {
+		return false
+	}
+	ownRate := float64(p.own) / float64(p.own+ownGood)
+	foreignRate := float64(p.foreign) / float64(p.foreign+foreignGood)
+	return pathFactor*ownRate < foreignRate
+}
+
+// goodSince counts the usual answers to requests sent since the oldest evidence, by whether the
+// node is in the server's own data centre.
+func (m *Machine) goodSince(s *server, since time.Time) (own, foreign int) {
+	for i := range s.samples {
+		x := &s.samples[i]
+		if x.failed || x.sent.Before(since) || x.latency >= slowFactor*max(m.latencies.p50, 1) {
+			continue
+		}
+		if x.node.dataCentre == s.DataCentre {
+			own++
+		} else {
+			foreign++
+		}
+	}
+	return own, foreign
+}
+
 // activeNodes counts the nodes that sent something within the window.
 func (m *Machine) activeNodes(now time.Time) int {
 	count := 0
@@ -63,31 +99,9 @@
 	return false
 }
 
-// othersSucceed tells whether all evidence is from one data centre while another data centre
-// got answers from the server within the window.
-func (m *Machine) othersSucceed(now time.Time, s *server, p *proof) bool {
-	centre := p.nodes[0].dataCentre
-	for _, n := range p.nodes {
-		if n.dataCentre != centre {
-			return false
-		}
-	}
-	for i := len(s.samples) - 1; i >= 0; i-- {
-		x := &s.samples[i]
-		if now.Sub(x.at) > sampleWindow {
-			break
-		}
-		usual := x.latency < slowFactor*max(m.latencies.p50, 1)
-		if !x.failed && usual && x.node.dataCentre != centre {
-			return true
-		}
-	}
-	return false
-}
-
 func (m *Machine) blockCentres(now time.Time, s *server, p *proof) {
 	for _, n := range p.nodes {
-		if n.dataCentre != s.DataCentre || !m.onlyForeign(s, p) {
+		if p.foreign == 0 || n.dataCentre != s.DataCentre {
 			m.blockPath(now, s, n.centreKey)
 		}
 	}
--- a/internal/dispatch/crash.go
+++ b/internal/dispatch/crash.go
@@ -184,7 +184,7 @@
 	for _, b := range s.breaks {
 		if b.refused && b.at.After(s.lastAnswer) && !now.Before(b.node.isolatedUntil) {
 			refused++
-			p.note(b.node, b.at)
+			p.note(s, b.node, b.at)
 		}
 	}
 	if refused >= refusalsNeeded {
--- a/internal/dispatch/detect.go
+++ b/internal/dispatch/detect.go
@@ -14,9 +14,21 @@
 	errorSamples = 5
 	// failureFloor is the failure rate that is assumed of a healthy server at least.
 	failureFloor = 0.02
-	// significance bounds the probability that a healthy server shows such evidence by chance. A
-	// dispatcher judges some ten independent windows per second, so one false alarm takes over a day.
-	significance = 1e-6
+	// slowMargin allows for differences between healthy servers.
+	slowMargin = 1.5
+	// tailFloor is the least probability assumed of a slow answer.
+	tailFloor = 1e-3
+	// tailFloorFar holds beyond twice the stall threshold, for servers with too few slots for several late requests.
+	tailFloorFar = 1e-5
+	// significance bounds the probability that a healthy server shows such evidence by chance. The
+	// evidence is judged 50 times per second over windows of many lengths, so the bound is far
+	// below one false alarm per day and window.
+	significance = 1e-8
+	// pauseSpan is over what time the slow requests of a bad server are spread at most; shorter
+	// pauses, such as those of a garbage collector, are no reason for an ejection.
+	pauseSpan = 300 * time.Millisecond
+	// slowAnswers is the least number of slow answers of a bad server.
+	slowAnswers = 4
 	// quantilesEvery is how often the latency quantiles are computed.
 	quantilesEvery = 200 * time.Millisecond
 	// sweepEvery is how often expired state is dropped.
@@ -62,18 +74,29 @@
 		s.latency.decay(now)
 	}
 	m.latencies = serviceLatencies(m.servers)
-	m.tail = m.usualTail()
+	m.pool()
 }
 
-// usualTail is the median over the servers of the share of answers slower than slowFactor medians.
-func (m *Machine) usualTail() float64 {
-	m.rates = m.rates[:0]
+// pool merges the distributions of the servers that answer as usual.
+func (m *Machine) pool() {
+	m.pooled = distribution{}
 	for _, s := range m.servers {
-		if s.latency.total >= trustedSamples {
-			m.rates = append(m.rates, s.latency.above(slowFactor*m.latencies.p50))
+		if s.latency.total < trustedSamples || s.latency.quantile(0.95) > 2*m.latencies.p95 {
+			continue
+		}
+		for i, count := range s.latency.counts {
+			m.pooled.counts[i] += count
 		}
+		m.pooled.total += s.latency.total
+	}
+}
+
+// tail is the probability that a healthy server takes longer than the latency.
+func (m *Machine) tail(latency time.Duration) float64 {
+	if latency >= 2*m.threshold() {
+		return max(m.pooled.above(latency), tailFloorFar)
 	}
-	return medianRate(m.rates)
+	return max(m.pooled.above(latency), tailFloor)
 }
 
 // moveConditions ends probations and holds, recovers weights and judges overdue canaries.
@@ -137,6 +160,10 @@
 			return
 		}
 	}
+	if s.slower(now, m.latencies.p50) {
+		s.doubted = true
+		return
+	}
 	if s.doubted && len(s.inflight) == 0 && now.Sub(s.lastGrant) > sampleWindow {
 		s.doubted = false
 	}
@@ -223,7 +250,7 @@
 		}
 		failed++
 		if p != nil {
-			p.note(x.node, x.sent)
+			p.note(s, x.node, x.sent)
 		}
 	}
 	return failed, total
@@ -243,57 +270,110 @@
 	return false
 }
 
-// slowProof compares the latencies of the server with those of the others at the same time.
-// Requests that already wait longer than slowFactor medians count as slow samples.
+// slowProof compares the latencies of the server with those of the others at the same time, the
+// newest first, so that good answers from before a fault do not hide it. Requests that already
+// wait longer than slowFactor medians count as slow samples.
 func (m *Machine) slowProof(now time.Time, s *server) (p proof, bad bool) {
 	if !m.latencies.known {
 		return p, false
 	}
-	usual := m.othersMedian(now, s)
-	if usual == 0 {
+	p, bad = m.slowerThan(now, s, slowFactor*m.latencies.p50, failureFloor)
+	if bad {
+		return p, true
+	}
+	// A server that hangs for moments has few slow answers, but very slow ones.
+	return m.slowerThan(now, s, m.doubtAge(), tailFloor)
+}
+
+// slowerThan tests the answers beyond a limit; floor is the least share expected of a healthy server.
+func (m *Machine) slowerThan(now time.Time, s *server, limit time.Duration, floor float64) (p proof, bad bool) {
+	if !m.looksSlow(now, s, limit, max(m.tail(limit), floor), &p) {
 		return p, false
 	}
-	limit := slowFactor * usual
+	// Only a server that looks slow by the usual latencies is compared with what the others do just
+	// now: a change of the work makes all servers slower.
+	limit = max(limit, slowFactor*m.othersMedian(now, s))
+	expected := max(m.tail(limit), floor, m.othersSlow(now, s, limit))
+	p = proof{}
+	bad = m.looksSlow(now, s, limit, expected, &p)
+	return p, bad
+}
+
+// looksSlow tells whether more answers of the server are slow than chance explains. The slow ones
+// must be spread over some time, since one short pause delays all requests in flight.
+func (m *Machine) looksSlow(now time.Time, s *server, limit time.Duration, expected float64, p *proof) bool {
+	spread := max(limit, min(m.threshold(), pauseSpan))
 	slow, total := 0, 0
+	var newest time.Time
+	count := func(n *node, sent time.Time) {
+		slow++
+		p.note(s, n, sent)
+		if sent.After(newest) {
+			newest = sent
+		}
+	}
+	for _, r := range s.inflight {
+		if !r.firstByte && r.age(now) >= limit && r.credible(now, limit) {
+			total++
+			count(r.node, r.sent)
+		}
+	}
+	convincing := func() bool {
+		return total >= slowSamples && slow >= slowAnswers &&
+			newest.Sub(p.oldest) >= spread && binomialTail(total, slow, expected) < significance
+	}
 	for i := len(s.samples) - 1; i >= 0; i-- {
 		x := &s.samples[i]
-		if now.Sub(x.at) > sampleWindow/2 {
+		if now.Sub(x.at) > sampleWindow {
 			break
 		}
 		if x.failed {
 			continue
 		}
 		total++
-		if x.latency >= limit {
-			slow++
-			p.note(x.node, x.sent)
+		if x.latency < limit {
+			continue
 		}
-	}
-	for _, r := range s.inflight {
-		if !r.firstByte && r.age(now) >= limit && r.credible(now, limit) {
-			total++
-			slow++
-			p.note(r.node, r.sent)
+		count(x.node, x.sent)
+		if convincing() {
+			return true
 		}
 	}
-	if total < slowSamples || 2*slow <= total {
-		return p, false
+	return convincing()
+}
+
+// othersSlow is the share of slow answers of the other servers in the window, with a margin.
+func (m *Machine) othersSlow(now time.Time, s *server, limit time.Duration) float64 {
+	slow, total := 0, 0
+	for _, other := range m.servers {
+		if other == s || !other.healthy(now) {
+			continue
+		}
+		m.values = other.recent(now, sampleWindow, m.values[:0])
+		total += len(m.values)
+		for _, latency := range m.values {
+			if latency >= limit {
+				slow++
+			}
+		}
 	}
-	return p, binomialTail(total, slow, max(m.tail, failureFloor)) < significance
+	return slowMargin * float64(slow+1) / float64(total+1)
 }
 
-// othersMedian is the median latency of the other servers over the last second.
+// othersMedian is the median over the other servers of their median latency in the last second.
 func (m *Machine) othersMedian(now time.Time, s *server) time.Duration {
-	m.values = m.values[:0]
+	medians := m.medians[:0]
 	for _, other := range m.servers {
-		if other != s && other.healthy(now) {
-			m.values = other.recent(now, sampleWindow/2, m.values)
+		if other == s || !other.healthy(now) {
+			continue
+		}
+		m.values = other.recent(now, sampleWindow/2, m.values[:0])
+		if len(m.values) > 0 {
+			medians = append(medians, median(m.values))
 		}
 	}
-	if len(m.values) < slowSamples {
-		return 0
-	}
-	return max(median(m.values), m.latencies.p50)
+	m.medians = medians
+	return max(median(medians), m.latencies.p50)
 }
 
 // binomialTail is the probability of at least k successes in n trials of probability p.
--- a/internal/dispatch/ejection.go
+++ b/internal/dispatch/ejection.go
@@ -89,25 +89,31 @@
 	if s.state == ejectedServer {
 		return
 	}
+	if why == causeStall {
+		m.advise(s)
+	}
 	if s.state == inRotation && !m.allowed(now, s) {
 		m.limitToOne(now, s)
 		return
 	}
-	wasHealthy := s.healthy(now)
 	m.setProbation(now, s)
-	s.state = ejectedServer
+	m.takeOut(now, s, ejectedServer)
 	m.stats.Ejections++
-	if wasHealthy {
-		healthy, minimum := m.healthyCapacity(now), m.minimum(now)
-		invariant.Check(healthy >= minimum, "dispatch.minimum-capacity",
-			"ejecting %s leaves %d healthy slots of at least %d", s.Instance, healthy, minimum)
-	}
-	if why == causeStall {
-		m.advise(s)
-	}
 	s.forget(now)
 }
 
+// takeOut changes the condition of a server and asserts the minimum healthy capacity.
+func (m *Machine) takeOut(now time.Time, s *server, to condition) {
+	wasHealthy := s.healthy(now)
+	s.state = to
+	if !wasHealthy {
+		return
+	}
+	healthy, minimum := m.healthyCapacity(now), m.minimum(now)
+	invariant.Check(healthy >= minimum, "dispatch.minimum-capacity",
+		"ejecting %s leaves %d healthy slots of at least %d", s.Instance, healthy, minimum)
+}
+
 func (m *Machine) limitToOne(now time.Time, s *server) {
 	if !now.Before(s.limitedUntil) {
 		m.stats.EjectionsDenied++
@@ -132,7 +138,7 @@
 		return
 	}
 	s.holds++
-	s.state = held
+	m.takeOut(now, s, held)
 	s.stateUntil = now.Add(min(holdFor<<min(s.holds-1, 10), holdCap))
 }
 
@@ -146,7 +152,7 @@
 			continue
 		}
 		r.advised = true
-		m.actions = append(m.actions, Action{Kind: Advised, Node: r.node.id, ID: r.ID})
+		m.emit(r.node, Action{Kind: Advised, ID: r.ID})
 	}
 }
 
--- a/internal/dispatch/evidence.go
+++ b/internal/dispatch/evidence.go
@@ -94,7 +94,10 @@
 		s.latency.add(latency)
 	}
 	m.answered(now, r)
-	if latency <= m.doubtAge() {
+	if failed {
+		// The next request confirms or clears the doubt.
+		s.doubted = true
+	} else if latency <= slowFactor*max(m.latencies.p50, 1) || !m.latencies.known {
 		s.doubted = false
 	}
 }
@@ -119,16 +122,26 @@
 
 // proof is the evidence of a stall at one server.
 type proof struct {
-	// overdue requests are past the threshold, late ones past three quarters of it.
+	// overdue requests are past the threshold, late ones past half of it.
 	overdue, late int
 	// ghosts ended without an answer after more than p95.
 	ghosts int
+	// chance is the probability that a healthy server leaves all these requests unanswered.
+	chance float64
+	ages   []time.Duration
 	// oldest is the earliest sending time.
 	oldest time.Time
 	nodes  []*node
+	// own and foreign count the evidence of nodes in the server's data centre and in others.
+	own, foreign int
 }
 
-func (p *proof) note(n *node, sent time.Time) {
+func (p *proof) note(s *server, n *node, sent time.Time) {
+	if n.dataCentre == s.DataCentre {
+		p.own++
+	} else {
+		p.foreign++
+	}
 	if p.oldest.IsZero() || sent.Before(p.oldest) {
 		p.oldest = sent
 	}
@@ -141,22 +154,28 @@
 }
 
 // stallProof collects the unanswered requests of a server. A request counts only if its node was
-// heard after the request became late: a node that is cut off from the dispatcher cannot report
-// an answer, so its silence says nothing about the server.
+// heard after the request became late, and confirmed that the grant had reached it: a node that is
+// cut off from the dispatcher in either direction says nothing about the server.
 func (m *Machine) stallProof(now time.Time, s *server) proof {
 	threshold := m.threshold()
-	late := threshold * 3 / 4
-	p := proof{nodes: m.proofNodes[:0]}
+	late := threshold / 2
+	doubt := m.doubtAge()
+	p := proof{nodes: m.proofNodes[:0], ages: m.proofAges[:0], chance: 1}
 	for _, r := range s.inflight {
 		age := r.age(now)
-		if r.firstByte || age < late || !r.credible(now, late) {
+		if r.firstByte || age < doubt || !r.credible(now, doubt) {
+			continue
+		}
+		p.chance *= m.tail(age)
+		p.ages = append(p.ages, age)
+		if age < late || !r.credible(now, late) {
 			continue
 		}
 		p.late++
 		if age >= threshold {
 			p.overdue++
 		}
-		p.note(r.node, r.sent)
+		p.note(s, r.node, r.sent)
 	}
 	for _, g := range s.ghosts {
 		if g.sent.Before(s.lastAnswer) || now.Sub(g.at) > sampleWindow || now.Before(g.node.isolatedUntil) {
@@ -175,15 +194,17 @@
 		default:
 			continue
 		}
-		p.note(g.node, g.sent)
+		p.chance *= m.tail(age)
+		p.ages = append(p.ages, age)
+		p.note(s, g.node, g.sent)
 	}
-	m.proofNodes = p.nodes[:0]
+	m.proofNodes, m.proofAges = p.nodes[:0], p.ages[:0]
 	return p
 }
 
 func (r *request) credible(now time.Time, after time.Duration) bool {
 	n := r.node
-	if !n.connected || now.Before(n.isolatedUntil) {
+	if !n.connected || r.number > n.received || now.Before(n.isolatedUntil) {
 		return false
 	}
 	if !r.Idempotent {
@@ -192,15 +213,47 @@
 	return !n.heard.Before(r.sent.Add(after))
 }
 
-// stalled tells whether the proof shows a stall: enough overdue requests, and no answer since.
+// stalled tells whether the proof shows a stall: enough overdue requests, and no answer for as long
+// as makes a request overdue.
 func (m *Machine) stalled(now time.Time, s *server, p *proof) bool {
+	if m.relapsing(now, s) {
+		return p.overdue >= 1
+	}
 	enough := p.overdue >= 1 && p.late >= 2 || 2*p.overdue+p.ghosts >= 4
-	if !enough {
+	if !enough || p.chance > significance {
 		return false
 	}
 	since := s.lastAnswer
 	if p.oldest.After(since) {
 		since = p.oldest
 	}
-	return now.Sub(since) >= m.threshold()/2
+	return now.Sub(since) >= m.threshold() && m.chanceNow(now, s, p) <= significance
+}
+
+// chanceNow is the chance of the proof by what the other servers answered just now. A sudden change
+// of the work shows there before it shows in the usual latencies.
+func (m *Machine) chanceNow(now time.Time, s *server, p *proof) float64 {
+	m.values = m.values[:0]
+	for _, other := range m.servers {
+		if other != s {
+			m.values = other.recent(now, sampleWindow, m.values)
+		}
+	}
+	chance := 1.0
+	for _, age := range p.ages {
+		longer := 0
+		for _, latency := range m.values {
+			if latency > age {
+				longer++
+			}
+		}
+		chance *= max(float64(longer)/float64(max(len(m.values), 1)), m.tail(age))
+	}
+	return chance
+}
+
+// relapsing tells whether the server returned from an ejection and has not yet grown to all its
+// slots. It has room for one or two requests, so one overdue request is enough.
+func (m *Machine) relapsing(now time.Time, s *server) bool {
+	return s.ejections > 0 && now.Sub(s.growFrom) < s.growFor && now.Sub(s.lastEjected) < repeatWithin
 }
--- a/internal/dispatch/machine.go
+++ b/internal/dispatch/machine.go
@@ -40,11 +40,13 @@
 	lastQuantiles time.Time
 	// Scratch space, reused to save allocations.
 	proofNodes []*node
+	proofAges  []time.Duration
 	overdue    []*request
 	values     []time.Duration
 	rates      []float64
-	// tail is the usual share of answers slower than slowFactor medians.
-	tail float64
+	medians    []time.Duration
+	// pooled is the latency distribution of the servers that answer as usual.
+	pooled distribution
 }
 
 // Stats counts decisions since the machine started.
@@ -199,6 +201,7 @@
 	n.centreKey = "c:" + dataCentre
 	n.connected = true
 	n.heard = now
+	n.emitted, n.received = 0, 0
 	// What the node does not report again has ended.
 	m.freeAll(now, n)
 	for _, o := range held {
@@ -251,13 +254,21 @@
 	m.reserve(now)
 }
 
-// Heard notes a sign of life of a node.
-func (m *Machine) Heard(now time.Time, id string) {
+// Heard notes a sign of life of a node that has received so many actions since it connected.
+func (m *Machine) Heard(now time.Time, id string, received uint64) {
 	if n := m.nodes[id]; n != nil {
 		n.heard = now
+		n.received = max(n.received, received)
 	}
 }
 
+// emit hands an action to a node.
+func (m *Machine) emit(n *node, a Action) {
+	a.Node = n.id
+	n.emitted++
+	m.actions = append(m.actions, a)
+}
+
 func (m *Machine) freeAll(now time.Time, n *node) {
 	for _, r := range n.requests {
 		if r.state == stateQueued {
@@ -403,7 +414,7 @@
 	if kind == problem.PoisonRequest || kind == problem.DeadlinePassed {
 		wait = 0
 	}
-	m.actions = append(m.actions, Action{Kind: Refused, Node: n.id, ID: id, Refusal: kind, RetryAfter: wait})
+	m.emit(n, Action{Kind: Refused, ID: id, Refusal: kind, RetryAfter: wait})
 }
 
 func (m *Machine) refuseQueued(r *request, kind problem.Kind) {
--- /dev/null
+++ b/internal/dispatch/machine_test.go
@@ -0,0 +1,270 @@
+package dispatch_test
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"github.com/tarragonmux/tarragonmux/internal/backend"
+	"github.com/tarragonmux/tarragonmux/internal/dispatch"
+	"github.com/tarragonmux/tarragonmux/internal/grant"
+	"github.com/tarragonmux/tarragonmux/internal/invariant"
+	"github.com/tarragonmux/tarragonmux/internal/priority"
+	"github.com/tarragonmux/tarragonmux/internal/problem"
+)
+
+// model is what the nodes know, kept beside the machine.
+type model struct {
+	t       *rapid.T
+	now     time.Time
+	machine *dispatch.Machine
+	servers []backend.Server
+	nextID  map[string]uint64
+	waiting map[string]map[uint64]dispatch.Request
+	granted map[string]map[uint64]string
+	ever    map[string]bool
+}
+
+func (m *model) settle() {
+	for _, a := range slices.Clone(m.machine.Take()) {
+		key := fmt.Sprint(a.Node, "/", a.ID)
+		switch a.Kind {
+		case dispatch.Granted:
+			q, asked := m.waiting[a.Node][a.ID]
+			if !asked || m.ever[key] {
+				m.t.Fatalf("%s is granted twice or unasked", key)
+			}
+			if slices.Contains(q.Exclude, a.Instance) {
+				m.t.Fatalf("%s is granted to the excluded server %s", key, a.Instance)
+			}
+			m.ever[key] = true
+			delete(m.waiting[a.Node], a.ID)
+			m.granted[a.Node][a.ID] = a.Instance
+		case dispatch.Refused:
+			if m.ever[key] {
+				m.t.Fatalf("%s is refused after its grant", key)
+			}
+			delete(m.waiting[a.Node], a.ID)
+		}
+	}
+	counts := map[string]int{}
+	for _, held := range m.granted {
+		for _, instance := range held {
+			counts[instance]++
+		}
+	}
+	for _, s := range m.servers {
+		if counts[s.Instance] > min(s.Slots, s.Connections) {
+			m.t.Fatalf("%s has %d requests with %d slots and %d connections", s.Instance, counts[s.Instance], s.Slots, s.Connections)
+		}
+	}
+}
+
+func pick(t *rapid.T, held map[uint64]string) (uint64, bool) {
+	ids := make([]uint64, 0, len(held))
+	for id := range held {
+		ids = append(ids, id)
+	}
+	if len(ids) == 0 {
+		return 0, false
+	}
+	slices.Sort(ids)
+	return rapid.SampledFrom(ids).Draw(t, "id"), true
+}
+
+// Any order of events must keep every invariant: slots, single grants, the minimum, the budget.
+func TestRandomEventsKeepTheInvariants(t *testing.T) {
+	before := invariant.Total()
+	rapid.Check(t, func(t *rapid.T) {
+		m := &model{t: t, now: time.Unix(1000, 0), nextID: map[string]uint64{}, ever: map[string]bool{},
+			waiting: map[string]map[uint64]dispatch.Request{}, granted: map[string]map[uint64]string{}}
+		names := []string{"n0", "n1", "n2"}
+		config := dispatch.Config{Service: "x", MinimumHealthyPercent: rapid.IntRange(0, 100).Draw(t, "minimum"),
+			Shares: [priority.Count]float64{0, 0.2, 0.1}}
+		for i, n := range names {
+			config.Members = append(config.Members, dispatch.Member{Node: n, DataCentre: fmt.Sprint("dc", i)})
+		}
+		m.machine = dispatch.New(m.now, config)
+		for i := range 5 {
+			m.servers = append(m.servers, backend.Server{Instance: fmt.Sprint("s", i), DataCentre: fmt.Sprint("dc", i%3), State: backend.Ready,
+				Slots: rapid.IntRange(1, 4).Draw(t, "slots"), Connections: rapid.IntRange(1, 4).Draw(t, "connections"), Renewed: m.now})
+		}
+		connect := func(n string) {
+			m.granted[n], m.waiting[n] = map[uint64]string{}, map[uint64]dispatch.Request{}
+			m.machine.Connect(m.now, n, "dc"+n[1:], 1, nil, nil)
+		}
+		m.machine.SetServers(m.now, m.servers)
+		for _, n := range names {
+			connect(n)
+		}
+		node := rapid.SampledFrom(names)
+		t.Repeat(map[string]func(*rapid.T){
+			"": func(*rapid.T) { m.settle() },
+			"acquire": func(t *rapid.T) {
+				n := node.Draw(t, "node")
+				for range rapid.IntRange(1, 6).Draw(t, "count") {
+					m.nextID[n]++
+					q := dispatch.Request{ID: m.nextID[n], Priority: priority.Priority(rapid.IntRange(0, 2).Draw(t, "priority")),
+						Team: rapid.SampledFrom([]string{"a", "b"}).Draw(t, "team"), Deadline: m.now.Add(time.Second),
+						Fingerprint: rapid.Uint64Range(0, 5).Draw(t, "fingerprint"), Idempotent: rapid.Bool().Draw(t, "idempotent"),
+						Purpose: grant.Purpose(rapid.IntRange(0, 2).Draw(t, "purpose"))}
+					if rapid.Bool().Draw(t, "excludes") {
+						q.Exclude = []string{"s1"}
+					}
+					m.waiting[n][q.ID] = q
+					m.machine.Acquire(m.now, n, q)
+				}
+			},
+			"repeat": func(t *rapid.T) {
+				n := node.Draw(t, "node")
+				m.machine.Acquire(m.now, n, dispatch.Request{ID: rapid.Uint64Range(0, m.nextID[n]).Draw(t, "id"), Deadline: m.now.Add(time.Second)})
+			},
+			"complete": func(t *rapid.T) {
+				n := node.Draw(t, "node")
+				id, ok := pick(t, m.granted[n])
+				if !ok {
+					return
+				}
+				delete(m.granted[n], id)
+				m.machine.Complete(m.now, n, id, grant.Completion{
+					Result: grant.Result(rapid.IntRange(1, 8).Draw(t, "result")), Draining: rapid.IntRange(0, 30).Draw(t, "drain") == 0,
+					Total: time.Duration(rapid.IntRange(1, 900).Draw(t, "ms")) * time.Millisecond})
+			},
+			"cancel": func(t *rapid.T) {
+				n := node.Draw(t, "node")
+				for id := range m.waiting[n] {
+					delete(m.waiting[n], id)
+					m.machine.Cancel(m.now, n, id)
+					break
+				}
+			},
+			"time": func(t *rapid.T) {
+				m.now = m.now.Add(time.Duration(rapid.IntRange(1, 500).Draw(t, "ms")) * time.Millisecond)
+				for _, n := range names {
+					m.machine.Heard(m.now, n, 1<<40)
+				}
+				m.machine.Tick(m.now)
+			},
+			"servers": func(t *rapid.T) {
+				for i := range m.servers {
+					if rapid.IntRange(0, 5).Draw(t, "renewed") > 0 {
+						m.servers[i].Renewed = m.now
+					}
+				}
+				i := rapid.IntRange(0, len(m.servers)-1).Draw(t, "server")
+				m.servers[i].State = rapid.SampledFrom([]backend.State{backend.Ready, backend.Ready, backend.Draining, backend.Starting}).Draw(t, "state")
+				m.machine.SetServers(m.now, m.servers)
+			},
+			"reconnect": func(t *rapid.T) {
+				n := node.Draw(t, "node")
+				m.machine.Disconnect(m.now, n)
+				m.settle()
+				connect(n)
+			},
+		})
+	})
+	g := NewWithT(t)
+	g.Expect(invariant.Total()).To(Equal(before))
+}
+
+// Nodes without a dispatcher that use more than the slots together overload the servers.
+func TestAutonomousSharesSumToTheSlots(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var members []dispatch.Member
+		for i := range rapid.IntRange(1, 60).Draw(t, "members") {
+			members = append(members, dispatch.Member{Node: fmt.Sprint("n", i)})
+		}
+		slots := rapid.IntRange(0, 200).Draw(t, "slots")
+		instance := rapid.String().Draw(t, "instance")
+		sum := 0
+		for _, m := range members {
+			sum += dispatch.AutonomousSlots("x", instance, m.Node, members, slots)
+		}
+		if sum != slots {
+			t.Fatalf("the shares sum to %d of %d slots", sum, slots)
+		}
+	})
+}
+
+// harness is one machine with one node and one server past the collection of grants.
+func harness(slots int) (*dispatch.Machine, time.Time) {
+	start := time.Unix(1000, 0)
+	m := dispatch.New(start, dispatch.Config{Service: "x"})
+	m.SetServers(start, []backend.Server{{Instance: "s", State: backend.Ready, Slots: slots, Renewed: start}})
+	m.Connect(start, "n", "dc", 1, nil, nil)
+	now := start.Add(dispatch.CollectFor)
+	m.Tick(now)
+	return m, now
+}
+
+func ask(m *dispatch.Machine, now time.Time, id uint64, change func(*dispatch.Request)) []dispatch.Action {
+	q := dispatch.Request{ID: id, Priority: priority.Normal, Team: "a", Deadline: now.Add(time.Second), Idempotent: true}
+	if change != nil {
+		change(&q)
+	}
+	m.Acquire(now, "n", q)
+	return slices.Clone(m.Take())
+}
+
+// Retries beyond the budget would multiply the load of an overloaded service.
+func TestRetryBudget(t *testing.T) {
+	g := NewWithT(t)
+	m, now := harness(1000)
+	id := uint64(0)
+	granted := 0
+	for i := range 200 {
+		id++
+		ask(m, now, id, nil)
+		if i%2 == 0 {
+			id++
+			a := ask(m, now, id, func(q *dispatch.Request) { q.Purpose = grant.Retry })
+			if a[0].Kind == dispatch.Granted {
+				granted++
+			} else {
+				g.Expect(a[0].Refusal).To(Equal(problem.NoCapacity))
+			}
+		}
+	}
+	g.Expect(granted).To(BeNumerically(">", 15))
+	g.Expect(float64(granted)).To(BeNumerically("<=", 0.1*float64(200+granted)+3))
+}
+
+// A full queue must drop the newest request of the team with the most, not those of others.
+func TestFullQueueDropsFromTheLargestTeam(t *testing.T) {
+	g := NewWithT(t)
+	m, now := harness(1)
+	ask(m, now, 1, nil)
+	for id := uint64(2); id < 258; id++ {
+		g.Expect(ask(m, now, id, nil)).To(BeEmpty())
+	}
+	refused := ask(m, now, 258, nil)
+	g.Expect(refused).To(HaveLen(1))
+	g.Expect(refused[0].ID).To(BeEquivalentTo(258))
+	dropped := ask(m, now, 259, func(q *dispatch.Request) { q.Team = "b" })
+	g.Expect(dropped).To(HaveLen(1))
+	g.Expect(dropped[0].ID).To(BeEquivalentTo(257))
+	g.Expect(dropped[0].Refusal).To(Equal(problem.QueueFull))
+}
+
+// A member that may be routing on its own must keep its share until it is surely dead.
+func TestSharesOfSilentMembersAreKept(t *testing.T) {
+	g := NewWithT(t)
+	now := time.Unix(1000, 0)
+	config := dispatch.Config{Service: "x", Members: []dispatch.Member{{Node: "n"}, {Node: "o"}}}
+	servers := []backend.Server{{Instance: "s", State: backend.Ready, Slots: 4, Renewed: now}}
+	m := dispatch.New(now, config)
+	m.SetServers(now, servers)
+	m.Connect(now, "n", "dc", 1, nil, nil)
+	g.Expect(m.View(now).Servers[0].Limit).To(Equal(2))
+	config.Members = []dispatch.Member{{Node: "n"}, {Node: "o", Dead: true}}
+	m.Configure(now, config)
+	g.Expect(m.View(now).Servers[0].Limit).To(Equal(2))
+	now = now.Add(dispatch.DeadAfter)
+	servers[0].Renewed = now
+	m.SetServers(now, servers)
+	g.Expect(m.View(now).Servers[0].Limit).To(Equal(4))
+}
--- a/internal/dispatch/placement.go
+++ b/internal/dispatch/placement.go
@@ -102,7 +102,7 @@
 
 func (m *Machine) grant(now time.Time, r *request, s *server) {
 	invariant.Check(r.state == stateQueued, "dispatch.grant-once", "node %s request %d is granted twice", r.node.id, r.ID)
-	m.queue.remove(r)
+	m.queue.take(r)
 	extra := r.Purpose != grant.First
 	m.retries.Spend(now, extra)
 	m.queue.served(r.Priority, m.cost[r.Priority], &m.config.Shares)
@@ -114,14 +114,15 @@
 	invariant.Check(len(s.inflight) <= s.hardLimit(), "dispatch.slot-limit",
 		"server %s has %d requests in flight with %d slots and %d connections", s.Instance, len(s.inflight), s.Slots, s.Connections)
 	m.stats.Granted++
+	r.number = r.node.emitted + 1
 	switch r.Purpose {
 	case grant.Retry:
 		m.stats.Retries++
 	case grant.Hedge:
 		m.stats.Hedges++
 	}
-	m.actions = append(m.actions, Action{
-		Kind: Granted, Node: r.node.id, ID: r.ID,
+	m.emit(r.node, Action{
+		Kind: Granted, ID: r.ID,
 		Instance: s.Instance, Address: s.Address, DataCentre: s.DataCentre,
 	})
 }
@@ -148,7 +149,7 @@
 		if len(s.inflight) >= limit || !s.accepts(r) {
 			continue
 		}
-		rank := s.rank(r, m.latencies.p50)
+		rank := s.rank(now, r, m.latencies.p50)
 		use := float64(len(s.inflight)+1) / float64(limit)
 		if best == nil || rank < bestRank || rank == bestRank && (use < bestUse || use == bestUse && s.Load < best.Load) {
 			best, bestRank, bestUse = s, rank, use
@@ -176,7 +177,7 @@
 	return !r.crashSuspect || s.suspects == 0
 }
 
-func (s *server) rank(r *request, p50 time.Duration) int {
+func (s *server) rank(now time.Time, r *request, p50 time.Duration) int {
 	if s.state == onCanary {
 		return rankConfirm
 	}
@@ -186,7 +187,7 @@
 		}
 		return rankDoubted
 	}
-	if s.DataCentre == r.node.dataCentre && !s.slower(p50) {
+	if s.DataCentre == r.node.dataCentre && !s.slower(now, p50) {
 		return rankLocal
 	}
 	return rankRemote
@@ -213,8 +214,9 @@
 }
 
 // slower tells whether recent answers of the server took much longer than the service's median.
-func (s *server) slower(p50 time.Duration) bool {
-	if p50 == 0 || len(s.samples) < slowSamples {
+// Answers older than the window do not count, so that a server without work gets some again.
+func (s *server) slower(now time.Time, p50 time.Duration) bool {
+	if p50 == 0 || len(s.samples) < slowSamples || now.Sub(s.samples[len(s.samples)-1].at) > sampleWindow {
 		return false
 	}
 	var recent [slowSamples]time.Duration
--- a/internal/dispatch/queue.go
+++ b/internal/dispatch/queue.go
@@ -153,6 +153,12 @@
 	q.classes[r.Priority].push(r, q.slotOf(r.Team))
 }
 
+// take removes a request that is granted, and charges its team's turn.
+func (q *queue) take(r *request) {
+	r.bucket.deficit--
+	q.remove(r)
+}
+
 func (q *queue) remove(r *request) {
 	c := &q.classes[r.Priority]
 	c.remove(r)
--- a/internal/dispatch/request.go
+++ b/internal/dispatch/request.go
@@ -84,6 +84,8 @@
 	slot      int
 	sent      time.Time
 	firstByte bool
+	// number of the grant among the actions for the node.
+	number uint64
 	// canary marks the request that decides whether an ejected server returns.
 	canary bool
 	// crashSuspect marks a request whose fingerprint was on a server that crashed.
@@ -103,9 +105,11 @@
 	// lostAt is when the stream broke.
 	lostAt time.Time
 	// heard is the time of the last message.
-	heard    time.Time
-	lastID   uint64
-	requests map[uint64]*request
+	heard  time.Time
+	lastID uint64
+	// emitted and received count the actions for the node since it connected.
+	emitted, received uint64
+	requests          map[uint64]*request
 	// isolatedUntil is set while the node's paths to several servers look bad, so that its evidence does not count.
 	isolatedUntil time.Time
 	lastAnswer    time.Time
--- /dev/null
+++ b/internal/dispatch/service_test.go
@@ -0,0 +1,156 @@
+package dispatch_test
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/tarragonmux/tarragonmux/internal/invariant"
+	"github.com/tarragonmux/tarragonmux/internal/priority"
+)
+
+// floodFactor times the capacity is what a flood asks for.
+const floodFactor = 4
+
+// A flood of the least urgent work must not delay urgent work: air deadlines do not move. The
+// bound is the design page's: 99 in 100 within the target.
+func TestUrgentWorkUnderABackgroundFlood(t *testing.T) {
+	for _, size := range sizes {
+		t.Run(size.name, func(t *testing.T) {
+			t.Parallel()
+			g := NewWithT(t)
+			w := newWorld(size, 1)
+			target := 6 * size.median
+			urgent := w.load(&stream{priority: priority.Urgent, team: "desk", rate: 0.3 * w.capacity(), deadline: target, retries: true})
+			w.run(warmUp)
+			*urgent = tally{}
+			w.load(&stream{priority: priority.Background, team: "flood", rate: floodFactor * w.capacity(), deadline: 3 * time.Second})
+			w.run(10 * time.Second)
+			g.Expect(urgent.within(target)).To(BeNumerically(">=", 0.99))
+			g.Expect(w.ejectedAt).To(BeEmpty())
+		})
+	}
+}
+
+// A flood of urgent work must leave the other priorities their configured shares of slot time,
+// within a tenth.
+func TestMinimumSharesUnderAnUrgentFlood(t *testing.T) {
+	for _, size := range sizes {
+		t.Run(size.name, func(t *testing.T) {
+			t.Parallel()
+			g := NewWithT(t)
+			w := newWorld(size, 1)
+			w.config.Shares = [priority.Count]float64{0, 0.2, 0.1}
+			w.takeOver()
+			normal := w.load(&stream{priority: priority.Normal, team: "a", rate: w.capacity(), deadline: 2 * time.Second})
+			background := w.load(&stream{priority: priority.Background, team: "b", rate: w.capacity(), deadline: 5 * time.Second})
+			w.load(&stream{priority: priority.Urgent, team: "flood", rate: floodFactor * w.capacity(), deadline: time.Second})
+			w.run(3 * time.Second)
+			normal.slotTime, background.slotTime = 0, 0
+			const measured = 10 * time.Second
+			w.run(measured)
+			slots := measured.Seconds() * float64(size.servers*size.slots)
+			g.Expect(normal.slotTime.Seconds() / slots).To(BeNumerically(">=", 0.2*0.9))
+			g.Expect(background.slotTime.Seconds() / slots).To(BeNumerically(">=", 0.1*0.9))
+		})
+	}
+}
+
+// A team that floods must not take the service of the other teams of its priority.
+func TestOtherTeamsKeepTheirGoodput(t *testing.T) {
+	for _, size := range sizes {
+		t.Run(size.name, func(t *testing.T) {
+			t.Parallel()
+			g := NewWithT(t)
+			w := newWorld(size, 1)
+			var others []*tally
+			for _, team := range []string{"a", "b", "c", "d", "e"} {
+				others = append(others, w.load(&stream{priority: priority.Normal, team: team, rate: 0.1 * w.capacity(), deadline: time.Second}))
+			}
+			good := func() (sum int) {
+				for _, t := range others {
+					sum += t.good
+				}
+				return sum
+			}
+			w.run(warmUp)
+			start := good()
+			w.run(8 * time.Second)
+			before := good() - start
+			w.load(&stream{priority: priority.Normal, team: "flood", rate: floodFactor * w.capacity(), deadline: time.Second})
+			w.run(time.Second)
+			start = good()
+			w.run(8 * time.Second)
+			g.Expect(float64(good() - start)).To(BeNumerically(">", 0.95*float64(before)))
+		})
+	}
+}
+
+// Under overload the slots must do useful work: work that is started too late to meet its deadline
+// is wasted. The best possible is the capacity.
+func TestGoodputUnderOverload(t *testing.T) {
+	for _, size := range sizes {
+		t.Run(size.name, func(t *testing.T) {
+			t.Parallel()
+			g := NewWithT(t)
+			w := newWorld(size, 1)
+			var all []*tally
+			for i, p := range priority.All() {
+				all = append(all, w.load(&stream{
+					priority: p, team: p.String(), rate: w.capacity() * []float64{0.5, 1, 2.5}[i], deadline: time.Second, retries: true,
+				}))
+			}
+			good := func() (sum int) {
+				for _, t := range all {
+					sum += t.good
+				}
+				return sum
+			}
+			w.run(warmUp)
+			start := good()
+			const measured = 10
+			w.run(measured * time.Second)
+			g.Expect(float64(good() - start)).To(BeNumerically(">", 0.9*measured*w.capacity()))
+			g.Expect(w.ejectedAt).To(BeEmpty())
+		})
+	}
+}
+
+// A new dispatcher must count the requests that its predecessor granted; the slots of a server
+// would otherwise be given out twice.
+func TestTakeoverKeepsSlots(t *testing.T) {
+	g := NewWithT(t)
+	before := invariant.Total()
+	w := newWorld(sizes[0], 3)
+	mixed(w, 0.9)
+	w.run(2 * time.Second)
+	for range 10 {
+		w.takeOver()
+		w.run(500 * time.Millisecond)
+		for name, s := range w.servers {
+			g.Expect(len(s.running)).To(BeNumerically("<=", s.Slots), name)
+		}
+	}
+	g.Expect(invariant.Total()).To(Equal(before))
+	g.Expect(w.ejectedAt).To(BeEmpty())
+}
+
+// A server that returns must not be flooded, and one that is still bad must stay out ever longer.
+func TestProbationGrows(t *testing.T) {
+	g := NewWithT(t)
+	w := newWorld(sizes[0], 2)
+	mixed(w, 0.5)
+	w.run(warmUp)
+	bad := w.servers["s05"]
+	bad.stalled = flap(w.now, time.Hour)
+	w.run(40 * time.Second)
+	// Ejected at once, after 5 s, 10 s and 20 s more.
+	g.Expect(w.machine.Stats().Ejections).To(BeNumerically("~", 4, 1))
+	bad.stalled = nil
+	w.run(100 * time.Second)
+	g.Expect(w.machine.Stats().Returns).NotTo(BeZero())
+	for _, s := range w.machine.View(w.now).Servers {
+		g.Expect(s.Limit).To(Equal(6), s.Instance)
+	}
+}
--- a/internal/dispatchrpc/channel.go
+++ b/internal/dispatchrpc/channel.go
@@ -33,6 +33,8 @@
 	// stream numbers the streams, so that the end of one does not touch the next.
 	stream   uint64
 	answered bool
+	// received counts the grants, refusals and advices of the stream.
+	received uint64
 	opened   time.Time
 	// heard is the time of the last message of a dispatcher.
 	heard time.Time
@@ -155,6 +157,7 @@
 	}
 	c.answered = true
 	c.heard = now
+	c.received += uint64(len(b.Grants) + len(b.Refuses) + len(b.Advises))
 	for _, g := range b.Grants {
 		c.granted(now, g)
 	}
@@ -241,6 +244,7 @@
 	if b.Progress == nil {
 		b.Progress = &dispatchpb.Progress{}
 	}
+	b.Progress.Received = c.received
 	return b
 }
 
@@ -261,6 +265,7 @@
 	}
 	c.linked = true
 	c.stream++
+	c.received = 0
 	c.answered = false
 	c.opened = now
 	c.out = &dispatchpb.NodeBatch{}
--- a/internal/dispatchrpc/runner.go
+++ b/internal/dispatchrpc/runner.go
@@ -196,7 +196,7 @@
 // apply feeds one batch into the state machine.
 func (r *runner) apply(now time.Time, x *session, batch *dispatchpb.NodeBatch) {
 	x.heard = now
-	r.machine.Heard(now, x.node)
+	r.machine.Heard(now, x.node, batch.GetProgress().GetReceived())
 	for _, c := range batch.Completes {
 		r.machine.Complete(now, x.node, c.Id, completion(c))
 	}
