--- a/internal/election/candidate.go
+++ b/internal/election/candidate.go
@@ -87,6 +87,10 @@
 		return
 	}
 	c.groups = append(c.groups, g)
+	if c.phase == holding {
+		// Voters that know the new list have refused renewals; there is no time to lose.
+		c.next = time.Time{}
+	}
 	if len(c.groups) > 2 {
 		c.groups = slices.Delete(c.groups, 0, 1)
 	}
@@ -207,6 +211,7 @@
 	for _, voter := range c.voters() {
 		r := c.request(now, voter, c.term)
 		r.Message.Release = true
+		r.Message.Holding = before == holding
 		requests = append(requests, r)
 	}
 	return requests
@@ -242,6 +247,7 @@
 			Incarnation:   c.incarnation,
 			Term:          term,
 			HostsRevision: c.revisionFor(voter),
+			Holding:       c.phase == holding && term > 0,
 		},
 	}
 }
@@ -280,6 +286,9 @@
 		return c.campaign(now)
 	case (c.phase == campaigning || c.phase == holding) && r.Message.GetTerm() == c.term && reply.GetGranted():
 		c.count(now, r, b)
+	case c.phase == holding && r.Message.GetTerm() == c.term && c.revisionFor(r.Voter) != r.Message.GetHostsRevision():
+		// The voter has changed to a list that this candidate knows too.
+		return []Request{c.request(now, r.Voter, c.term)}
 	}
 	return nil
 }
--- a/internal/election/voter.go
+++ b/internal/election/voter.go
@@ -52,7 +52,12 @@
 type Voter struct {
 	groups Groups
 	// silent is the end of the lease that a restarted voter waits for.
-	silent      time.Time
+	silent time.Time
+	// seen is the highest term granted. held is the lowest term that may still be renewed by a
+	// holder that this voter has not voted for before.
+	seen uint64
+	held uint64
+	// term, holder and incarnation are those of the last vote.
 	term        uint64
 	holder      string
 	incarnation uint64
@@ -72,7 +77,7 @@
 // Holder returns who holds this voter's vote; ok is false if nobody does.
 func (v *Voter) Holder(now time.Time) (holder string, term uint64, left time.Duration, ok bool) {
 	if !now.Before(v.until) {
-		return "", v.term, 0, false
+		return "", v.seen, 0, false
 	}
 	return v.holder, v.term, v.until.Sub(now), true
 }
@@ -99,7 +104,14 @@
 	if now.Before(v.until) {
 		return v.sameHolder(r)
 	}
-	return r.GetTerm() > v.term || v.sameHolder(r)
+	return r.GetTerm() > v.seen || v.sameHolder(r) || v.joins(r)
+}
+
+// joins tells whether the request renews a lease that other voters gave. Its term may be lower
+// than that of a candidate that failed here; without this rule the holder would depend on the
+// few voters that elected it.
+func (v *Voter) joins(r *fleetpb.VoteRequest) bool {
+	return r.GetHolding() && r.GetTerm() >= v.held
 }
 
 func (v *Voter) sameHolder(r *fleetpb.VoteRequest) bool {
@@ -110,16 +122,21 @@
 	valid := now.Before(v.until)
 	invariant.Check(!valid || v.sameHolder(r), "election.one-lease-per-voter",
 		"voter of %s grants term %d to %s while %s holds term %d", r.GetService(), r.GetTerm(), r.GetCandidate(), v.holder, v.term)
-	invariant.Check(r.GetTerm() > v.term || v.sameHolder(r), "election.one-holder-per-term",
-		"voter of %s grants term %d to %s after term %d of %s", r.GetService(), r.GetTerm(), r.GetCandidate(), v.term, v.holder)
 	v.holder = r.GetCandidate()
 	v.incarnation = r.GetIncarnation()
 	v.term = r.GetTerm()
+	v.seen = max(v.seen, v.term)
+	if r.GetHolding() {
+		v.held = max(v.held, v.term)
+	}
 	v.until = now.Add(VoteLease)
 }
 
 // release ends the vote and keeps the term, so that a late renewal of it is refused too.
 func (v *Voter) release(now time.Time, r *fleetpb.VoteRequest) {
+	if r.GetHolding() && r.GetTerm() < maxTerm {
+		v.held = max(v.held, r.GetTerm()+1)
+	}
 	if v.sameHolder(r) && now.Before(v.until) {
 		v.until = now
 		v.holder = ""
--- /dev/null
+++ b/internal/hostset/hostset_test.go
@@ -0,0 +1,197 @@
+package hostset_test
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"github.com/tarragonmux/tarragonmux/internal/hostset"
+	"github.com/tarragonmux/tarragonmux/proto/configpb"
+)
+
+const (
+	callers = 1000
+	ttl     = 5 * time.Second
+)
+
+type fixture struct {
+	fleet    *hostset.Fleet
+	verdicts map[string]hostset.Verdict
+}
+
+func (f *fixture) Fleet() *hostset.Fleet { return f.fleet }
+
+func (f *fixture) Verdict(node, _ string) hostset.Verdict {
+	if v, ok := f.verdicts[node]; ok {
+		return v
+	}
+	return hostset.Good
+}
+
+func newFixture(hosts int) *fixture {
+	f := &fixture{
+		fleet:    &hostset.Fleet{HostsRevision: 1, Services: []hostset.Service{{Name: "booking", DataCentres: []string{"dc0", "dc1", "dc2"}}}},
+		verdicts: map[string]hostset.Verdict{},
+	}
+	for i := range hosts {
+		f.fleet.Hosts = append(f.fleet.Hosts, hostset.Host{
+			ID: fmt.Sprintf("n%d", i), DataCentre: fmt.Sprintf("dc%d", i%3), EntryAddress: fmt.Sprintf("10.0.0.%d:80", i),
+		})
+	}
+	return f
+}
+
+// answers returns the nodes of every caller's answer.
+func (f *fixture) answers() [][]string {
+	d := hostset.NewDirectory(f, f, ttl)
+	var all [][]string
+	for i := range callers {
+		endpoints, _ := d.Endpoints("booking", fmt.Sprintf("caller-%d", i))
+		var nodes []string
+		for _, e := range endpoints {
+			nodes = append(nodes, e.Node)
+		}
+		all = append(all, nodes)
+	}
+	return all
+}
+
+// Guards against callers that crowd on few hosts or one data centre: the most loaded host must stay
+// under 1.5 times the mean of 1,000 callers, and a data centre within a tenth of its third.
+func TestAnswersAreEven(t *testing.T) {
+	for _, hosts := range []int{32, 48} {
+		g := NewWithT(t)
+		f := newFixture(hosts)
+		load, centres, total := map[string]int{}, map[string]int{}, 0
+		for _, nodes := range f.answers() {
+			g.Expect(nodes).To(HaveLen(hostset.AnswerSize))
+			inAnswer := map[string]bool{}
+			for _, n := range nodes {
+				load[n]++
+				total++
+				i := slices.IndexFunc(f.fleet.Hosts, func(h hostset.Host) bool { return h.ID == n })
+				centres[f.fleet.Hosts[i].DataCentre]++
+				inAnswer[f.fleet.Hosts[i].DataCentre] = true
+			}
+			g.Expect(inAnswer).To(HaveLen(3), "an answer must span all data centres")
+		}
+		most := 0
+		for _, n := range load {
+			most = max(most, n)
+		}
+		mean := float64(total) / float64(hosts)
+		t.Logf("%d hosts: most loaded %.2f times the mean, data centres %v", hosts, float64(most)/mean, centres)
+		g.Expect(float64(most)).To(BeNumerically("<", 1.5*mean))
+		g.Expect(load).To(HaveLen(hosts))
+		for _, n := range centres {
+			g.Expect(float64(n)).To(BeNumerically("~", float64(total)/3, float64(total)/30))
+		}
+	}
+}
+
+// Guards against answers that are reshuffled when a host leaves or is suspect: only the addresses of
+// this host may be replaced, which are about one in n, and each by one other address.
+func TestAnswersAreStable(t *testing.T) {
+	const hosts = 48
+	g := NewWithT(t)
+	f := newFixture(hosts)
+	before := f.answers()
+	for _, verdict := range []hostset.Verdict{hostset.Out, hostset.Doubtful} {
+		f.verdicts = map[string]hostset.Verdict{"n7": verdict}
+		changed := 0
+		for i, nodes := range f.answers() {
+			g.Expect(nodes).NotTo(ContainElement("n7"))
+			for _, n := range before[i] {
+				if !slices.Contains(nodes, n) {
+					g.Expect(n).To(Equal("n7"), "an address of a host that stays was replaced")
+					changed++
+				}
+			}
+		}
+		share := float64(changed) / float64(callers*hostset.AnswerSize)
+		t.Logf("%.4f of the addresses changed, 1/n is %.4f", share, 1.0/hosts)
+		g.Expect(share).To(BeNumerically("<", 1.5/hosts))
+	}
+}
+
+// Guards against empty answers during a storm of false suspicions, and against answers with hosts
+// that cannot serve.
+func TestDoubtfulHostsAreTheLastResort(t *testing.T) {
+	g := NewWithT(t)
+	f := newFixture(6)
+	for i := range 6 {
+		f.verdicts[fmt.Sprintf("n%d", i)] = hostset.Doubtful
+	}
+	f.verdicts["n1"] = hostset.Good
+	f.verdicts["n2"] = hostset.Out
+	for _, nodes := range f.answers() {
+		g.Expect(nodes).To(HaveLen(4))
+		g.Expect(nodes[0]).To(Equal("n1"))
+		g.Expect(nodes).NotTo(ContainElement("n2"))
+	}
+	endpoints, kept := hostset.NewDirectory(f, f, ttl).Endpoints("unknown", "c")
+	g.Expect(endpoints).To(BeEmpty())
+	g.Expect(kept).To(Equal(ttl))
+}
+
+// Guards against a voting group that loses its majority with one data centre, and against a change
+// of one host that moves more than this host in host sets and voting groups.
+func TestGroupsAreSpreadAndStable(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		g := NewWithT(t)
+		f := newFixture(rapid.IntRange(9, 90).Draw(t, "hosts"))
+		s := hostset.Service{Name: rapid.StringN(1, 8, 8).Draw(t, "service"), DataCentres: []string{"dc0", "dc1", "dc2"}}
+		set := f.fleet.Set(s)
+		g.Expect(set).To(HaveLen(min(len(f.fleet.Hosts), hostset.MaxHosts)))
+		current, previous := f.fleet.Groups(s)
+		g.Expect(previous).To(BeEmpty())
+		g.Expect(current).To(HaveLen(hostset.Voters))
+		g.Expect(set[:hostset.Voters]).To(Equal(current))
+		perCentre := map[string]int{}
+		for _, h := range current {
+			perCentre[h.DataCentre]++
+			g.Expect(perCentre[h.DataCentre]).To(BeNumerically("<=", 2))
+		}
+		gone := rapid.IntRange(0, len(f.fleet.Hosts)-1).Draw(t, "gone")
+		smaller := &hostset.Fleet{Hosts: slices.Delete(slices.Clone(f.fleet.Hosts), gone, gone+1), PreviousHosts: f.fleet.Hosts}
+		after, before := smaller.Groups(s)
+		g.Expect(before).To(Equal(current))
+		moved := 0
+		for _, h := range current {
+			if !slices.Contains(after, h) {
+				moved++
+			}
+		}
+		g.Expect(moved).To(BeNumerically("<=", 1))
+	})
+}
+
+// Guards against pure control hosts in host sets, and hosts outside the data centres of a service.
+func TestFromDocument(t *testing.T) {
+	g := NewWithT(t)
+	host := func(id, centre string, role configpb.HostRole) *configpb.Host {
+		return &configpb.Host{Id: id, DataCentre: centre, Role: role}
+	}
+	f := hostset.FromDocument(&configpb.Document{
+		Hosts: []*configpb.Host{
+			host("a", "dc0", configpb.HostRole_HOST_ROLE_NODE),
+			host("b", "dc0", configpb.HostRole_HOST_ROLE_CONTROL),
+			host("c", "dc1", configpb.HostRole_HOST_ROLE_NODE_AND_CONTROL),
+			host("d", "dc2", configpb.HostRole_HOST_ROLE_NODE),
+		},
+		HostsRevision: 7,
+		Services:      []*configpb.Service{{Name: "booking", DataCentres: []string{"dc0", "dc1"}}},
+	})
+	s, ok := f.Service("booking")
+	g.Expect(ok).To(BeTrue())
+	var names []string
+	for _, h := range f.Set(s) {
+		names = append(names, h.ID)
+	}
+	g.Expect(names).To(ConsistOf("a", "c"))
+	g.Expect(f.HostsRevision).To(Equal(uint64(7)))
+}
