--- a/internal/standin/server.go
+++ b/internal/standin/server.go
@@ -266,10 +266,11 @@
 }
 
 func (v *life) end() {
-	v.cancel()
-	// Closing also breaks the connections that are in use.
-	_ = v.http.Close()
+	// The connections break first, so that no work that ends now can still answer.
 	v.listener.(*limitedListener).breakAll()
+	// Closing also breaks connections that were accepted meanwhile.
+	_ = v.http.Close()
+	v.cancel()
 }
 
 func (s *Server) restart() {
