--- a/internal/entry/answer_test.go
+++ b/internal/entry/answer_test.go
@@ -156,6 +156,21 @@
 		Eventually(f.grants.ended).Should(ConsistOf(grant.Cancelled, grant.OK))
 	})
 
+	// A server that is answering is not stalled; a hedge would only cost a slot.
+	It("is not sent once the first answer has begun", func() {
+		begun := serve(func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set("Content-Length", "4")
+			fmt.Fprint(w, "ab")
+			_ = http.NewResponseController(w).Flush()
+			time.Sleep(100 * time.Millisecond)
+			fmt.Fprint(w, "cd")
+		})
+		f := start(nil)
+		hedged(f, begun, refused())
+		Expect(f.do("GET", "/urgent", "").body).To(Equal("abcd"))
+		Expect(f.grants.purposes).To(Equal([]grant.Purpose{grant.First}))
+	})
+
 	// A hedge of work that must not repeat would run it twice.
 	It("is never sent for non-idempotent work", func() {
 		first := newStandin(standin.Config{Instance: "first", WorkTime: 150 * time.Millisecond})
--- a/internal/entry/exchange.go
+++ b/internal/entry/exchange.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/tarragonmux/tarragonmux/internal/attempt"
@@ -48,7 +49,10 @@
 	answer *roundtrip.Answer
 	// release ends the attempt's context; nil if it has none of its own.
 	release context.CancelFunc
-	sent    time.Time
+	// abort and answering belong to the first attempt of a race; nil otherwise.
+	abort     *roundtrip.Abort
+	answering *atomic.Bool
+	sent      time.Time
 	// first is the time from sending to the first byte of the answer.
 	first time.Duration
 	// whole is the body of an answer that was read to its end, if fetched is set.
--- a/internal/entry/forward.go
+++ b/internal/entry/forward.go
@@ -48,7 +48,7 @@
 func (f *forward) outgoing(x *Exchange) *roundtrip.Request {
 	r := &roundtrip.Request{
 		Method: x.r.Method, Target: target(x.r), Host: x.r.Host, Header: x.r.Header, Skip: skipper(x.r.Header),
-		MaxIdle: roundtrip.DefaultIdleTimeout, Until: x.grant.Expires(), Start: x.begin, FirstByte: x.firstByte,
+		MaxIdle: roundtrip.DefaultIdleTimeout, Until: x.grant.Expires(), Start: x.begin, FirstByte: x.firstByte, Abort: x.abort,
 		Extra: []roundtrip.Field{
 			{Name: headerRequestID, Value: x.id},
 			{Name: headerTimeout, Value: formatTimeout(time.Until(x.deadline))},
@@ -103,6 +103,9 @@
 
 func (x *Exchange) firstByte() {
 	x.first = time.Since(x.sent)
+	if x.answering != nil {
+		x.answering.Store(true)
+	}
 	x.grant.FirstByte()
 }
 
@@ -140,15 +143,18 @@
 }
 
 func (f *forward) broken(x *Exchange, err error) error {
-	x.complete(resultOfContext(x.ctx, grant.Broken))
+	x.complete(resultOfEnd(x.ctx, err, grant.Broken))
 	return &failure{kind: problem.AnswerTruncated, detail: err.Error(), mayHaveRun: true}
 }
 
 // rejected handles a server that refused the request before running it.
 func (f *forward) rejected(x *Exchange) error {
 	wait := retryAfter(x.answer.Header)
-	// Reading a short refusal to its end lets the connection be reused.
-	_, _ = io.CopyN(io.Discard, x.answer, copyBytes)
+	if x.answer.Buffered() {
+		// Reading a short refusal to its end lets the connection be reused. A refusal that has not
+		// arrived whole is not waited for.
+		_, _ = io.Copy(io.Discard, x.answer)
+	}
 	x.complete(grant.Shed)
 	if claim := x.claimOf(); claim != nil {
 		claim.Rejected()
@@ -175,7 +181,7 @@
 		x.complete(grant.Cancelled)
 		return &failure{kind: problem.BadRequest, mayHaveRun: e.Written, final: final}
 	}
-	x.complete(resultOfContext(x.ctx, resultOfStage(e)))
+	x.complete(resultOfEnd(x.ctx, e.Err, resultOfStage(e)))
 	return &failure{kind: problem.BackendFailed, detail: e.Error(), mayHaveRun: e.Written}
 }
 
@@ -202,9 +208,11 @@
 	}
 }
 
-// resultOfContext returns why a cancelled attempt ended, else the given result.
-func resultOfContext(ctx context.Context, otherwise grant.Result) grant.Result {
+// resultOfEnd returns why a cancelled attempt ended, else the given result.
+func resultOfEnd(ctx context.Context, err error, otherwise grant.Result) grant.Result {
 	switch {
+	case errors.Is(err, roundtrip.ErrAborted):
+		return grant.Cancelled
 	case ctx.Err() == nil:
 		return otherwise
 	case context.Cause(ctx) == context.DeadlineExceeded:
--- a/internal/entry/race.go
+++ b/internal/entry/race.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
+	"github.com/tarragonmux/tarragonmux/internal/entry/roundtrip"
 	"github.com/tarragonmux/tarragonmux/internal/grant"
 	"github.com/tarragonmux/tarragonmux/internal/priority"
 )
@@ -17,33 +19,36 @@
 	minHedgeDelay = 30 * time.Millisecond
 )
 
-// race is an attempt at repeatable work that a second attempt may join. The first whole or
-// begun answer wins; the other attempt is cancelled.
+// race is an attempt at repeatable work that a second attempt may join. The first answer that is
+// whole, or too long to be read before it is relayed, wins; the other attempt is cancelled.
 type race struct {
 	*trial
-	first *Exchange
+	// first is the first attempt's exchange, kept here to save an allocation.
+	first Exchange
+	abort roundtrip.Abort
+	began time.Time
 	hedge time.Duration
-	timer *time.Timer
+	// answering is set when the first attempt's answer has begun; then no hedge is sent.
+	answering atomic.Bool
 
 	mu     sync.Mutex
 	winner *Exchange
-	over   chan struct{}
-	// ended is set when the first attempt has ended.
-	ended        bool
-	cancelFirst  context.CancelFunc
+	// ended is set when the first attempt has ended, and over, if there is one, is closed.
+	ended bool
+	over  chan struct{}
+	// second is set once a second attempt runs; done is closed at its end.
+	second       bool
 	cancelSecond context.CancelFunc
-	// second is set while or after a second attempt runs; done is closed at its end.
-	second    bool
-	done      chan struct{}
-	secondErr error
+	done         chan struct{}
+	secondErr    error
 }
 
-// race runs the first attempt in this goroutine. The second one costs a goroutine only if it is due.
+// race runs the first attempt in this goroutine. The second one costs a goroutine only if it may be due.
 func (t *trial) race(g grant.Grant) (*Exchange, error) {
-	ctx, cancel := context.WithCancel(t.x.ctx)
-	r := &race{trial: t, cancelFirst: cancel, over: make(chan struct{})}
-	r.first = t.x.fork(ctx, g)
-	r.first.release = cancel
+	r := &race{trial: t, first: *t.x, began: time.Now()}
+	r.first.grant = g
+	r.first.abort = &r.abort
+	r.first.answering = &r.answering
 	delay := adviseDelay
 	if t.x.match.Priority == priority.Urgent {
 		if r.hedge = t.cfg.Grants.HedgeDelay(t.x.match.Service); r.hedge > 0 {
@@ -51,31 +56,17 @@
 			delay = min(delay, r.hedge)
 		}
 	}
-	r.timer = time.AfterFunc(delay, func() { r.supervise(delay) })
-	err := t.next.Handle(r.first)
+	timer := time.AfterFunc(delay, r.supervise)
+	err := t.next.Handle(&r.first)
+	timer.Stop()
 	return r.finish(err)
 }
 
 // finish ends the first attempt and, if that failed, waits for the second one.
 func (r *race) finish(err error) (*Exchange, error) {
-	r.timer.Stop()
-	r.mu.Lock()
-	r.ended = true
-	if err == nil && r.winner == nil {
-		r.winner = r.first
-	}
-	won := r.winner == r.first
-	second := r.second
-	r.x.hedged = r.x.hedged || second
-	if won && r.cancelSecond != nil {
-		r.cancelSecond()
-	}
-	if won || !second {
-		close(r.over)
-	}
-	r.mu.Unlock()
+	won, second := r.endFirst(err)
 	if won {
-		return r.first, nil
+		return &r.first, nil
 	}
 	r.first.discard()
 	if !second {
@@ -84,6 +75,24 @@
 	return r.awaitSecond(err)
 }
 
+func (r *race) endFirst(err error) (won, second bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.ended = true
+	if err == nil && r.winner == nil {
+		r.winner = &r.first
+	}
+	if r.over != nil {
+		close(r.over)
+	}
+	won = r.winner == &r.first
+	if won && r.cancelSecond != nil {
+		r.cancelSecond()
+	}
+	r.x.hedged = r.x.hedged || r.second
+	return won, r.second
+}
+
 func (r *race) awaitSecond(err error) (*Exchange, error) {
 	<-r.done
 	if r.winner != nil {
@@ -108,24 +117,21 @@
 }
 
 // supervise waits until a second attempt is due and runs it.
-func (r *race) supervise(waited time.Duration) {
-	purpose, due := r.due(waited)
+func (r *race) supervise() {
+	over := r.watch()
+	if over == nil {
+		return
+	}
+	purpose, due := r.due(over)
 	if !due {
 		return
 	}
 	ctx, cancel := context.WithCancel(r.x.ctx)
-	r.mu.Lock()
-	if r.ended {
-		r.mu.Unlock()
+	request, ok := r.join(cancel)
+	if !ok {
 		cancel()
 		return
 	}
-	r.second = true
-	r.done = make(chan struct{})
-	r.cancelSecond = cancel
-	request := r.request
-	request.Exclude = r.excluded()
-	r.mu.Unlock()
 	defer close(r.done)
 	request.Purpose = purpose
 	if err := r.runSecond(ctx, cancel, request); err != nil {
@@ -134,26 +140,57 @@
 	}
 }
 
+// watch returns a channel that is closed at the end of the first attempt, or nil if it has ended.
+func (r *race) watch() <-chan struct{} {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.ended {
+		return nil
+	}
+	r.over = make(chan struct{})
+	return r.over
+}
+
 // due blocks until a hedge or an advised retry is due, or the first attempt has ended.
-func (r *race) due(waited time.Duration) (grant.Purpose, bool) {
+func (r *race) due(over <-chan struct{}) (grant.Purpose, bool) {
 	var hedge <-chan time.Time
 	if r.hedge > 0 {
-		timer := time.NewTimer(r.hedge - waited)
+		timer := time.NewTimer(time.Until(r.began.Add(r.hedge)))
 		defer timer.Stop()
 		hedge = timer.C
 	}
-	select {
-	case <-r.first.grant.Advised():
-		return grant.Retry, true
-	case <-hedge:
-		return grant.Hedge, true
-	case <-r.over:
-		return 0, false
-	case <-r.first.ctx.Done():
-		return 0, false
+	for {
+		select {
+		case <-r.first.grant.Advised():
+			return grant.Retry, true
+		case <-hedge:
+			if !r.answering.Load() {
+				return grant.Hedge, true
+			}
+			hedge = nil
+		case <-over:
+			return 0, false
+		case <-r.x.ctx.Done():
+			return 0, false
+		}
 	}
 }
 
+// join registers the second attempt, unless the first one has ended.
+func (r *race) join(cancel context.CancelFunc) (request grant.Request, ok bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.ended {
+		return grant.Request{}, false
+	}
+	r.second = true
+	r.done = make(chan struct{})
+	r.cancelSecond = cancel
+	request = r.request
+	request.Exclude = r.excluded()
+	return request, true
+}
+
 func (r *race) runSecond(ctx context.Context, cancel context.CancelFunc, request grant.Request) error {
 	g, err := r.cfg.Grants.Acquire(ctx, request)
 	if err != nil {
@@ -168,7 +205,7 @@
 	won := r.winner == nil
 	if won {
 		r.winner = child
-		r.cancelFirst()
+		r.abort.Abort()
 	}
 	r.mu.Unlock()
 	if !won {
--- a/internal/entry/relay.go
+++ b/internal/entry/relay.go
@@ -69,7 +69,7 @@
 			return nil
 		}
 		if readErr != nil {
-			winner.complete(resultOfContext(x.ctx, grant.Broken))
+			winner.complete(resultOfEnd(x.ctx, readErr, grant.Broken))
 			return errBroken
 		}
 		if winner.answer.Length < 0 {
--- a/internal/entry/roundtrip/errors.go
+++ b/internal/entry/roundtrip/errors.go
@@ -55,6 +55,8 @@
 var (
 	// ErrNotStarted means that Request.Start forbade the write.
 	ErrNotStarted = errors.New("the request was withdrawn before it was written; acquire a new grant")
+	// ErrAborted means that Abort was called.
+	ErrAborted = errors.New("the attempt was aborted, since another one answered; no action is needed")
 	// ErrNoConnection means that all connections to the server stayed busy.
 	ErrNoConnection = errors.New("all connections to the backend server are busy; retry later")
 	// ErrNoLength means that an answer's end cannot be told from a broken connection.
--- a/internal/entry/roundtrip/roundtrip.go
+++ b/internal/entry/roundtrip/roundtrip.go
@@ -52,6 +52,8 @@
 	Start func() bool
 	// FirstByte is called when the answer begins.
 	FirstByte func()
+	// Abort, if set, can end the round trip from another goroutine.
+	Abort *Abort
 }
 
 // Answer is the answer to one request. Close must be called exactly once.
@@ -66,6 +68,7 @@
 	conn   *conn
 	body   io.ReadCloser
 	detach func() bool
+	abort  *Abort
 	sender *sender
 	whole  bool
 	last   bool
@@ -92,10 +95,14 @@
 		return nil, failure
 	}
 	c.written.Store(0)
-	a := &Answer{ctx: ctx, pool: p, conn: c}
+	a := &Answer{ctx: ctx, pool: p, conn: c, abort: r.Abort}
+	if !a.abort.attach(c) {
+		p.release(c, true)
+		return nil, &Error{Stage: Start, Err: ErrAborted}
+	}
 	a.detach = context.AfterFunc(ctx, c.abort)
 	if r.Start != nil && !r.Start() {
-		p.release(c, a.detach())
+		p.release(c, a.release())
 		return nil, &Error{Stage: Start, Err: ErrNotStarted}
 	}
 	if failure := a.exchange(r); failure != nil {
@@ -306,7 +313,7 @@
 
 // Close ends the request. The connection is reused if the answer was read to its end.
 func (a *Answer) Close() {
-	attached := a.detach()
+	attached := a.release()
 	sent := a.stopSender()
 	a.pool.release(a.conn, a.whole && attached && sent && !a.last)
 }
@@ -316,17 +323,32 @@
 	return a.whole
 }
 
+// Buffered tells whether the rest of the answer can be read without waiting.
+func (a *Answer) Buffered() bool {
+	return a.Length >= 0 && int64(a.conn.br.Buffered()) >= a.Length
+}
+
+// release lets go of the connection. It returns false if the connection was or is being closed
+// by the context or by Abort.
+func (a *Answer) release() bool {
+	detached := a.abort.detach()
+	return a.detach() && detached
+}
+
 func (a *Answer) giveUp() {
-	a.detach()
+	a.release()
 	a.conn.abort()
 	a.stopSender()
 	a.pool.release(a.conn, false)
 }
 
-// cause prefers the end of the context over the error of the connection that was closed for it.
+// cause prefers the end of the context or an abort over the error of the connection that was closed for it.
 func (a *Answer) cause(err error) error {
 	if a.ctx.Err() != nil {
 		return context.Cause(a.ctx)
 	}
+	if a.abort.ended() {
+		return ErrAborted
+	}
 	return err
 }
