--- a/internal/app/node.go
+++ b/internal/app/node.go
@@ -25,7 +25,6 @@
 	"github.com/tarragonmux/tarragonmux/internal/hostset"
 	"github.com/tarragonmux/tarragonmux/internal/logging"
 	"github.com/tarragonmux/tarragonmux/internal/membership"
-	"github.com/tarragonmux/tarragonmux/internal/metrics"
 	"github.com/tarragonmux/tarragonmux/internal/records"
 	"github.com/tarragonmux/tarragonmux/internal/settings"
 	"github.com/tarragonmux/tarragonmux/internal/transport"
@@ -252,6 +251,10 @@
 }
 
 func newEntryServer(o Options, s *settings.Settings, st *store.Store, grants grant.Source, claimer *records.Claimer, m *membership.Runner, directory *hostset.Directory, recorder *burn.Recorder, registry *prometheus.Registry, logger *log.Logger) (*entry.Server, error) {
+	requests, err := entry.NewMetrics(registry)
+	if err != nil {
+		return nil, err
+	}
 	return entry.New(entry.Config{
 		Settings:  *s.Entry,
 		Routes:    st,
@@ -260,7 +263,7 @@
 		Backends:  m,
 		Endpoints: endpoints(directory),
 		Ready:     st.Ready,
-		Observer:  entry.Observers{metrics.NewRequests(registry), burnObserver{recorder}},
+		Observer:  entry.Observers{requests, burnObserver{recorder}},
 		Log:       logger,
 		Pool:      roundtrip.Config{Dial: backendDial(o)},
 	})
--- a/internal/cli/bench.go
+++ b/internal/cli/bench.go
@@ -10,8 +10,9 @@
 )
 
 type benchCommands struct {
-	Decisions decisionsCommand `cmd:"" help:"Measure how well the fleet decides, beside baselines."`
-	Soak      soakCommand      `cmd:"" help:"Run a fleet under random faults and check its promises."`
+	Decisions decisionsCommand  `cmd:"" help:"Measure how well the fleet decides, beside baselines."`
+	Entry     entryBenchCommand `cmd:"" help:"Measure the request path of one entry host against direct calls."`
+	Soak      soakCommand       `cmd:"" help:"Run a fleet under random faults and check its promises."`
 }
 
 // benchOutput prints rows for people or for programs.
