--- a/internal/cli/process.go
+++ b/internal/cli/process.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"os"
 	"time"
 
@@ -109,20 +110,20 @@
 }
 
 type checkSettingsCommand struct {
-	Files         []string `arg:"" help:"Settings files." type:"existingfile"`
-	Configuration bool     `help:"The files are configuration documents."`
+	Files []string `arg:"" help:"Settings files and configuration documents, told apart by their content." type:"existingfile"`
 }
 
 // Run validates each file and fails if one is at fault.
 func (c *checkSettingsCommand) Run(out *output) error {
 	failed := false
 	for _, path := range c.Files {
-		if err := c.check(path); err != nil {
+		kind, err := checkFile(path)
+		if err != nil {
 			failed = true
 			out.warnf("%s:\n%v\n", path, err)
 			continue
 		}
-		if err := out.printf("%s: valid\n", path); err != nil {
+		if err := out.printf("%s: valid %s\n", path, kind); err != nil {
 			return err
 		}
 	}
@@ -132,21 +133,35 @@
 	return nil
 }
 
-func (c *checkSettingsCommand) check(path string) error {
-	if !c.Configuration {
-		_, err := settings.Load(path)
-		return err
-	}
+// checkFile returns what the file holds.
+func checkFile(path string) (kind string, err error) {
 	data, err := os.ReadFile(path)
 	if err != nil {
-		return errors.Wrap(err, "read the configuration file; check its path")
+		return "", errors.Wrap(err, "read the file; check its path")
+	}
+	if !isConfiguration(data) {
+		_, err := settings.Parse(data)
+		return "settings", err
 	}
 	document, err := configuration.ParseDocument(data)
 	if err != nil {
-		return err
+		return "", err
 	}
 	if rejection := configuration.ValidateDocument(document); rejection != nil {
-		return rejection
+		return "", rejection
 	}
-	return nil
+	return "configuration", nil
+}
+
+// isConfiguration tells a configuration document from settings by the parts that only it has.
+func isConfiguration(data []byte) bool {
+	var parts struct {
+		Services json.RawMessage `json:"services"`
+		Routes   json.RawMessage `json:"routes"`
+		Hosts    json.RawMessage `json:"hosts"`
+	}
+	if err := json.Unmarshal(data, &parts); err != nil {
+		return false
+	}
+	return parts.Services != nil || parts.Routes != nil || parts.Hosts != nil
 }
--- a/internal/cli/target.go
+++ b/internal/cli/target.go
@@ -11,7 +11,7 @@
 // target says which fleet an operator command talks to.
 type target struct {
 	Control  []string `help:"Fleet addresses (ip:port) of control replicas." env:"TARRAGONMUX_CONTROL" placeholder:"ADDRESS"`
-	Settings string   `help:"Settings file to take the control replicas from." env:"TARRAGONMUX_SETTINGS" type:"path" placeholder:"FILE"`
+	Settings string   `help:"Settings file to take the control replicas from." env:"TARRAGONMUX_SETTINGS" placeholder:"FILE"`
 	JSON     bool     `help:"Print JSON for programs."`
 }
 
