--- a/internal/configuration/control/doc.go
+++ b/internal/configuration/control/doc.go
@@ -16,7 +16,7 @@
 // accepted request that is sent again gets its first verdict and revision, also from
 // another replica, after a restart and after compaction, since the table of request ids is
 // derived from the log. Rejections follow from the document and the change and are
-// computed again, as long as the document at the expected revision is among the newest 64.
+// computed again, as long as the document at the expected revision is among the newest 32.
 //
 // # Refusals
 //
--- a/internal/configuration/control/ledger.go
+++ b/internal/configuration/control/ledger.go
@@ -18,7 +18,7 @@
 	// requestRevisions is for how many revisions a request id is remembered.
 	requestRevisions = 10_000
 	// keptDocuments is how many of the newest documents are kept to validate resends.
-	keptDocuments = 64
+	keptDocuments = 32
 	// keptEntries is how many of the newest entries a snapshot carries for the history.
 	keptEntries = 256
 	// keptEntryBytes bounds these entries in bytes.
--- a/internal/configuration/control/log.go
+++ b/internal/configuration/control/log.go
@@ -25,8 +25,8 @@
 	readTimeout = time.Second
 	// proposeTimeout bounds one proposal.
 	proposeTimeout = 3 * time.Second
-	// compactEvery is how many registers accumulate before they are replaced by a snapshot.
-	compactEvery = 1024
+	// defaultCompactEvery is how many registers accumulate before they are replaced by a snapshot.
+	defaultCompactEvery = 1024
 )
 
 // Compactor replaces the registers of a chain below the floor by a snapshot at this replica.
@@ -65,7 +65,9 @@
 	Fleet Fleet
 	// Capacity may be nil; then there are no warnings.
 	Capacity Capacity
-	Logger   *log.Logger
+	// CompactEvery is how many registers accumulate before they are replaced by a snapshot; 0 means 1,024.
+	CompactEvery uint64
+	Logger       *log.Logger
 }
 
 // Log follows the chain of configuration registers and serves operators and the feed. It
@@ -84,6 +86,9 @@
 
 // New returns a log that knows nothing until Run or the first request reads the chain.
 func New(o Options) *Log {
+	if o.CompactEvery == 0 {
+		o.CompactEvery = defaultCompactEvery
+	}
 	return &Log{
 		options:   o,
 		tail:      feed.NewTail(),
@@ -229,7 +234,7 @@
 func (l *Log) dueSnapshot() (floor uint64, data []byte, due bool, err error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.ledger.documents[0].GetRevision()+1 < l.floor+compactEvery {
+	if l.ledger.documents[0].GetRevision()+1 < l.floor+l.options.CompactEvery {
 		return 0, nil, false, nil
 	}
 	floor, data, err = l.ledger.snapshot()
