Keep the outgoing request in the exchange

Functions, the list of extra headers and the request itself were allocated for each attempt. bench entry, 4 workers, 1 KiB answers: 83.9 to 78.9 allocations per request (two runs each); times scatter too much on the busy machine to compare.

--- a/internal/entry/exchange.go
+++ b/internal/entry/exchange.go
@@ -45,8 +45,9 @@
 	record *attempt.Answer
 
 	// The following belong to one attempt.
-	grant  grant.Grant
-	answer *roundtrip.Answer
+	grant   grant.Grant
+	request roundtrip.Request
+	answer  *roundtrip.Answer
 	// release ends the attempt's context; nil if it has none of its own.
 	release context.CancelFunc
 	// abort and answering belong to the first attempt of a race; nil otherwise.
--- a/internal/entry/forward.go
+++ b/internal/entry/forward.go
@@ -4,7 +4,6 @@
 	"context"
 	"io"
 	"net/http"
-	"slices"
 	"time"
 
 	"github.com/pkg/errors"
@@ -46,10 +45,12 @@
 }
 
 func (f *forward) outgoing(x *Exchange) *roundtrip.Request {
-	r := &roundtrip.Request{
-		Method: x.r.Method, Target: target(x.r), Host: x.r.Host, Header: x.r.Header, Skip: skipper(x.r.Header),
-		MaxIdle: roundtrip.DefaultIdleTimeout, Until: x.grant.Expires(), Start: x.begin, FirstByte: x.firstByte, Abort: x.abort,
-		Extra: []roundtrip.Field{
+	r := &x.request
+	*r = roundtrip.Request{
+		Method: x.r.Method, Target: target(x.r), Host: x.r.Host,
+		Header: x.r.Header, Skip: skipped, Dropped: connectionNames(x.r.Header),
+		MaxIdle: roundtrip.DefaultIdleTimeout, Until: x.grant.Expires(), Events: (*events)(x), Abort: x.abort,
+		Extra: [roundtrip.ExtraFields]roundtrip.Field{
 			{Name: headerRequestID, Value: x.id},
 			{Name: headerTimeout, Value: formatTimeout(time.Until(x.deadline))},
 			{Name: "Via", Value: viaValue},
@@ -68,16 +69,9 @@
 	return r
 }
 
-// skipper tells which of the caller's headers end at the proxy.
-func skipper(h http.Header) func(string) bool {
-	listed := connectionNames(h)
-	return func(name string) bool {
-		switch name {
-		case headerRequestID, headerTimeout:
-			return true
-		}
-		return hopByHop(name) || hasInternalPrefix(name) || slices.Contains(listed, name)
-	}
+// skipped tells which of the caller's headers end at the proxy or are set by it.
+func skipped(name string) bool {
+	return name == headerRequestID || name == headerTimeout || hopByHop(name) || hasInternalPrefix(name)
 }
 
 func hasInternalPrefix(name string) bool {
@@ -92,8 +86,12 @@
 	return r.URL.RequestURI()
 }
 
-// begin is called just before the first byte is written.
-func (x *Exchange) begin() bool {
+// events is what an attempt does as its round trip proceeds.
+type events Exchange
+
+// Start implements roundtrip.Events.
+func (e *events) Start() bool {
+	x := (*Exchange)(e)
 	if !x.start() {
 		return false
 	}
@@ -101,7 +99,9 @@
 	return true
 }
 
-func (x *Exchange) firstByte() {
+// FirstByte implements roundtrip.Events.
+func (e *events) FirstByte() {
+	x := (*Exchange)(e)
 	x.first = time.Since(x.sent)
 	if x.answering != nil {
 		x.answering.Store(true)
--- a/internal/entry/roundtrip/roundtrip.go
+++ b/internal/entry/roundtrip/roundtrip.go
@@ -5,6 +5,7 @@
 	"context"
 	"io"
 	"net/http"
+	"slices"
 	"strconv"
 	"sync/atomic"
 	"time"
@@ -25,17 +26,31 @@
 	Value string
 }
 
+// ExtraFields is the number of headers that Send can add.
+const ExtraFields = 3
+
+// Events hears of the progress of one round trip. An interface costs no allocation per request,
+// as two functions would.
+type Events interface {
+	// Start is called when a connection is ready, just before the first byte is written.
+	// If it returns false, nothing is written.
+	Start() bool
+	// FirstByte is called when the answer begins.
+	FirstByte()
+}
+
 // Request is one request to a backend server. It is not changed by Send.
 type Request struct {
 	Method string
 	// Target is path and query as they appear on the wire.
 	Target string
 	Host   string
-	// Header holds the caller's headers; those for which Skip is true are left out.
-	Header http.Header
-	Skip   func(name string) bool
-	// Extra headers are added.
-	Extra []Field
+	// Header holds the caller's headers; those for which Skip is true and those in Dropped are left out.
+	Header  http.Header
+	Skip    func(name string) bool
+	Dropped []string
+	// Extra headers are added; those without a name are not.
+	Extra [ExtraFields]Field
 	// Body is sent if Stream is nil.
 	Body []byte
 	// Stream is sent instead of Body; Length is its length in bytes, or -1 if it is unknown.
@@ -47,11 +62,8 @@
 	MaxIdle time.Duration
 	// Until bounds the wait for a free connection.
 	Until time.Time
-	// Start is called when a connection is ready, just before the first byte is written.
-	// If it returns false, nothing is written.
-	Start func() bool
-	// FirstByte is called when the answer begins.
-	FirstByte func()
+	// Events, if set, hears of the progress.
+	Events Events
 	// Abort, if set, can end the round trip from another goroutine.
 	Abort *Abort
 }
@@ -101,7 +113,7 @@
 		return nil, &Error{Stage: Start, Err: ErrAborted}
 	}
 	a.detach = context.AfterFunc(ctx, c.abort)
-	if r.Start != nil && !r.Start() {
+	if r.Events != nil && !r.Events.Start() {
 		p.release(c, a.release())
 		return nil, &Error{Stage: Start, Err: ErrNotStarted}
 	}
@@ -216,7 +228,7 @@
 	_, _ = bw.WriteString(" HTTP/1.1\r\n")
 	writeField(bw, "Host", r.Host)
 	for name, values := range r.Header {
-		if framing(name) || r.Skip != nil && r.Skip(name) {
+		if framing(name) || r.Skip != nil && r.Skip(name) || slices.Contains(r.Dropped, name) {
 			continue
 		}
 		for _, value := range values {
@@ -224,6 +236,9 @@
 		}
 	}
 	for _, f := range r.Extra {
+		if f.Name == "" {
+			break
+		}
 		writeField(bw, f.Name, f.Value)
 	}
 	switch {
@@ -262,8 +277,8 @@
 	if _, err := c.br.Peek(1); err != nil {
 		return &Error{Stage: Await, Err: err}
 	}
-	if r.FirstByte != nil {
-		r.FirstByte()
+	if r.Events != nil {
+		r.Events.FirstByte()
 	}
 	request := getRequest
 	if r.Method == http.MethodHead {
--- a/internal/entry/roundtrip/roundtrip_test.go
+++ b/internal/entry/roundtrip/roundtrip_test.go
@@ -150,6 +150,12 @@
 	g.Expect(seen.Load()).To(BeEquivalentTo(2))
 }
 
+// forbid withdraws every request.
+type forbid struct{}
+
+func (forbid) Start() bool { return false }
+func (forbid) FirstByte()  {}
+
 // Written decides between not-run and unknown: it must be false before and true after the first byte.
 func TestWrittenIsTruthful(t *testing.T) {
 	g := NewWithT(t)
@@ -177,7 +183,7 @@
 		})
 	}
 	withdrawn := get("/")
-	withdrawn.Start = func() bool { return false }
+	withdrawn.Events = forbid{}
 	expect(reads(""), withdrawn, roundtrip.Start, false)
 	expect(reads(""), get("/"), roundtrip.Await, true)
 	expect(reads("HTTP/1.1 200"), get("/"), roundtrip.Head, true)
