Save allocations at headers, quota and the check of idle connections

A formatted argument of an invariant that holds, an error for host names without a port, the closure of the peek and two header slices were allocated for each request. bench entry, 4 workers, 1 KiB answers: 78.9 to 73.4 allocations per request (two runs each); times scatter too much on the busy machine to compare.

--- a/internal/entry/exchange.go
+++ b/internal/entry/exchange.go
@@ -21,6 +21,7 @@
 	r        *http.Request
 	arrived  time.Time
 	id       string
+	idHeader [1]string
 	snapshot route.Snapshot
 	match    route.Match
 	matched  bool
--- a/internal/entry/quota.go
+++ b/internal/entry/quota.go
@@ -64,11 +64,15 @@
 func (s *quotaShard) leave(team string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	invariant.Check(s.inFlight[team] > 0, "entry.quota", "team %q leaves without having entered", team)
-	s.inFlight[team]--
-	if s.inFlight[team] == 0 {
+	count := s.inFlight[team]
+	if !invariant.Check(count > 0, "entry.quota", "a team leaves without having entered") {
+		return
+	}
+	if count == 1 {
 		delete(s.inFlight, team)
+		return
 	}
+	s.inFlight[team] = count - 1
 }
 
 func teamBucket(team string) int {
--- a/internal/entry/relay.go
+++ b/internal/entry/relay.go
@@ -13,6 +13,9 @@
 	"github.com/tarragonmux/tarragonmux/internal/grant"
 )
 
+// viaHeader is shared by all answers and never changed.
+var viaHeader = []string{viaValue}
+
 var copyBuffers = sync.Pool{New: func() any { return new([copyBytes]byte) }}
 
 // relay sends the winner's answer to the caller. If it breaks off, the caller's connection breaks too.
@@ -106,8 +109,13 @@
 	if x.unread() {
 		to["Connection"] = []string{"close"}
 	}
-	to[headerRequestID] = []string{x.id}
-	to["Via"] = append(slices.Clip(to["Via"]), viaValue)
+	x.idHeader[0] = x.id
+	to[headerRequestID] = x.idHeader[:]
+	if via := to["Via"]; len(via) > 0 {
+		to["Via"] = append(slices.Clip(via), viaValue)
+		return
+	}
+	to["Via"] = viaHeader
 }
 
 // recordedHeader copies what a replay sends again; the rest belongs to one answer only.
--- a/internal/entry/roundtrip/conn.go
+++ b/internal/entry/roundtrip/conn.go
@@ -21,6 +21,10 @@
 	idleSince  time.Time
 	closeOnce  sync.Once
 	raw        syscall.RawConn
+	// peek is the method look, kept to save an allocation per request; peeked and silent are its results.
+	peek   func(fd uintptr) bool
+	peeked [1]byte
+	silent bool
 }
 
 func newConn(nc net.Conn, s *server) *conn {
@@ -30,6 +34,7 @@
 	if sc, ok := nc.(syscall.Conn); ok {
 		// Without a raw connection only the idle time guards reuse.
 		c.raw, _ = sc.SyscallConn()
+		c.peek = c.look
 	}
 	return c
 }
@@ -72,12 +77,13 @@
 	if c.raw == nil {
 		return true
 	}
-	quiet := false
-	err := c.raw.Read(func(fd uintptr) bool {
-		var b [1]byte
-		_, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		quiet = err == syscall.EAGAIN || err == syscall.EWOULDBLOCK
-		return true
-	})
-	return err == nil && quiet
+	c.silent = false
+	return c.raw.Read(c.peek) == nil && c.silent
+}
+
+// look sets silent if the socket is open and has nothing to read. It never waits.
+func (c *conn) look(fd uintptr) (done bool) {
+	_, _, err := syscall.Recvfrom(int(fd), c.peeked[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+	c.silent = err == syscall.EAGAIN || err == syscall.EWOULDBLOCK
+	return true
 }
--- a/internal/entry/routing.go
+++ b/internal/entry/routing.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net"
 	"slices"
+	"strings"
 
 	"github.com/tarragonmux/tarragonmux/internal/problem"
 )
@@ -44,7 +45,11 @@
 	return f.next.Handle(x)
 }
 
+// hostName cuts the port off. SplitHostPort allocates an error if there is none.
 func hostName(host string) string {
+	if !strings.Contains(host, ":") {
+		return host
+	}
 	name, _, err := net.SplitHostPort(host)
 	if err != nil {
 		return host
