--- a/internal/entry/exchange.go
+++ b/internal/entry/exchange.go
@@ -21,6 +21,7 @@
 	r        *http.Request
 	arrived  time.Time
 	id       string
+	idHeader [1]string
 	snapshot route.Snapshot
 	match    route.Match
 	matched  bool
@@ -45,8 +46,9 @@
 	record *attempt.Answer
 
 	// The following belong to one attempt.
-	grant  grant.Grant
-	answer *roundtrip.Answer
+	grant   grant.Grant
+	request roundtrip.Request
+	answer  *roundtrip.Answer
 	// release ends the attempt's context; nil if it has none of its own.
 	release context.CancelFunc
 	// abort and answering belong to the first attempt of a race; nil otherwise.
