--- a/internal/bench/localfleet/config.go
+++ b/internal/bench/localfleet/config.go
@@ -7,6 +7,7 @@
 
 	"github.com/tarragonmux/tarragonmux/internal/app"
 	"github.com/tarragonmux/tarragonmux/internal/bench/netem"
+	"github.com/tarragonmux/tarragonmux/internal/transport"
 	"github.com/tarragonmux/tarragonmux/proto/configpb"
 )
 
@@ -42,6 +43,8 @@
 	Teams    []*configpb.Team
 	// Network emulates latency and faults; nil means plain loopback.
 	Network *netem.Network
+	// WrapDialer may wrap the dialer with which a host reaches other hosts, to count what it sends. It may be nil.
+	WrapDialer func(host string, next transport.Dialer) transport.Dialer
 	// Grants replaces the dispatchers by a baseline; nil means the dispatchers.
 	Grants app.GrantsFactory
 	// EndpointTTL is what callers are told; 0 means 1 s.
--- a/internal/bench/localfleet/host.go
+++ b/internal/bench/localfleet/host.go
@@ -14,6 +14,7 @@
 	"github.com/tarragonmux/tarragonmux/internal/app"
 	"github.com/tarragonmux/tarragonmux/internal/bench/netem"
 	"github.com/tarragonmux/tarragonmux/internal/settings"
+	"github.com/tarragonmux/tarragonmux/internal/transport"
 )
 
 const (
@@ -67,6 +68,12 @@
 		options.Dialer = network.Dialer(place)
 		options.BackendDialer = network.Dialer(place)
 	}
+	if wrap := h.fleet.config.WrapDialer; wrap != nil {
+		if options.Dialer == nil {
+			options.Dialer = transport.NewDialer()
+		}
+		options.Dialer = wrap(h.ID, options.Dialer)
+	}
 	return options
 }
 
--- /dev/null
+++ b/internal/bench/slopes/fleet.go
@@ -0,0 +1,214 @@
+package slopes
+
+import (
+	"context"
+	"net"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/tarragonmux/tarragonmux/internal/bench/load"
+	"github.com/tarragonmux/tarragonmux/internal/bench/localfleet"
+	"github.com/tarragonmux/tarragonmux/internal/bench/scenario"
+	"github.com/tarragonmux/tarragonmux/internal/transport"
+)
+
+const (
+	kilobyte = 1 << 10
+	// defaultSpan is how long one fleet is measured.
+	defaultSpan = 5 * time.Second
+	minimumSpan = 2 * time.Second
+	settle      = 2 * time.Second
+	// fleets is how many fleets a run measures, to share the time.
+	fleets         = 12
+	fleetOverhead  = 5 * time.Second
+	startTimeout   = time.Minute
+	callers        = 40
+	targetRate     = 120 // requests a second and node: 180,000 over 1,500 nodes
+	serversPerNode = 0.5
+)
+
+// counter counts the bytes that hosts exchange with each other.
+type counter struct {
+	bytes atomic.Int64
+}
+
+type countingDialer struct {
+	next    transport.Dialer
+	counter *counter
+}
+
+// DialContext opens a counted connection.
+func (d *countingDialer) DialContext(ctx context.Context, network, address string) (net.Conn, error) {
+	conn, err := d.next.DialContext(ctx, network, address)
+	if err != nil {
+		return nil, err
+	}
+	return &countingConn{Conn: conn, counter: d.counter}, nil
+}
+
+type countingConn struct {
+	net.Conn
+	counter *counter
+}
+
+// Read counts what arrives.
+func (c *countingConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.counter.bytes.Add(int64(n))
+	return n, err
+}
+
+// Write counts what leaves.
+func (c *countingConn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	c.counter.bytes.Add(int64(n))
+	return n, err
+}
+
+// sample is what one node of a fleet costs.
+type sample struct {
+	// bytes a second that a node sends and receives over fleet connections.
+	bytes float64
+	// cpu in percent of a core.
+	cpu float64
+	// memory in MB.
+	memory float64
+	// requests a second and node.
+	requests float64
+}
+
+// fleetSlopes measures whole fleets at several numbers of nodes, servers and requests.
+func fleetSlopes(ctx context.Context, o Options) ([]Series, error) {
+	var all []Series
+	for _, run := range []func(context.Context, Options) ([]Series, error){byNodes, byServers, byRate} {
+		series, err := run(ctx, o)
+		if err != nil {
+			return all, err
+		}
+		all = append(all, series...)
+	}
+	return all, nil
+}
+
+func byNodes(ctx context.Context, o Options) ([]Series, error) {
+	bytes := Series{Role: "node", Figure: "control traffic, idle", Unit: "KB/s", Per: "node of the fleet"}
+	cpu := Series{Role: "node", Figure: "processor time, idle", Unit: "% of a core", Per: "node of the fleet"}
+	memory := Series{Role: "node", Figure: "memory, idle", Unit: "MB", Per: "node of the fleet"}
+	for _, nodes := range []int{6, 12, 24, 48} {
+		s, err := measure(ctx, o, nodes, 24, 0)
+		if err != nil {
+			return nil, err
+		}
+		bytes.add(float64(nodes), s.bytes/kilobyte)
+		cpu.add(float64(nodes), s.cpu)
+		memory.add(float64(nodes), s.memory)
+		o.progress("%d nodes, 24 servers, idle: %+v", nodes, s)
+	}
+	return []Series{bytes.fit(targetNodes), cpu.fit(targetNodes), memory.fit(targetNodes)}, nil
+}
+
+func byServers(ctx context.Context, o Options) ([]Series, error) {
+	const nodes = 12
+	// At the target a node is in the host sets of 480 * 48 / 1,500 services with 37.5 servers each.
+	const target = 480.0 * hostSet / targetNodes * targetServers
+	bytes := Series{Role: "node", Figure: "control traffic, idle", Unit: "KB/s", Per: "server in the node's host sets"}
+	cpu := Series{Role: "node", Figure: "processor time, idle", Unit: "% of a core", Per: "server in the node's host sets"}
+	for _, servers := range []int{12, 24, 48, 96} {
+		s, err := measure(ctx, o, nodes, servers, 0)
+		if err != nil {
+			return nil, err
+		}
+		bytes.add(float64(servers), s.bytes/kilobyte)
+		cpu.add(float64(servers), s.cpu)
+		o.progress("%d nodes, %d servers, idle: %+v", nodes, servers, s)
+	}
+	return []Series{bytes.fit(target), cpu.fit(target)}, nil
+}
+
+func byRate(ctx context.Context, o Options) ([]Series, error) {
+	const nodes = 12
+	bytes := Series{Role: "node", Figure: "grant traffic with control traffic", Unit: "KB/s", Per: "request a second and node"}
+	cpu := Series{Role: "node", Figure: "processor time with callers and stand-ins", Unit: "% of a core", Per: "request a second and node"}
+	for _, rate := range []float64{0, 10, 20, 40} {
+		s, err := measure(ctx, o, nodes, 48, rate)
+		if err != nil {
+			return nil, err
+		}
+		bytes.add(s.requests, s.bytes/kilobyte)
+		cpu.add(s.requests, s.cpu)
+		o.progress("%d nodes, 48 servers, %.0f requests a second and node: %+v", nodes, rate, s)
+	}
+	return []Series{bytes.fit(targetRate), cpu.fit(targetRate)}, nil
+}
+
+func span(o Options) time.Duration {
+	if o.For <= 0 {
+		return defaultSpan
+	}
+	return min(defaultSpan, max(minimumSpan, o.For/fleets-fleetOverhead))
+}
+
+// measure runs one fleet and returns what a node costs.
+func measure(ctx context.Context, o Options, nodes, servers int, ratePerNode float64) (sample, error) {
+	c := &counter{}
+	before := heap()
+	fleet, user, err := startFleet(ctx, c, nodes, servers)
+	if err != nil {
+		return sample{}, err
+	}
+	defer fleet.Kill()
+	class := load.Class{Name: "gets", Service: user.Backends[0].Service, Path: user.Routes[0].GetPathPrefix(), Rate: ratePerNode * float64(nodes), Deadline: 2 * time.Second}
+	l := load.New(load.Config{Entries: fleet.EntryAddresses(), Callers: callers, Classes: []load.Class{class}, Seed: 1})
+	loadCtx, stop := context.WithCancel(ctx)
+	done := make(chan struct{})
+	go func() {
+		l.Run(loadCtx)
+		close(done)
+	}()
+	time.Sleep(settle)
+	s := observe(c, l, class.Name, span(o), nodes)
+	s.memory = float64(heap()-before) / float64(nodes) / megabyte
+	stop()
+	<-done
+	return s, nil
+}
+
+func startFleet(ctx context.Context, c *counter, nodes, servers int) (*localfleet.Fleet, scenario.User, error) {
+	user := scenario.Hanbit()
+	user.Backends = []localfleet.Backends{{Service: "cuefeed", Instances: servers, Slots: slots, Connections: 330, WorkTime: 20 * time.Millisecond}}
+	user.Services = user.Services[:1]
+	user.Routes = user.Routes[:1]
+	config := user.Fleet(nodes, 3)
+	config.WrapDialer = func(_ string, next transport.Dialer) transport.Dialer {
+		return &countingDialer{next: next, counter: c}
+	}
+	ctx, cancel := context.WithTimeout(ctx, startTimeout)
+	defer cancel()
+	fleet, err := localfleet.Start(ctx, config)
+	return fleet, user, err
+}
+
+// observe measures one span. Every byte is counted once, at the side that dialed, and belongs to two hosts.
+func observe(c *counter, l *load.Load, class string, span time.Duration, nodes int) sample {
+	l.Reset()
+	bytes, cpu, begin := c.bytes.Load(), processorTime(), time.Now()
+	time.Sleep(span)
+	elapsed := time.Since(begin).Seconds()
+	return sample{
+		bytes:    2 * float64(c.bytes.Load()-bytes) / elapsed / float64(nodes),
+		cpu:      100 * (processorTime() - cpu).Seconds() / elapsed / float64(nodes),
+		requests: float64(l.Stats(class).Counts().OK) / elapsed / float64(nodes),
+	}
+}
+
+// processorTime returns the time that this process has used in all.
+func processorTime() time.Duration {
+	var usage syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &usage); err != nil {
+		panic(errors.Wrap(err, "read the processor time"))
+	}
+	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
+}
--- /dev/null
+++ b/internal/bench/slopes/slopes.go
@@ -0,0 +1,100 @@
+package slopes
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"time"
+
+	"github.com/pkg/errors"
+	"gonum.org/v1/gonum/stat"
+)
+
+// Point is one measurement at one size.
+type Point struct {
+	Size  float64 `json:"size"`
+	Value float64 `json:"value"`
+}
+
+// Series is one figure at several sizes with its fitted line.
+type Series struct {
+	Role   string  `json:"role"`
+	Figure string  `json:"figure"`
+	Unit   string  `json:"unit"`
+	Per    string  `json:"per"`
+	Points []Point `json:"points"`
+	// Intercept and Slope are the fitted line.
+	Intercept float64 `json:"intercept"`
+	Slope     float64 `json:"slope"`
+	// TargetSize is the size at the target, and AtTarget the value of the line there.
+	TargetSize float64 `json:"target_size"`
+	AtTarget   float64 `json:"at_target"`
+}
+
+// Options of a run.
+type Options struct {
+	// For bounds the whole run; a fleet is measured for a share of it.
+	For time.Duration
+	// Only runs the named group: configuration, dispatcher or fleet; empty runs all.
+	Only string
+	// Progress receives a line per measurement.
+	Progress io.Writer
+}
+
+type group struct {
+	name string
+	run  func(ctx context.Context, o Options) ([]Series, error)
+}
+
+func groups() []group {
+	return []group{
+		{"configuration", configurationSlopes},
+		{"dispatcher", dispatcherSlopes},
+		{"fleet", fleetSlopes},
+	}
+}
+
+// Run measures all series. Errors: an unknown name, or a fleet that does not start.
+func Run(ctx context.Context, o Options) ([]Series, error) {
+	var all []Series
+	known := false
+	for _, g := range groups() {
+		if o.Only != "" && o.Only != g.name {
+			continue
+		}
+		known = true
+		series, err := g.run(ctx, o)
+		if err != nil {
+			return all, errors.Wrapf(err, "measure %s", g.name)
+		}
+		all = append(all, series...)
+	}
+	if !known {
+		return nil, errors.Errorf("unknown group %q; use configuration, dispatcher or fleet", o.Only)
+	}
+	return all, nil
+}
+
+func (o Options) progress(format string, args ...any) {
+	if o.Progress != nil {
+		fmt.Fprintf(o.Progress, format+"\n", args...)
+	}
+}
+
+// fit computes the line through the points and its value at the target size.
+func (s Series) fit(target float64) Series {
+	var sizes, values []float64
+	for _, p := range s.Points {
+		sizes = append(sizes, p.Size)
+		values = append(values, p.Value)
+	}
+	s.Intercept, s.Slope = stat.LinearRegression(sizes, values, nil, false)
+	s.TargetSize = target
+	s.AtTarget = s.Intercept + s.Slope*target
+	return s
+}
+
+// add appends a measurement.
+func (s *Series) add(size, value float64) {
+	s.Points = append(s.Points, Point{Size: size, Value: value})
+}
--- a/internal/cli/bench.go
+++ b/internal/cli/bench.go
@@ -12,6 +12,7 @@
 type benchCommands struct {
 	Decisions decisionsCommand  `cmd:"" help:"Measure how well the fleet decides, beside baselines."`
 	Entry     entryBenchCommand `cmd:"" help:"Measure the request path of one entry host against direct calls."`
+	Slopes    slopesCommand     `cmd:"" help:"Measure how the cost of each role grows with the size of the fleet."`
 	Soak      soakCommand       `cmd:"" help:"Run a fleet under random faults and check its promises."`
 }
 
