Test the operation records with histories of claims and resends

Four nodes serve callers that share keys while proposals stay open, vanish or lose their answers, processes restart, freeze after the claim and try to go on after they abandoned it. Every history is checked with porcupine (one answer per operation) and against what ran: at most once per key, and never a sending that was told not-run.

The test found that a resend whose deadline is less than a millisecond beyond the margin asked the claiming node again without a pause; it now gives up.

--- a/internal/records/resolve.go
+++ b/internal/records/resolve.go
@@ -37,7 +37,8 @@
 		case stateAbandoned:
 			return attempt.Result{}, f.clear(ctx)
 		case stateRunning:
-			if left(ctx) <= deadlineMargin {
+			// Waits are told in whole milliseconds; a shorter one would ask again without a pause.
+			if left(ctx) < deadlineMargin+time.Millisecond {
 				return attempt.Result{}, inProgress()
 			}
 		default:
