Test the life of servers, grants and ejections at the dispatcher

Covers vanished, draining, shedding and cold servers, the grace of a lost node, inherited ejections, the return under the minimum and refusals.

--- /dev/null
+++ b/internal/dispatch/lifecycle_test.go
@@ -0,0 +1,138 @@
+package dispatch_test
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/tarragonmux/tarragonmux/internal/backend"
+	"github.com/tarragonmux/tarragonmux/internal/dispatch"
+	"github.com/tarragonmux/tarragonmux/internal/grant"
+	"github.com/tarragonmux/tarragonmux/internal/problem"
+)
+
+// A server that vanished must get no new work within 3 s, even if nothing tells the dispatcher.
+func TestVanishedServersGetNoNewWork(t *testing.T) {
+	g := NewWithT(t)
+	m, now := harness(2)
+	now = now.Add(backend.Cutoff)
+	m.Tick(now)
+	g.Expect(ask(m, now, 1, nil)).To(BeEmpty())
+}
+
+// A server that says in an answer that it drains must get no new work at once.
+func TestDrainingServersGetNoNewWork(t *testing.T) {
+	g := NewWithT(t)
+	m, now := harness(2)
+	g.Expect(ask(m, now, 1, nil)[0].Kind).To(Equal(dispatch.Granted))
+	m.Complete(now, "n", 1, grant.Completion{Result: grant.OK, Total: time.Millisecond, Draining: true})
+	g.Expect(ask(m, now, 2, nil)).To(BeEmpty())
+	g.Expect(m.View(now).Servers[0].State).To(Equal(dispatch.ViewDraining))
+}
+
+// A server that sheds everything at once looks idle; it must not attract the work of the others.
+func TestSheddingServersArePaused(t *testing.T) {
+	g := NewWithT(t)
+	m, now := harness(4)
+	id := uint64(0)
+	shed := 0
+	for range 1000 {
+		now = now.Add(time.Millisecond)
+		id++
+		if a := ask(m, now, id, nil); len(a) > 0 && a[0].Kind == dispatch.Granted {
+			m.Complete(now, "n", id, grant.Completion{Result: grant.Shed, Total: time.Millisecond})
+			shed++
+		}
+		m.Cancel(now, "n", id)
+	}
+	g.Expect(shed).To(BeNumerically("<", 12))
+}
+
+// A new server that gets all its slots at once fails while it is cold.
+func TestNewServersStartSlowly(t *testing.T) {
+	g := NewWithT(t)
+	m, now := harness(2)
+	fresh := backend.Server{Instance: "t", State: backend.Ready, Slots: 11, WarmUp: 10 * time.Second, ReadySince: now}
+	limit := func(after time.Duration) int {
+		at := now.Add(after)
+		fresh.Renewed = at
+		m.SetServers(at, []backend.Server{fresh})
+		servers := m.View(at).Servers
+		return servers[len(servers)-1].Limit
+	}
+	g.Expect(limit(0)).To(Equal(1))
+	g.Expect(limit(5 * time.Second)).To(Equal(6))
+	g.Expect(limit(10 * time.Second)).To(Equal(11))
+}
+
+// The grants of a lost node must come free after the grace and not before, while its requests may run.
+func TestGrantsOfALostNodeAreFreedAfterTheGrace(t *testing.T) {
+	g := NewWithT(t)
+	m, now := harness(1)
+	g.Expect(ask(m, now, 1, nil)).To(HaveLen(1))
+	m.Disconnect(now, "n")
+	m.Connect(now, "o", "dc", 1, nil, nil)
+	m.Acquire(now, "o", dispatch.Request{ID: 1, Deadline: now.Add(5 * time.Second)})
+	m.Tick(now.Add(dispatch.StreamGrace - time.Millisecond))
+	g.Expect(m.Take()).To(BeEmpty())
+	m.Tick(now.Add(dispatch.StreamGrace + 200*time.Millisecond))
+	actions := m.Take()
+	g.Expect(actions).To(HaveLen(1))
+	g.Expect(actions[0].Kind).To(Equal(dispatch.Granted))
+}
+
+// Bad servers that the former dispatcher had ejected must not get work from the new one at once.
+func TestEjectionsAreInherited(t *testing.T) {
+	g := NewWithT(t)
+	now := time.Unix(1000, 0)
+	var servers []backend.Server
+	for _, name := range []string{"a", "b", "c", "d"} {
+		servers = append(servers, backend.Server{Instance: name, State: backend.Ready, Slots: 2, Renewed: now})
+	}
+	m := dispatch.New(now, dispatch.Config{Service: "x", MinimumHealthyPercent: 75})
+	m.SetServers(now, servers)
+	m.Connect(now, "n", "dc", 1, nil, []string{"a", "b"})
+	m.Tick(now.Add(dispatch.CollectFor))
+	var states []string
+	for _, s := range m.View(now.Add(dispatch.CollectFor)).Servers {
+		states = append(states, s.State)
+	}
+	// The minimum allows one of the two.
+	g.Expect(states).To(Equal([]string{dispatch.ViewEjected, dispatch.ViewReady, dispatch.ViewReady, dispatch.ViewReady}))
+}
+
+// If healthy servers vanish, ejected ones must return at once to keep the minimum.
+func TestEjectedServersReturnWhenOthersVanish(t *testing.T) {
+	g := NewWithT(t)
+	w := newWorld(sizes[0], 1)
+	mixed(w, 0.3)
+	w.run(warmUp)
+	w.servers["s00"].stalled = flap(w.now, time.Hour)
+	w.run(time.Second)
+	g.Expect(w.ejectedAt).To(HaveKey("s00"))
+	w.names = slices.DeleteFunc(w.names, func(name string) bool { return name >= "s08" })
+	w.run(200 * time.Millisecond)
+	v := w.machine.View(w.now)
+	g.Expect(v.Minimum).To(Equal(51))
+	g.Expect(v.Servers[0].State).NotTo(Equal(dispatch.ViewEjected))
+}
+
+// Work whose deadline cannot be met must be refused at once, so that the caller can act on it.
+func TestHopelessRequestsAreRefused(t *testing.T) {
+	g := NewWithT(t)
+	m, now := harness(1)
+	refused := ask(m, now, 1, func(q *dispatch.Request) { q.Deadline = now })
+	g.Expect(refused[0].Refusal).To(Equal(problem.DeadlineUnmeetable))
+	ask(m, now, 2, nil)
+	ask(m, now, 3, func(q *dispatch.Request) { q.Deadline = now.Add(300 * time.Millisecond) })
+	m.Tick(now.Add(400 * time.Millisecond))
+	actions := m.Take()
+	g.Expect(actions).To(HaveLen(1))
+	g.Expect(actions[0].ID).To(BeEquivalentTo(3))
+	excluded := ask(m, now, 4, func(q *dispatch.Request) { q.Exclude = []string{"s"} })
+	g.Expect(excluded).To(BeEmpty(), "waits for a free slot first")
+	m.Complete(now, "n", 2, grant.Completion{Result: grant.OK, Total: time.Millisecond})
+	g.Expect(m.Take()[0].Refusal).To(Equal(problem.NoCapacity))
+}
