--- a/internal/cli/bench.go
+++ b/internal/cli/bench.go
@@ -10,10 +10,11 @@
 )
 
 type benchCommands struct {
-	Decisions decisionsCommand  `cmd:"" help:"Measure how well the fleet decides, beside baselines."`
-	Entry     entryBenchCommand `cmd:"" help:"Measure the request path of one entry host against direct calls."`
-	Slopes    slopesCommand     `cmd:"" help:"Measure how the cost of each role grows with the size of the fleet."`
-	Soak      soakCommand       `cmd:"" help:"Run a fleet under random faults and check its promises."`
+	Decisions   decisionsCommand   `cmd:"" help:"Measure how well the fleet decides, beside baselines."`
+	Entry       entryBenchCommand  `cmd:"" help:"Measure the request path of one entry host against direct calls."`
+	Propagation propagationCommand `cmd:"" help:"Measure how soon a configuration change is in force on every node."`
+	Slopes      slopesCommand      `cmd:"" help:"Measure how the cost of each role grows with the size of the fleet."`
+	Soak        soakCommand        `cmd:"" help:"Run a fleet under random faults and check its promises."`
 }
 
 // benchOutput prints rows for people or for programs.
