--- a/internal/agreement/learn.go
+++ b/internal/agreement/learn.go
@@ -131,7 +131,7 @@
 	return r.becomeReady(group)
 }
 
-// collect asks all members of the epoch before at once.
+// collect asks all members of the epoch before at once, and waits for a majority of them.
 func (r *Replica) collect(ctx context.Context, group *agreementpb.Group) []*replicaCopy {
 	previous := group.GetPrevious()
 	results := make(chan *replicaCopy, len(previous))
@@ -154,6 +154,9 @@
 		if c := <-results; c != nil {
 			copies = append(copies, c)
 		}
+		if len(copies) >= majority(len(previous)) {
+			break
+		}
 	}
 	return copies
 }
--- a/internal/agreement/repair_test.go
+++ b/internal/agreement/repair_test.go
@@ -10,6 +10,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/tarragonmux/tarragonmux/internal/agreement"
+	"github.com/tarragonmux/tarragonmux/proto/agreementpb"
 )
 
 // bubble runs a test of a cluster of three in virtual time.
@@ -41,6 +42,16 @@
 	c.g.Expect(got).To(Equal(values))
 }
 
+// expectHeld asks one replica for the chain, which must have one register there.
+func (c *cluster) expectHeld(member int, epoch uint64, prefix string) {
+	c.t.Helper()
+	reply, err := c.network.Client("x").Replica(c.members[member]).Read(context.Background(), &agreementpb.ReadRequest{
+		Header: &agreementpb.Header{Epoch: epoch}, Prefix: prefix, From: 1,
+	})
+	c.g.Expect(err).NotTo(HaveOccurred())
+	c.g.Expect(reply.GetRegisters()).To(HaveLen(1), "the replica lacks what was decided without it")
+}
+
 // brief returns a context that ends after a second.
 func brief(c *cluster) context.Context {
 	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
@@ -56,6 +67,7 @@
 		c.lose("c")
 		c.start("c")
 		c.voting("a", "b", "c")
+		c.expectHeld(2, 2, "rec/k")
 		c.lose("a")
 		c.expectChain(p, "rec/k", "first")
 		c.start("a")
@@ -76,7 +88,7 @@
 		// The learner cannot reach b, which holds half of what it needs.
 		c.network.Cut("c", "b", true)
 		c.start("c")
-		time.Sleep(10 * time.Second)
+		time.Sleep(30 * time.Second)
 		c.g.Expect(c.running["c"].replica.Status().State).To(Equal(agreement.Learning))
 		c.network.Cut("c", "b", false)
 		c.voting("a", "b", "c")
@@ -191,6 +203,44 @@
 	})
 }
 
+// Guards against a disk that was removed, missed decisions and votes with its old state when it is
+// added again.
+func TestRemovedDiskComesBack(t *testing.T) {
+	bubble(t, func(c *cluster, p agreement.Proposer) {
+		c.start("d")
+		time.Sleep(time.Second)
+		c.g.Expect(c.swap("a", "c", "d").GetError()).To(BeEmpty())
+		c.voting("a", "b", "d")
+		c.decide(p, "rec/k", 1, "first")
+		c.kill("d")
+		c.g.Expect(c.swap("a", "d", "c").GetError()).To(BeEmpty())
+		c.voting("a", "b", "c")
+		c.kill("a")
+		c.kill("b")
+		c.start("b")
+		c.voting("b", "c")
+		c.expectHeld(2, 3, "rec/k")
+	})
+}
+
+// Guards against votes of different epochs that are counted together.
+func TestOtherEpochsAreRefused(t *testing.T) {
+	bubble(t, func(c *cluster, p agreement.Proposer) {
+		c.lose("c")
+		c.start("c")
+		c.voting("a", "b", "c")
+		for epoch, refusal := range map[uint64]string{1: "wrong-epoch", 2: "", 3: "wrong-epoch"} {
+			reply, err := c.network.Client("x").Replica(c.members[0]).Accept(context.Background(), &agreementpb.AcceptRequest{
+				Header: &agreementpb.Header{Epoch: epoch}, Key: "rec/k/1", Value: []byte("v"),
+			})
+			c.g.Expect(err).NotTo(HaveOccurred())
+			c.g.Expect(reply.GetHeader().GetRefusal()).To(Equal(refusal))
+			c.g.Expect(reply.GetHeader().GetEpoch()).To(BeEquivalentTo(2))
+			c.g.Expect(reply.GetHeader().GetGroup() != nil).To(Equal(refusal != ""))
+		}
+	})
+}
+
 // Guards against a split fast round that is resolved by guessing while one replica is silent.
 func TestSplitFastRoundWithOneSilent(t *testing.T) {
 	bubble(t, func(c *cluster, p agreement.Proposer) {
@@ -201,7 +251,9 @@
 		results := make(chan error, 2)
 		for name, who := range map[string]agreement.Proposer{"p": p, "q": q} {
 			go func() {
-				_, err := who.ProposeFast(brief(c), "rec/k", 1, []byte(name))
+				ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+				defer cancel()
+				_, err := who.ProposeFast(ctx, "rec/k", 1, []byte(name))
 				results <- err
 			}()
 		}
@@ -226,7 +278,9 @@
 		c.decide(p, "config", 1, "first")
 		c.network.Cut("a", "p", false)
 		c.network.Cut("p", "c", true)
-		c.decide(p, "config", 2, "second")
+		value, err := p.Propose(context.Background(), "config", 2, []byte("second"))
+		c.g.Expect(err).NotTo(HaveOccurred())
+		c.g.Expect(string(value)).To(Equal("second"))
 		c.expectChain(c.proposer("q"), "config", "first", "second")
 	})
 }
