--- a/internal/records/recorder.go
+++ b/internal/records/recorder.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -130,7 +131,7 @@
 			return
 		}
 		select {
-		case <-time.After(backoff):
+		case <-time.After(jittered(backoff)):
 		case <-r.closing.Done():
 			return
 		}
@@ -138,6 +139,12 @@
 	}
 }
 
+// jittered returns half to all of the pause, so that many outcomes do not retry at once
+// after the control replicas return.
+func jittered(pause time.Duration) time.Duration {
+	return pause/2 + rand.N(pause/2)
+}
+
 // try proposes the outcome once and tells whether it is settled.
 func (r *recorder) try(o outcome, number int) bool {
 	select {
