Let servers return without idempotent work and keep dead ones from attracting work

A service whose work is never idempotent has no canary; after 10 s any first request serves as one. A doubted server that may not be ejected gets no confirming requests. The test on the return failed before the change.

--- a/internal/dispatch/placement.go
+++ b/internal/dispatch/placement.go
@@ -14,6 +14,9 @@
 	parkLimit = 16
 	// slowerFactor is how much slower a local server may be before another data centre is preferred.
 	slowerFactor = 2
+	// canaryPatience is how long a server waits for an idempotent canary. A service whose work is
+	// never idempotent would otherwise lose the server for good.
+	canaryPatience = 10 * time.Second
 	// confirmations is up to how many requests in flight a doubted server gets more.
 	confirmations = 3
 )
@@ -146,7 +149,7 @@
 		}
 		possible = true
 		limit := s.limit(now)
-		if len(s.inflight) >= limit || !s.accepts(r) {
+		if len(s.inflight) >= limit || !s.accepts(now, r) {
 			continue
 		}
 		rank := s.rank(now, r, m.latencies.p50)
@@ -167,12 +170,15 @@
 	return p != nil && now.Before(p.blockedUntil)
 }
 
-// accepts tells whether the request suits the server's condition: a canary must be idempotent
-// and paid by no retry budget, and two requests that were on crashed servers never share one, so
+// accepts tells whether the request suits the server's condition: a canary must be idempotent,
+// unless no such request came for canaryPatience, and paid by no retry budget, and two requests that were on crashed servers never share one, so
 // that the next crash tells which of them causes it.
-func (s *server) accepts(r *request) bool {
-	if s.state == onCanary && (!r.Idempotent || r.Purpose != grant.First || r.crashSuspect) {
-		return false
+func (s *server) accepts(now time.Time, r *request) bool {
+	if s.state == onCanary {
+		safe := r.Idempotent || now.Sub(s.stateUntil) >= canaryPatience
+		if !safe || r.Purpose != grant.First || r.crashSuspect {
+			return false
+		}
 	}
 	return !r.crashSuspect || s.suspects == 0
 }
@@ -182,7 +188,7 @@
 		return rankConfirm
 	}
 	if s.doubted {
-		if s.wantsConfirmation(r) {
+		if s.wantsConfirmation(now, r) {
 			return rankConfirm
 		}
 		return rankDoubted
@@ -194,10 +200,10 @@
 }
 
 // wantsConfirmation tells whether a doubted server should get the request, so that the doubt is
-// confirmed or cleared soon also at low load. The evidence must come from several nodes, one of
-// them in the server's own data centre.
-func (s *server) wantsConfirmation(r *request) bool {
-	if !r.Idempotent || r.Purpose != grant.First || s.waits(r.node) {
+// confirmed or cleared soon also at low load. The evidence must come from several nodes. A server
+// that may not be ejected gets no work for that.
+func (s *server) wantsConfirmation(now time.Time, r *request) bool {
+	if !r.Idempotent || r.Purpose != grant.First || s.waits(r.node) || now.Before(s.limitedUntil) {
 		return false
 	}
 	return len(s.inflight) < confirmations
--- a/internal/dispatch/service_test.go
+++ b/internal/dispatch/service_test.go
@@ -161,3 +161,60 @@
 		g.Expect(s.Limit).To(Equal(6), s.Instance)
 	}
 }
+
+// A server that fails at once looks idle. If the minimum forbids its ejection, it must still not
+// attract the work of the others.
+func TestFastFailuresDoNotAttractWork(t *testing.T) {
+	faults := map[string]func(w *world, s *fakeServer){
+		"refuses": func(w *world, s *fakeServer) { s.downUntil = w.now.Add(time.Hour) },
+		"fails":   func(_ *world, s *fakeServer) { s.failing = 1 },
+	}
+	for name, fault := range faults {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			g := NewWithT(t)
+			w := newWorld(sizes[0], 1)
+			w.config.MinimumHealthyPercent = 100
+			w.takeOver()
+			work := w.load(&stream{priority: priority.Normal, team: "a", rate: 0.5 * w.capacity(), deadline: time.Second, retries: true})
+			w.run(warmUp)
+			fault(w, w.servers["s03"])
+			*work = tally{}
+			w.run(5 * time.Second)
+			g.Expect(w.ejectedAt).To(BeEmpty())
+			g.Expect(float64(work.good)).To(BeNumerically(">", 0.98*float64(work.asked)))
+		})
+	}
+}
+
+// Without idempotent work there is no canary; an ejected server must return all the same.
+func TestServersReturnWithoutIdempotentWork(t *testing.T) {
+	g := NewWithT(t)
+	w := newWorld(sizes[0], 1)
+	w.load(&stream{priority: priority.Normal, team: "a", rate: 0.3 * w.capacity(), deadline: time.Second, mutating: true})
+	lookups := &stream{priority: priority.Normal, team: "a", rate: 0.3 * w.capacity(), deadline: time.Second}
+	w.load(lookups)
+	w.run(warmUp)
+	w.servers["s03"].failing = 1
+	w.run(2 * time.Second)
+	g.Expect(w.ejectedAt).To(HaveKey("s03"))
+	w.servers["s03"].failing = 0
+	lookups.rate = 0
+	w.run(20 * time.Second)
+	g.Expect(w.machine.Stats().Returns).To(BeEquivalentTo(1))
+}
+
+// A harmless request that many callers send is on most servers when they crash; it must not be
+// refused for a crash that another request causes.
+func TestPopularRequestsAreNotPoison(t *testing.T) {
+	g := NewWithT(t)
+	w := newWorld(sizes[0], 1)
+	popular := w.load(&stream{priority: priority.Normal, team: "a", rate: 0.6 * w.capacity(), deadline: time.Second, fingerprint: 7, retries: true})
+	w.run(warmUp)
+	w.onCrash = 42
+	w.load(&stream{priority: priority.Normal, team: "crash", rate: 5, deadline: 2 * time.Second, fingerprint: 42, retries: true})
+	*popular = tally{}
+	w.run(5 * time.Second)
+	g.Expect(w.machine.Stats().PoisonRequests).To(BeEquivalentTo(1))
+	g.Expect(float64(popular.good)).To(BeNumerically(">", 0.98*float64(popular.asked)))
+}
