--- a/internal/dispatch/lifecycle_test.go
+++ b/internal/dispatch/lifecycle_test.go
@@ -136,3 +136,32 @@
 	m.Complete(now, "n", 2, grant.Completion{Result: grant.OK, Total: time.Millisecond})
 	g.Expect(m.Take()[0].Refusal).To(Equal(problem.NoCapacity))
 }
+
+// Two requests that were on a server when it crashed must be tried on different servers, so that
+// the next crash tells which of them causes it.
+func TestCrashSuspectsAreKeptApart(t *testing.T) {
+	g := NewWithT(t)
+	now := time.Unix(1000, 0)
+	servers := []backend.Server{
+		{Instance: "a", State: backend.Ready, Slots: 2, Renewed: now},
+		{Instance: "b", State: backend.Ready, Slots: 8, Renewed: now, Load: 1},
+		{Instance: "c", State: backend.Ready, Slots: 2, Renewed: now},
+	}
+	m := dispatch.New(now, dispatch.Config{Service: "x"})
+	m.SetServers(now, servers)
+	m.Connect(now, "n", "dc", 1, nil, nil)
+	now = now.Add(dispatch.CollectFor)
+	send := func(id, fingerprint uint64, exclude ...string) string {
+		a := ask(m, now, id, func(q *dispatch.Request) { q.Fingerprint, q.Exclude = fingerprint, exclude })
+		g.Expect(a).To(HaveLen(1))
+		return a[0].Instance
+	}
+	for fingerprint := range uint64(2) {
+		g.Expect(send(fingerprint+1, fingerprint+1, "b", "c")).To(Equal("a"))
+	}
+	for id := range uint64(2) {
+		m.Complete(now, "n", id+1, grant.Completion{Result: grant.Broken, Total: time.Millisecond})
+	}
+	// By utilisation alone both would go to b.
+	g.Expect(send(3, 1)).NotTo(Equal(send(4, 2)))
+}
