Let a streamed body end before its sender is stopped

A backend server can answer the last byte of a streamed body before the sender has noted that it was written.

An interrupt is now also told from a caller that sends too slowly, by the deadline of the read; under load the first was reported for the second.

Paths that the host serves itself refuse other methods with a problem document.

--- a/internal/entry/announcement_test.go
+++ b/internal/entry/announcement_test.go
@@ -57,6 +57,7 @@
 		f := start(nil)
 		Expect(f.do("GET", "/v1/endpoints?service=cuefeed", "").body).To(MatchJSON(`{"endpoints":[{"address":"127.0.0.1:1","data_centre":"a"}],"ttl_ms":100}`))
 		Expect(f.do("GET", "/v1/endpoints?service=none", "").kind()).To(Equal("no-route"))
+		Expect(f.do("POST", "/v1/endpoints", "x").kind()).To(Equal("bad-request"))
 		Expect(f.do("GET", "/v1/other", "").kind()).To(Equal("no-capacity"))
 	})
 })
--- a/internal/entry/body.go
+++ b/internal/entry/body.go
@@ -133,7 +133,7 @@
 	if s.ended.Load() {
 		return 0, io.EOF
 	}
-	s.limitRead()
+	limit := s.limitRead()
 	// The check follows the new read deadline, which may have replaced that of an interrupt.
 	if s.interrupted.Load() {
 		return 0, errInterrupted
@@ -145,9 +145,9 @@
 		s.refusal = problem.New(problem.BodyTooLarge, problem.NotRun, "the body exceeds the route's limit")
 		return 0, s.refusal
 	case err == io.EOF:
+		// At this point net/http has lifted the read deadline and watches for the caller's departure.
 		s.ended.Store(true)
-		s.unlimitRead()
-	case err != nil && s.interrupted.Load():
+	case errors.Is(err, os.ErrDeadlineExceeded) && time.Now().Before(limit):
 		return 0, errInterrupted
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		s.refusal = s.tooSlow()
@@ -172,18 +172,15 @@
 	_ = s.control.SetReadDeadline(time.Now())
 }
 
-func (s *callerBody) limitRead() {
+// limitRead sets the deadline of the next read and returns it.
+func (s *callerBody) limitRead() time.Time {
 	limit := time.Now().Add(s.gap)
 	if s.until.Before(limit) {
 		limit = s.until
 	}
 	// A writer without deadlines, as in tests, is bounded by the request's context only.
 	_ = s.control.SetReadDeadline(limit)
-}
-
-// unlimitRead lets net/http watch the connection for the caller's departure.
-func (s *callerBody) unlimitRead() {
-	_ = s.control.SetReadDeadline(time.Time{})
+	return limit
 }
 
 // limitDrain bounds how long net/http waits for the rest of a body after the answer. It has no
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -1,6 +1,7 @@
 package entry_test
 
 import (
+	"crypto/sha256"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -13,6 +14,8 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/tarragonmux/tarragonmux/internal/backend"
+	"github.com/tarragonmux/tarragonmux/internal/entry"
+	"github.com/tarragonmux/tarragonmux/internal/settings"
 	"github.com/tarragonmux/tarragonmux/internal/standin"
 )
 
@@ -97,6 +100,47 @@
 	})
 })
 
+var _ = Describe("A request body", func() {
+	// A body that is cut, doubled or reframed on its way gives the right answer to the wrong question.
+	DescribeTable("reaches the backend server whole, buffered or streamed", func(size int, chunked bool) {
+		b := newStandin(standin.Config{WorkTime: -1})
+		f := start(nil, refused(), b.Address())
+		text := strings.Repeat("0123456789abcde\n", size/16)
+		for range 3 {
+			var body io.Reader = strings.NewReader(text)
+			if chunked {
+				body = io.MultiReader(body)
+			}
+			r, err := http.NewRequest("PUT", "http://"+f.address+"/read", body)
+			Expect(err).NotTo(HaveOccurred())
+			a := f.send(r)
+			Expect(a.err).NotTo(HaveOccurred())
+			Expect(a.body).To(HaveSuffix(fmt.Sprintf("body=%d:%x\n", len(text), sha256.Sum256([]byte(text)))))
+		}
+	},
+		Entry("empty", 0, false),
+		Entry("short", 160, false),
+		Entry("short in chunks", 160, true),
+		Entry("largest that is kept", entry.ReplayBytes, true),
+		Entry("streamed", 1<<20, false),
+		Entry("streamed in chunks", 1<<20, true),
+	)
+})
+
+var _ = Describe("A caller's connection", func() {
+	// A time limit of one request that stays on the connection would cut a later one.
+	It("carries no time limit from one request to the next", func() {
+		b := newStandin(standin.Config{WorkTime: -1})
+		f := start(func(c *entry.Config) { c.Settings.HeaderTimeout = settings.Duration(100 * time.Millisecond) }, b.Address())
+		f.client.Transport.(*http.Transport).MaxConnsPerHost = 1
+		Expect(f.do("POST", "/read", "body", "Grpc-Timeout", "100m").status).To(Equal(200))
+		time.Sleep(150 * time.Millisecond)
+		Expect(f.do("GET", "/none", "").kind()).To(Equal("no-route"))
+		Expect(f.do("POST", "/read", "body", "Standin-Work", "300ms").status).To(Equal(200))
+		Expect(f.do("GET", "/read", "", "Standin-Work", "300ms").status).To(Equal(200))
+	})
+})
+
 var _ = Describe("Announcements", func() {
 	// A stand-in that cannot announce itself would leave every other test without backend servers.
 	It("reach the registry, are renewed and are withdrawn", func() {
--- a/internal/entry/roundtrip/roundtrip.go
+++ b/internal/entry/roundtrip/roundtrip.go
@@ -16,6 +16,8 @@
 const (
 	// inlineBytes is the largest body that is written before the answer is read; socket buffers hold it.
 	inlineBytes = 32 << 10
+	// settleTime is how long the end of a request whose body is at hand is waited for.
+	settleTime = 20 * time.Millisecond
 	// maxInformational bounds the 1xx answers before the final one.
 	maxInformational = 8
 )
@@ -88,8 +90,10 @@
 
 // sender writes a request body beside the reading of the answer.
 type sender struct {
-	request  *Request
-	done     chan struct{}
+	request *Request
+	done    chan struct{}
+	// read is set when the whole body is at hand, and finished when it was written.
+	read     atomic.Bool
 	finished atomic.Bool
 }
 
@@ -149,6 +153,7 @@
 func (s *sender) run(c *conn) {
 	defer close(s.done)
 	if s.request.Stream == nil {
+		s.read.Store(true)
 		_, _ = c.bw.Write(s.request.Body)
 		s.finished.Store(c.bw.Flush() == nil)
 		return
@@ -169,6 +174,7 @@
 	left := s.request.Length
 	for {
 		n, err := s.request.Stream.Read(buffer)
+		s.read.Store(err == io.EOF)
 		if n > 0 {
 			left -= int64(n)
 			s.writePart(bw, buffer[:n])
@@ -212,14 +218,30 @@
 	if s == nil || s.finished.Load() {
 		return true
 	}
+	if s.read.Load() && s.settles() {
+		return true
+	}
 	a.conn.abort()
-	if s.request.Interrupt != nil {
+	if s.request.Interrupt != nil && !s.read.Load() {
 		s.request.Interrupt()
 	}
 	<-s.done
 	return false
 }
 
+// settles waits for a sender that is about to end: a server can answer the last byte before the
+// sender has noted that it was written.
+func (s *sender) settles() bool {
+	timer := time.NewTimer(settleTime)
+	defer timer.Stop()
+	select {
+	case <-s.done:
+		return s.finished.Load()
+	case <-timer.C:
+		return false
+	}
+}
+
 func writeHead(bw *bufio.Writer, r *Request) {
 	// Errors of a bufio.Writer are kept and returned by Flush.
 	_, _ = bw.WriteString(r.Method)
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -60,6 +60,9 @@
 	m.HandleFunc("/v1/endpoints", s.endpoints).Methods(http.MethodGet)
 	m.HandleFunc(announcementPath, s.announce).Methods(http.MethodPut)
 	m.HandleFunc(announcementPath, s.withdraw).Methods(http.MethodDelete)
+	m.MethodNotAllowedHandler = http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		refuseAnnouncement(w, malformed("the path is served by the host itself and does not have this method"))
+	})
 	m.NotFoundHandler = http.HandlerFunc(s.serveRoute)
 	return m
 }
