--- a/internal/app/node.go
+++ b/internal/app/node.go
@@ -23,8 +23,8 @@
 	"github.com/tarragonmux/tarragonmux/internal/entry/roundtrip"
 	"github.com/tarragonmux/tarragonmux/internal/grant"
 	"github.com/tarragonmux/tarragonmux/internal/hostset"
+	"github.com/tarragonmux/tarragonmux/internal/logging"
 	"github.com/tarragonmux/tarragonmux/internal/membership"
-	"github.com/tarragonmux/tarragonmux/internal/metrics"
 	"github.com/tarragonmux/tarragonmux/internal/records"
 	"github.com/tarragonmux/tarragonmux/internal/settings"
 	"github.com/tarragonmux/tarragonmux/internal/transport"
@@ -213,7 +213,7 @@
 	prefixed := logger.WithPrefix("burn")
 	if s.DataFolder != "" {
 		if err := recorder.Load(s.DataFolder, time.Now()); err != nil {
-			prefixed.Warn("starting with empty counts", "err", err)
+			prefixed.Warn("starting with empty counts", "err", logging.Err(err))
 		}
 	}
 	save := func() {
@@ -221,7 +221,7 @@
 			return
 		}
 		if err := recorder.Save(s.DataFolder, s.ID, time.Now()); err != nil {
-			prefixed.Warn("could not save the counts", "err", err)
+			prefixed.Warn("could not save the counts", "err", logging.Err(err))
 		}
 	}
 	start(lc, b, "burn", func(ctx context.Context) error { return keepCounts(ctx, recorder, save) })
@@ -251,6 +251,10 @@
 }
 
 func newEntryServer(o Options, s *settings.Settings, st *store.Store, grants grant.Source, claimer *records.Claimer, m *membership.Runner, directory *hostset.Directory, recorder *burn.Recorder, registry *prometheus.Registry, logger *log.Logger) (*entry.Server, error) {
+	requests, err := entry.NewMetrics(registry)
+	if err != nil {
+		return nil, err
+	}
 	return entry.New(entry.Config{
 		Settings:  *s.Entry,
 		Routes:    st,
@@ -259,7 +263,7 @@
 		Backends:  m,
 		Endpoints: endpoints(directory),
 		Ready:     st.Ready,
-		Observer:  entry.Observers{metrics.NewRequests(registry), burnObserver{recorder}},
+		Observer:  entry.Observers{requests, burnObserver{recorder}},
 		Log:       logger,
 		Pool:      roundtrip.Config{Dial: backendDial(o)},
 	})
--- a/internal/cli/process.go
+++ b/internal/cli/process.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"os"
 	"time"
 
@@ -14,8 +15,14 @@
 	"github.com/tarragonmux/tarragonmux/internal/standin"
 )
 
-// standinDrainTimeout bounds how long a stand-in waits for its accepted work at a stop.
-const standinDrainTimeout = time.Minute
+const (
+	// standinDrainTimeout bounds how long a stand-in waits for its accepted work at a stop.
+	standinDrainTimeout = time.Minute
+	// standinLeave is how long a draining stand-in keeps accepting connections and rejects what
+	// arrives. After 3 s no node sends new work; a server that closes earlier breaks connections
+	// on which a request may just have been written.
+	standinLeave = 3 * time.Second
+)
 
 type nodeCommand struct {
 	Settings string `arg:"" help:"Settings file." type:"path"`
@@ -65,7 +72,7 @@
 	RestartAfter time.Duration `help:"Time from a crash to the next start; negative means never." default:"1s"`
 }
 
-// Run runs a stand-in backend server until it is told to stop, then drains it.
+// Run runs a stand-in backend server until it is told to stop, then drains it before it closes.
 func (c *backendCommand) Run(ctx context.Context, out *output) error {
 	logger := logging.New(out.errs, logging.LevelInfo, false).WithPrefix("backend")
 	server, err := standin.New(standin.Config{
@@ -95,26 +102,28 @@
 	logger.Info("draining")
 	drainCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), standinDrainTimeout)
 	defer cancel()
+	left := time.After(standinLeave)
 	err = server.Drain(drainCtx)
+	<-left
 	server.Close()
 	return err
 }
 
 type checkSettingsCommand struct {
-	Files         []string `arg:"" help:"Settings files." type:"existingfile"`
-	Configuration bool     `help:"The files are configuration documents."`
+	Files []string `arg:"" help:"Settings files and configuration documents, told apart by their content." type:"existingfile"`
 }
 
 // Run validates each file and fails if one is at fault.
 func (c *checkSettingsCommand) Run(out *output) error {
 	failed := false
 	for _, path := range c.Files {
-		if err := c.check(path); err != nil {
+		kind, err := checkFile(path)
+		if err != nil {
 			failed = true
 			out.warnf("%s:\n%v\n", path, err)
 			continue
 		}
-		if err := out.printf("%s: valid\n", path); err != nil {
+		if err := out.printf("%s: valid %s\n", path, kind); err != nil {
 			return err
 		}
 	}
@@ -124,21 +133,35 @@
 	return nil
 }
 
-func (c *checkSettingsCommand) check(path string) error {
-	if !c.Configuration {
-		_, err := settings.Load(path)
-		return err
-	}
+// checkFile returns what the file holds.
+func checkFile(path string) (kind string, err error) {
 	data, err := os.ReadFile(path)
 	if err != nil {
-		return errors.Wrap(err, "read the configuration file; check its path")
+		return "", errors.Wrap(err, "read the file; check its path")
+	}
+	if !isConfiguration(data) {
+		_, err := settings.Parse(data)
+		return "settings", err
 	}
 	document, err := configuration.ParseDocument(data)
 	if err != nil {
-		return err
+		return "", err
 	}
 	if rejection := configuration.ValidateDocument(document); rejection != nil {
-		return rejection
+		return "", rejection
 	}
-	return nil
+	return "configuration", nil
+}
+
+// isConfiguration tells a configuration document from settings by the parts that only it has.
+func isConfiguration(data []byte) bool {
+	var parts struct {
+		Services json.RawMessage `json:"services"`
+		Routes   json.RawMessage `json:"routes"`
+		Hosts    json.RawMessage `json:"hosts"`
+	}
+	if err := json.Unmarshal(data, &parts); err != nil {
+		return false
+	}
+	return parts.Services != nil || parts.Routes != nil || parts.Hosts != nil
 }
--- a/internal/dispatch/placement.go
+++ b/internal/dispatch/placement.go
@@ -14,6 +14,9 @@
 	parkLimit = 16
 	// slowerFactor is how much slower a local server may be before another data centre is preferred.
 	slowerFactor = 2
+	// canaryPatience is how long a server waits for an idempotent canary. A service whose work is
+	// never idempotent would otherwise lose the server for good.
+	canaryPatience = 10 * time.Second
 	// confirmations is up to how many requests in flight a doubted server gets more.
 	confirmations = 3
 )
@@ -102,7 +105,7 @@
 
 func (m *Machine) grant(now time.Time, r *request, s *server) {
 	invariant.Check(r.state == stateQueued, "dispatch.grant-once", "node %s request %d is granted twice", r.node.id, r.ID)
-	m.queue.remove(r)
+	m.queue.take(r)
 	extra := r.Purpose != grant.First
 	m.retries.Spend(now, extra)
 	m.queue.served(r.Priority, m.cost[r.Priority], &m.config.Shares)
@@ -114,14 +117,15 @@
 	invariant.Check(len(s.inflight) <= s.hardLimit(), "dispatch.slot-limit",
 		"server %s has %d requests in flight with %d slots and %d connections", s.Instance, len(s.inflight), s.Slots, s.Connections)
 	m.stats.Granted++
+	r.number = r.node.emitted + 1
 	switch r.Purpose {
 	case grant.Retry:
 		m.stats.Retries++
 	case grant.Hedge:
 		m.stats.Hedges++
 	}
-	m.actions = append(m.actions, Action{
-		Kind: Granted, Node: r.node.id, ID: r.ID,
+	m.emit(r.node, Action{
+		Kind: Granted, ID: r.ID,
 		Instance: s.Instance, Address: s.Address, DataCentre: s.DataCentre,
 	})
 }
@@ -145,10 +149,10 @@
 		}
 		possible = true
 		limit := s.limit(now)
-		if len(s.inflight) >= limit || !s.accepts(r) {
+		if len(s.inflight) >= limit || !s.accepts(now, r) {
 			continue
 		}
-		rank := s.rank(r, m.latencies.p50)
+		rank := s.rank(now, r, m.latencies.p50)
 		use := float64(len(s.inflight)+1) / float64(limit)
 		if best == nil || rank < bestRank || rank == bestRank && (use < bestUse || use == bestUse && s.Load < best.Load) {
 			best, bestRank, bestUse = s, rank, use
@@ -166,37 +170,40 @@
 	return p != nil && now.Before(p.blockedUntil)
 }
 
-// accepts tells whether the request suits the server's condition: a canary must be idempotent
-// and paid by no retry budget, and two requests that were on crashed servers never share one, so
+// accepts tells whether the request suits the server's condition: a canary must be idempotent,
+// unless no such request came for canaryPatience, and paid by no retry budget, and two requests that were on crashed servers never share one, so
 // that the next crash tells which of them causes it.
-func (s *server) accepts(r *request) bool {
-	if s.state == onCanary && (!r.Idempotent || r.Purpose != grant.First || r.crashSuspect) {
-		return false
+func (s *server) accepts(now time.Time, r *request) bool {
+	if s.state == onCanary {
+		safe := r.Idempotent || now.Sub(s.stateUntil) >= canaryPatience
+		if !safe || r.Purpose != grant.First || r.crashSuspect {
+			return false
+		}
 	}
 	return !r.crashSuspect || s.suspects == 0
 }
 
-func (s *server) rank(r *request, p50 time.Duration) int {
+func (s *server) rank(now time.Time, r *request, p50 time.Duration) int {
 	if s.state == onCanary {
 		return rankConfirm
 	}
 	if s.doubted {
-		if s.wantsConfirmation(r) {
+		if s.wantsConfirmation(now, r) {
 			return rankConfirm
 		}
 		return rankDoubted
 	}
-	if s.DataCentre == r.node.dataCentre && !s.slower(p50) {
+	if s.DataCentre == r.node.dataCentre && !s.slower(now, p50) {
 		return rankLocal
 	}
 	return rankRemote
 }
 
 // wantsConfirmation tells whether a doubted server should get the request, so that the doubt is
-// confirmed or cleared soon also at low load. The evidence must come from several nodes, one of
-// them in the server's own data centre.
-func (s *server) wantsConfirmation(r *request) bool {
-	if !r.Idempotent || r.Purpose != grant.First || s.waits(r.node) {
+// confirmed or cleared soon also at low load. The evidence must come from several nodes. A server
+// that may not be ejected gets no work for that.
+func (s *server) wantsConfirmation(now time.Time, r *request) bool {
+	if !r.Idempotent || r.Purpose != grant.First || s.waits(r.node) || now.Before(s.limitedUntil) {
 		return false
 	}
 	return len(s.inflight) < confirmations
@@ -213,8 +220,9 @@
 }
 
 // slower tells whether recent answers of the server took much longer than the service's median.
-func (s *server) slower(p50 time.Duration) bool {
-	if p50 == 0 || len(s.samples) < slowSamples {
+// Answers older than the window do not count, so that a server without work gets some again.
+func (s *server) slower(now time.Time, p50 time.Duration) bool {
+	if p50 == 0 || len(s.samples) < slowSamples || now.Sub(s.samples[len(s.samples)-1].at) > sampleWindow {
 		return false
 	}
 	var recent [slowSamples]time.Duration
--- a/internal/dispatchrpc/channel.go
+++ b/internal/dispatchrpc/channel.go
@@ -33,12 +33,16 @@
 	// stream numbers the streams, so that the end of one does not touch the next.
 	stream   uint64
 	answered bool
+	// received counts the grants, refusals and advices of the stream.
+	received uint64
 	opened   time.Time
 	// heard is the time of the last message of a dispatcher.
 	heard time.Time
 	// ejected are the instances that the last view showed as ejected.
 	ejected map[string]bool
 	alone   alone
+	// closed is set when the node no longer follows the service.
+	closed bool
 }
 
 // call is a request that waits for a grant.
@@ -81,6 +85,10 @@
 		c.mu.Unlock()
 		return nil, problem.New(problem.DeadlinePassed, problem.NotRun, "")
 	}
+	if c.closed {
+		c.mu.Unlock()
+		return nil, problem.New(problem.ShuttingDown, problem.NotRun, "")
+	}
 	c.ask(now, k)
 	if !c.linked && c.autonomous(now) {
 		c.serveAlone(now)
@@ -153,8 +161,13 @@
 	if !c.linked || now.Sub(last) > SilenceLimit || b.NotDispatcher != nil {
 		return false
 	}
-	c.answered = true
 	c.heard = now
+	if c.alone.unreported {
+		// The hello did not name what was granted alone after it; a new stream does.
+		return false
+	}
+	c.answered = true
+	c.received += uint64(len(b.Grants) + len(b.Refuses) + len(b.Advises))
 	for _, g := range b.Grants {
 		c.granted(now, g)
 	}
@@ -241,6 +254,7 @@
 	if b.Progress == nil {
 		b.Progress = &dispatchpb.Progress{}
 	}
+	b.Progress.Received = c.received
 	return b
 }
 
@@ -261,6 +275,8 @@
 	}
 	c.linked = true
 	c.stream++
+	c.received = 0
+	c.alone.unreported = false
 	c.answered = false
 	c.opened = now
 	c.out = &dispatchpb.NodeBatch{}
--- a/internal/entry/roundtrip/roundtrip.go
+++ b/internal/entry/roundtrip/roundtrip.go
@@ -5,6 +5,7 @@
 	"context"
 	"io"
 	"net/http"
+	"slices"
 	"strconv"
 	"sync/atomic"
 	"time"
@@ -15,6 +16,8 @@
 const (
 	// inlineBytes is the largest body that is written before the answer is read; socket buffers hold it.
 	inlineBytes = 32 << 10
+	// settleTime is how long the end of a request whose body is at hand is waited for.
+	settleTime = 20 * time.Millisecond
 	// maxInformational bounds the 1xx answers before the final one.
 	maxInformational = 8
 )
@@ -25,17 +28,31 @@
 	Value string
 }
 
+// ExtraFields is the number of headers that Send can add.
+const ExtraFields = 3
+
+// Events hears of the progress of one round trip. An interface costs no allocation per request,
+// as two functions would.
+type Events interface {
+	// Start is called when a connection is ready, just before the first byte is written.
+	// If it returns false, nothing is written.
+	Start() bool
+	// FirstByte is called when the answer begins.
+	FirstByte()
+}
+
 // Request is one request to a backend server. It is not changed by Send.
 type Request struct {
 	Method string
 	// Target is path and query as they appear on the wire.
 	Target string
 	Host   string
-	// Header holds the caller's headers; those for which Skip is true are left out.
-	Header http.Header
-	Skip   func(name string) bool
-	// Extra headers are added.
-	Extra []Field
+	// Header holds the caller's headers; those for which Skip is true and those in Dropped are left out.
+	Header  http.Header
+	Skip    func(name string) bool
+	Dropped []string
+	// Extra headers are added; those without a name are not.
+	Extra [ExtraFields]Field
 	// Body is sent if Stream is nil.
 	Body []byte
 	// Stream is sent instead of Body; Length is its length in bytes, or -1 if it is unknown.
@@ -47,11 +64,10 @@
 	MaxIdle time.Duration
 	// Until bounds the wait for a free connection.
 	Until time.Time
-	// Start is called when a connection is ready, just before the first byte is written.
-	// If it returns false, nothing is written.
-	Start func() bool
-	// FirstByte is called when the answer begins.
-	FirstByte func()
+	// Events, if set, hears of the progress.
+	Events Events
+	// Abort, if set, can end the round trip from another goroutine.
+	Abort *Abort
 }
 
 // Answer is the answer to one request. Close must be called exactly once.
@@ -66,6 +82,7 @@
 	conn   *conn
 	body   io.ReadCloser
 	detach func() bool
+	abort  *Abort
 	sender *sender
 	whole  bool
 	last   bool
@@ -73,8 +90,10 @@
 
 // sender writes a request body beside the reading of the answer.
 type sender struct {
-	request  *Request
-	done     chan struct{}
+	request *Request
+	done    chan struct{}
+	// read is set when the whole body is at hand, and finished when it was written.
+	read     atomic.Bool
 	finished atomic.Bool
 }
 
@@ -92,10 +111,14 @@
 		return nil, failure
 	}
 	c.written.Store(0)
-	a := &Answer{ctx: ctx, pool: p, conn: c}
+	a := &Answer{ctx: ctx, pool: p, conn: c, abort: r.Abort}
+	if !a.abort.attach(c) {
+		p.release(c, true)
+		return nil, &Error{Stage: Start, Err: ErrAborted}
+	}
 	a.detach = context.AfterFunc(ctx, c.abort)
-	if r.Start != nil && !r.Start() {
-		p.release(c, a.detach())
+	if r.Events != nil && !r.Events.Start() {
+		p.release(c, a.release())
 		return nil, &Error{Stage: Start, Err: ErrNotStarted}
 	}
 	if failure := a.exchange(r); failure != nil {
@@ -130,6 +153,7 @@
 func (s *sender) run(c *conn) {
 	defer close(s.done)
 	if s.request.Stream == nil {
+		s.read.Store(true)
 		_, _ = c.bw.Write(s.request.Body)
 		s.finished.Store(c.bw.Flush() == nil)
 		return
@@ -150,6 +174,7 @@
 	left := s.request.Length
 	for {
 		n, err := s.request.Stream.Read(buffer)
+		s.read.Store(err == io.EOF)
 		if n > 0 {
 			left -= int64(n)
 			s.writePart(bw, buffer[:n])
@@ -193,14 +218,30 @@
 	if s == nil || s.finished.Load() {
 		return true
 	}
+	if s.read.Load() && s.settles() {
+		return true
+	}
 	a.conn.abort()
-	if s.request.Interrupt != nil {
+	if s.request.Interrupt != nil && !s.read.Load() {
 		s.request.Interrupt()
 	}
 	<-s.done
 	return false
 }
 
+// settles waits for a sender that is about to end: a server can answer the last byte before the
+// sender has noted that it was written.
+func (s *sender) settles() bool {
+	timer := time.NewTimer(settleTime)
+	defer timer.Stop()
+	select {
+	case <-s.done:
+		return s.finished.Load()
+	case <-timer.C:
+		return false
+	}
+}
+
 func writeHead(bw *bufio.Writer, r *Request) {
 	// Errors of a bufio.Writer are kept and returned by Flush.
 	_, _ = bw.WriteString(r.Method)
@@ -209,7 +250,7 @@
 	_, _ = bw.WriteString(" HTTP/1.1\r\n")
 	writeField(bw, "Host", r.Host)
 	for name, values := range r.Header {
-		if framing(name) || r.Skip != nil && r.Skip(name) {
+		if framing(name) || r.Skip != nil && r.Skip(name) || slices.Contains(r.Dropped, name) {
 			continue
 		}
 		for _, value := range values {
@@ -217,6 +258,9 @@
 		}
 	}
 	for _, f := range r.Extra {
+		if f.Name == "" {
+			break
+		}
 		writeField(bw, f.Name, f.Value)
 	}
 	switch {
@@ -255,8 +299,8 @@
 	if _, err := c.br.Peek(1); err != nil {
 		return &Error{Stage: Await, Err: err}
 	}
-	if r.FirstByte != nil {
-		r.FirstByte()
+	if r.Events != nil {
+		r.Events.FirstByte()
 	}
 	request := getRequest
 	if r.Method == http.MethodHead {
@@ -306,7 +350,7 @@
 
 // Close ends the request. The connection is reused if the answer was read to its end.
 func (a *Answer) Close() {
-	attached := a.detach()
+	attached := a.release()
 	sent := a.stopSender()
 	a.pool.release(a.conn, a.whole && attached && sent && !a.last)
 }
@@ -316,17 +360,32 @@
 	return a.whole
 }
 
+// Buffered tells whether the rest of the answer can be read without waiting.
+func (a *Answer) Buffered() bool {
+	return a.Length >= 0 && int64(a.conn.br.Buffered()) >= a.Length
+}
+
+// release lets go of the connection. It returns false if the connection was or is being closed
+// by the context or by Abort.
+func (a *Answer) release() bool {
+	detached := a.abort.detach()
+	return a.detach() && detached
+}
+
 func (a *Answer) giveUp() {
-	a.detach()
+	a.release()
 	a.conn.abort()
 	a.stopSender()
 	a.pool.release(a.conn, false)
 }
 
-// cause prefers the end of the context over the error of the connection that was closed for it.
+// cause prefers the end of the context or an abort over the error of the connection that was closed for it.
 func (a *Answer) cause(err error) error {
 	if a.ctx.Err() != nil {
 		return context.Cause(a.ctx)
 	}
+	if a.abort.ended() {
+		return ErrAborted
+	}
 	return err
 }
