Keep harmless requests out of the table of crash requests

Cause, found by the soak test: two connections that broke within 500 ms counted as a crash although the server answered in between (truncated answers), and a request that many callers send was poisoned after it was on two crashing servers, for 10 min. Now breaks before the server's last answer are no sign of a crash, and a fingerprint answered within a minute is harmless. Ruled out: a fingerprint collision (the soak's request was refused on its own path).

--- a/internal/dispatch/crash.go
+++ b/internal/dispatch/crash.go
@@ -16,6 +16,11 @@
 	poisonFor = 10 * time.Minute
 	// crashRecords bounds the table.
 	crashRecords = 1024
+	// answeredFor is how long an answer shows that a request is harmless. What crashes servers is
+	// never answered, while a harmless request may be on several servers when they crash.
+	answeredFor = time.Minute
+	// answeredSlots bounds the table of answered fingerprints; a collision forgets the older one.
+	answeredSlots = 4096
 	// holdFor is how long a server that crashed gets no work.
 	holdFor = time.Second
 	// holdCap bounds the hold while the server stays away.
@@ -34,10 +39,17 @@
 // crashTable finds requests that crash servers.
 type crashTable struct {
 	records map[uint64]*crashRecord
+	// answered holds the last answers by fingerprint.
+	answered [answeredSlots]answeredRecord
 }
 
-func newCrashTable() crashTable {
-	return crashTable{records: map[uint64]*crashRecord{}}
+type answeredRecord struct {
+	fingerprint uint64
+	at          time.Time
+}
+
+func newCrashTable() *crashTable {
+	return &crashTable{records: map[uint64]*crashRecord{}}
 }
 
 // suspect tells whether the fingerprint was on a server that crashed.
@@ -56,7 +68,8 @@
 
 // clear drops a fingerprint that was answered: many callers may send the same harmless request,
 // and one of them is likely to be on a server when it crashes.
-func (t *crashTable) clear(fingerprint uint64) {
+func (t *crashTable) clear(now time.Time, fingerprint uint64) {
+	t.answered[fingerprint%answeredSlots] = answeredRecord{fingerprint: fingerprint, at: now}
 	if r := t.records[fingerprint]; r != nil && r.until.IsZero() {
 		delete(t.records, fingerprint)
 	}
@@ -65,7 +78,7 @@
 // add records that a server crashed with the fingerprint on it, and returns true when the
 // fingerprint becomes poisoned.
 func (t *crashTable) add(now time.Time, fingerprint uint64, instance string) bool {
-	if fingerprint == 0 {
+	if fingerprint == 0 || t.harmless(now, fingerprint) {
 		return false
 	}
 	r := t.records[fingerprint]
@@ -86,6 +99,12 @@
 	return true
 }
 
+// harmless tells whether the fingerprint was answered a short while ago.
+func (t *crashTable) harmless(now time.Time, fingerprint uint64) bool {
+	a := t.answered[fingerprint%answeredSlots]
+	return a.fingerprint == fingerprint && now.Sub(a.at) < answeredFor
+}
+
 // bound makes room for one record: expired ones go first, then the oldest.
 func (t *crashTable) bound(now time.Time) {
 	if len(t.records) < crashRecords {
@@ -140,11 +159,12 @@
 	m.judgeRefusals(now, s)
 }
 
-// crashed tells whether a connection broke with other connections broken or refused soon after.
+// crashed tells whether a connection broke with other connections broken or refused soon after, and
+// no answer in between: a server that goes on answering has not crashed.
 func (m *Machine) crashed(now time.Time, s *server) bool {
 	recent, broken := 0, 0
 	for _, b := range s.breaks {
-		if now.Sub(b.at) > crashWindow {
+		if now.Sub(b.at) > crashWindow || b.at.Before(s.lastAnswer) {
 			continue
 		}
 		recent++
--- a/internal/dispatch/evidence.go
+++ b/internal/dispatch/evidence.go
@@ -61,7 +61,7 @@
 	switch c.Result {
 	case grant.OK:
 		m.observeAnswer(now, r, latency, false)
-		m.crashes.clear(r.Fingerprint)
+		m.crashes.clear(now, r.Fingerprint)
 		m.charge(r, c.Total)
 		s.sheds = 0
 	case grant.Error:
--- a/internal/dispatch/lifecycle_test.go
+++ b/internal/dispatch/lifecycle_test.go
@@ -165,3 +165,42 @@
 	// By utilisation alone both would go to b.
 	g.Expect(send(3, 1)).NotTo(Equal(send(4, 2)))
 }
+
+// Answers that break off on servers that go on answering are no crashes, and a request that was
+// answered a moment ago is not what crashes servers. Either mistake refuses harmless work for 10 min.
+func TestHarmlessRequestsAreNotPoison(t *testing.T) {
+	for name, answeredBetween := range map[string]bool{"truncated answers": true, "bystander of two crashes": false} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			now := time.Unix(1000, 0)
+			m := dispatch.New(now, dispatch.Config{Service: "x"})
+			m.SetServers(now, []backend.Server{
+				{Instance: "a", State: backend.Ready, Slots: 4, Renewed: now},
+				{Instance: "b", State: backend.Ready, Slots: 4, Renewed: now},
+			})
+			m.Connect(now, "n", "dc", 1, nil, nil)
+			now = now.Add(dispatch.CollectFor)
+			id := uint64(0)
+			end := func(result grant.Result, fingerprint uint64, exclude string) {
+				id++
+				a := ask(m, now, id, func(q *dispatch.Request) { q.Fingerprint, q.Exclude = fingerprint, []string{exclude} })
+				g.Expect(a).To(HaveLen(1))
+				g.Expect(a[0].Kind).To(Equal(dispatch.Granted), "request %d", id)
+				m.Complete(now, "n", id, grant.Completion{Result: result, Total: time.Millisecond})
+				now = now.Add(time.Millisecond)
+			}
+			end(grant.OK, 7, "b")
+			for _, exclude := range []string{"b", "a"} {
+				end(grant.Broken, 7, exclude)
+				if answeredBetween {
+					end(grant.OK, 8, exclude)
+				}
+				end(grant.Broken, 7, exclude)
+			}
+			g.Expect(m.Stats().PoisonRequests).To(BeZero())
+			if answeredBetween {
+				g.Expect(m.Stats().Crashes).To(BeZero())
+			}
+		})
+	}
+}
--- a/internal/dispatch/machine.go
+++ b/internal/dispatch/machine.go
@@ -20,7 +20,7 @@
 	nodes   map[string]*node
 	queue   queue
 	retries Budget
-	crashes crashTable
+	crashes *crashTable
 	peaks   [peakMinutes]peak
 
 	latencies latencies
