--- a/internal/agreement/client.go
+++ b/internal/agreement/client.go
@@ -88,7 +88,7 @@
 }
 
 // NewLocalClient returns a client that calls the replica of this process directly and all others
-// through next.
+// through next. Values that come back are then those in the replica's memory and must not be changed.
 func NewLocalClient(id string, replica agreementpb.DRPCReplicaServer, next Client) Client {
 	return localClient{id: id, replica: replica, next: next}
 }
--- a/internal/agreement/compaction.go
+++ b/internal/agreement/compaction.go
@@ -1,6 +1,8 @@
 package agreement
 
 import (
+	"slices"
+
 	"github.com/pkg/errors"
 	"google.golang.org/protobuf/proto"
 
@@ -55,7 +57,9 @@
 	if segment <= 0 {
 		segment = storage.DefaultSegmentBytes
 	}
-	due := size > compactSegments*segment || (size > 0 && r.now().Sub(r.compactedAt) >= retainInterval)
+	// A journal as large as the last snapshot keeps the cost of snapshots in proportion to the writes.
+	enough := max(compactSegments*segment, r.log.SnapshotBytes())
+	due := size > enough || (size > 0 && r.now().Sub(r.compactedAt) >= retainInterval)
 	if !due || r.compacting || r.state == Stopped {
 		return
 	}
@@ -64,8 +68,8 @@
 }
 
 func (r *Replica) compact() {
-	r.mu.Lock()
 	r.dropExpired()
+	r.mu.Lock()
 	journal, sequence := r.log, r.log.Last()
 	head := r.headEntries()
 	views := r.store.view()
@@ -122,25 +126,39 @@
 	return emit(encoded)
 }
 
-// dropExpired removes the chains that Retain gives up. It is called with the lock held.
+// dropExpired removes the chains that Retain gives up. It asks Retain without the lock and drops
+// only chains that have not changed meanwhile.
 func (r *Replica) dropExpired() {
+	r.mu.Lock()
 	if r.cfg.Retain == nil || r.state != Voting {
+		r.mu.Unlock()
 		return
 	}
-	for prefix, c := range r.store.chains {
-		if prefix == groupPrefix || c.floor > 0 || r.retained(prefix, c) {
-			continue
+	views := r.store.view()
+	r.mu.Unlock()
+	for _, v := range views {
+		if v.prefix != groupPrefix && v.chain.floor == 0 && !r.retained(v) {
+			r.dropUnchanged(v)
 		}
-		r.append(entryDropped(prefix))
-		r.store.drop(prefix)
 	}
 }
 
-func (r *Replica) retained(prefix string, c *chain) bool {
-	for i := len(c.registers) - 1; i >= 0; i-- {
-		state := c.registers[i]
+func (r *Replica) dropUnchanged(v chainView) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	c := r.store.chains[v.prefix]
+	if c == nil || r.state != Voting || !slices.Equal(c.registers, v.chain.registers) {
+		return
+	}
+	r.append(entryDropped(v.prefix))
+	r.store.drop(v.prefix)
+}
+
+func (r *Replica) retained(v chainView) bool {
+	for i := len(v.chain.registers) - 1; i >= 0; i-- {
+		state := v.chain.registers[i]
 		if state.hasAccepted {
-			return r.cfg.Retain(registerKey(prefix, state.index), state.value, state.decided)
+			return r.cfg.Retain(registerKey(v.prefix, state.index), state.value, state.decided)
 		}
 	}
 	return true
--- a/internal/agreement/operation.go
+++ b/internal/agreement/operation.go
@@ -133,6 +133,8 @@
 	o       *operation
 	q       quorum
 	waiting int
+	// sent is the value of an accept, which replies to granted votes leave out.
+	sent []byte
 	// granted are the states of the replicas that did what was asked.
 	granted []register
 	// others are the states of the replicas that did not.
@@ -183,6 +185,9 @@
 		return
 	}
 	if a.reply.GetOk() {
+		if t.sent != nil {
+			state.value = t.sent
+		}
 		t.granted = append(t.granted, state)
 		t.voters = append(t.voters, a.member)
 		return
@@ -216,6 +221,7 @@
 // fastRound asks all replicas to vote in round 0 without a prepare.
 func (o *operation) fastRound(ctx context.Context, q quorum) result {
 	t := o.newTally(q)
+	t.sent = o.value
 	answers := o.sendAccept(ctx, q, ballot{}, o.value)
 	defer func() { o.exposed = o.exposed || t.safe < len(q.members) }()
 	var grace <-chan time.Time
@@ -287,6 +293,7 @@
 // accept asks all replicas to vote for the value in the ballot.
 func (o *operation) accept(ctx context.Context, q quorum, b ballot, value []byte) result {
 	t := o.newTally(q)
+	t.sent = value
 	answers := o.sendAccept(ctx, q, b, value)
 	if o.hasValue && bytes.Equal(value, o.value) {
 		defer func() { o.exposed = o.exposed || t.safe < len(q.members) }()
--- a/internal/agreement/proposer.go
+++ b/internal/agreement/proposer.go
@@ -1,6 +1,7 @@
 package agreement
 
 import (
+	"bytes"
 	"context"
 	"math/rand/v2"
 	"strconv"
@@ -204,7 +205,8 @@
 	}
 	ctx, cancel := withDefaultDeadline(ctx)
 	defer cancel()
-	o := p.newOperation(registerKey(prefix, index), value)
+	// The caller may reuse its slice while calls are still under way.
+	o := p.newOperation(registerKey(prefix, index), bytes.Clone(value))
 	o.fast = fast
 	return o.run(ctx)
 }
--- a/internal/agreement/serve.go
+++ b/internal/agreement/serve.go
@@ -142,7 +142,12 @@
 		next = r.save(prefix, next)
 	}
 	r.mu.Unlock()
-	return r.registerReply(p, ok, prefix, next), nil
+	out := r.registerReply(p, ok, prefix, next)
+	if out.GetOk() {
+		// The proposer knows the value that it sent.
+		out.Register.Value = nil
+	}
+	return out, nil
 }
 
 // save journals the register and stores it. It is called with the lock held.
--- a/internal/storage/log.go
+++ b/internal/storage/log.go
@@ -53,6 +53,8 @@
 	failure      error
 	closed       bool
 	sinceSnap    int64
+	// snapshotBytes is the size of the newest snapshot.
+	snapshotBytes int64
 
 	// The open segment belongs to whoever set syncing.
 	segment     File
@@ -237,6 +239,13 @@
 	return l.sinceSnap
 }
 
+// SnapshotBytes returns the size of the newest snapshot; 0 if there is none.
+func (l *Log) SnapshotBytes() int64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.snapshotBytes
+}
+
 // Err returns the failure that stopped the log, or nil.
 func (l *Log) Err() error {
 	l.mu.Lock()
--- a/internal/storage/recover.go
+++ b/internal/storage/recover.go
@@ -52,6 +52,7 @@
 	if err != nil {
 		return errors.Wrap(err, "read the snapshot")
 	}
+	l.snapshotBytes = int64(len(content))
 	complete := false
 	_, _, err = readFile(content, snapshotMagic, func(_ uint64, entry []byte) error {
 		if complete {
--- a/internal/storage/snapshot.go
+++ b/internal/storage/snapshot.go
@@ -25,7 +25,8 @@
 		return err
 	}
 	name := path.Join(l.folder, snapshotName(sequence))
-	if err := l.writeSnapshotFile(name+temporarySuffix, sequence, fill); err != nil {
+	size, err := l.writeSnapshotFile(name+temporarySuffix, fill)
+	if err != nil {
 		return errors.Wrap(err, "write a snapshot")
 	}
 	if err := l.fs.Rename(name+temporarySuffix, name); err != nil {
@@ -35,26 +36,26 @@
 		return errors.Wrap(err, "sync the data folder")
 	}
 	l.mu.Lock()
-	l.sinceSnap = 0
+	l.sinceSnap, l.snapshotBytes = 0, size
 	l.mu.Unlock()
 	return l.removeBefore(sequence)
 }
 
-func (l *Log) writeSnapshotFile(name string, sequence uint64, fill func(func([]byte) error) error) error {
+func (l *Log) writeSnapshotFile(name string, fill func(func([]byte) error) error) (size int64, err error) {
 	h := fileHeader{magic: snapshotMagic}
 	if _, err := rand.Read(h.salt[:]); err != nil {
-		return err
+		return 0, err
 	}
 	f, err := l.fs.Create(name)
 	if err != nil {
-		return err
+		return 0, err
 	}
 	w := &snapshotWriter{file: f, salt: h.salt}
-	err = w.run(h, sequence, fill)
+	err = w.run(h, fill)
 	if closeErr := f.Close(); err == nil {
 		err = closeErr
 	}
-	return err
+	return w.size, err
 }
 
 type snapshotWriter struct {
@@ -63,10 +64,13 @@
 	frame []byte
 	first uint64
 	count uint64
+	size  int64
 }
 
-func (w *snapshotWriter) run(h fileHeader, sequence uint64, fill func(func([]byte) error) error) error {
-	if _, err := w.file.Write(h.encode()); err != nil {
+func (w *snapshotWriter) run(h fileHeader, fill func(func([]byte) error) error) error {
+	n, err := w.file.Write(h.encode())
+	w.size += int64(n)
+	if err != nil {
 		return err
 	}
 	if err := fill(w.emit); err != nil {
@@ -99,7 +103,8 @@
 		return nil
 	}
 	sealFrame(w.frame, w.salt, w.first)
-	_, err := w.file.Write(w.frame)
+	n, err := w.file.Write(w.frame)
+	w.size += int64(n)
 	w.frame = w.frame[:0]
 	return err
 }
