Let elections of the baseline end

A candidate that was refused for its log did not raise the term of the voter, so two followers could refuse each other for seconds, and a silent leader stayed the hint for clients.

--- a/internal/bench/durable/baseline.go
+++ b/internal/bench/durable/baseline.go
@@ -92,6 +92,7 @@
 	case n.leader != n.id && now.Sub(n.heard) > n.patience && !n.standing:
 		n.standing = true
 		n.term++
+		n.leader = ""
 		n.heard, n.patience = now, patience()
 		go n.stand(ctx, n.term, n.last, now)
 	}
@@ -186,10 +187,15 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	leased := n.leader == n.id || (n.leader != "" && time.Since(n.heard) < electionTimeout)
-	if leased || b.GetRound() <= n.term || last < n.last {
+	if leased || b.GetRound() <= n.term {
 		return false
 	}
-	n.term, n.leader, n.heard = b.GetRound(), "", time.Now()
+	// A refused candidate still raises the term, so that this node's own candidacy is not refused for its term.
+	n.term, n.leader = b.GetRound(), ""
+	if last < n.last {
+		return false
+	}
+	n.heard = time.Now()
 	return true
 }
 
