Do not call a revision the newest while a register after it is open

A proposer may report a decided register as undecided while too few of its voters answer. The log took the revision before it for the newest: a fetch was confirmed to a starting node and an operator got a conflict with an outdated revision. Get, History and the confirmation of a fetch now need a settled log, and a conflict that cannot name the current revision is answered as unavailable, or as unknown after a proposal.

Requests above 7 MiB are rejected, since a register holds 8 MiB. The feed's tail has a test. Each test was seen to fail on a seeded fault: the open register ignored, a stale conflict, a huge change proposed, a gap in the entries, unbounded entries or bytes, an older document for one who is ahead.

--- a/internal/configuration/control/control_test.go
+++ b/internal/configuration/control/control_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -134,6 +135,13 @@
 		g.Expect(apply(l, open).Verdict).To(Equal(configpb.Verdict_VERDICT_UNKNOWN))
 		registers.SetFaults(registerfake.Faults{})
 		g.Expect(apply(l, open)).To(Equal(accepted(2)))
+		registers.SetFaults(registerfake.Faults{Unsure: 1})
+		g.Expect(apply(l, request(2, team("t", 3)))).To(Equal(accepted(3)))
+		g.Expect(apply(newLog(registers), request(3, team("t", 4))).Verdict).To(Equal(configpb.Verdict_VERDICT_UNAVAILABLE))
+		reply, err = newLog(registers).Fetch(background, &configpb.FetchRequest{})
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(reply.GetConfirmed()).To(BeFalse(), "revision 3 is accepted but not seen")
+		g.Expect(apply(l, request(3, team(strings.Repeat("x", 8<<20), 1)))).To(Equal(rejected("change")))
 		g.Expect(apply(l, &configpb.ApplyRequest{Change: team("t", 1)})).To(Equal(rejected("request_id")))
 	})
 }
@@ -230,3 +238,32 @@
 	_, err = newLog(registers).ReplaceControl(background, &configpb.ReplaceControlRequest{})
 	g.Expect(err).To(MatchError(control.ErrNoGroup))
 }
+
+// rival lets another replica win the register, and cuts this one off afterwards.
+type rival struct {
+	*registerfake.Proposer
+	win func()
+}
+
+func (r *rival) Propose(ctx context.Context, prefix string, index uint64, value []byte) ([]byte, error) {
+	r.win()
+	decided, err := r.Proposer.Propose(ctx, prefix, index, value)
+	r.Cut(true)
+	return decided, err
+}
+
+// A conflict that names an outdated revision would lead the operator into the next conflict.
+func TestConflictNamesTheCurrentRevision(t *testing.T) {
+	g := NewWithT(t)
+	registers := registerfake.New(1, registerfake.Faults{})
+	other := newLog(registers)
+	proposer := &rival{Proposer: registers.Proposer(), win: func() {
+		g.Expect(apply(other, request(0, team("t", 1)))).To(Equal(accepted(1)))
+		g.Expect(apply(other, request(1, team("t", 2)))).To(Equal(accepted(2)))
+	}}
+	l := control.New(control.Options{Proposer: proposer, Logger: logging.Discard()})
+	r := request(0, team("u", 1))
+	g.Expect(apply(l, r).Verdict).To(Equal(configpb.Verdict_VERDICT_UNKNOWN))
+	proposer.Cut(false)
+	g.Expect(apply(l, r)).To(Equal(conflict(2)))
+}
--- a/internal/configuration/control/log.go
+++ b/internal/configuration/control/log.go
@@ -139,24 +139,35 @@
 	return l.ledger.document()
 }
 
-// catchUp applies what a majority knows to be decided. After it returns nil, the log is at
-// least as new as every change that was accepted before the call.
+// catchUp brings the log up to date. After it returns nil, the log is at least as new as
+// every change that was accepted before the call.
 func (l *Log) catchUp(ctx context.Context) error {
+	undecided, err := l.readOn(ctx)
+	if err == nil && undecided {
+		// The open register may hold a change that was accepted: too few of its voters answer.
+		return errors.WithMessage(agreement.ErrUndecided, "read the configuration log")
+	}
+	return err
+}
+
+// readOn applies what a majority knows to be decided, and tells whether the next register has
+// votes without a known decision.
+func (l *Log) readOn(ctx context.Context) (undecided bool, err error) {
 	ctx, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
 	for {
 		before := l.Revision()
 		chain, err := l.options.Proposer.Read(ctx, Prefix, before+1)
 		if err != nil {
-			return errors.WithMessage(err, "read the configuration log")
+			return false, errors.WithMessage(err, "read the configuration log")
 		}
 		if err := l.absorb(chain); err != nil {
 			l.options.Logger.Error("cannot apply the configuration log", "err", err)
-			return err
+			return false, err
 		}
 		// A proposer may answer with a part of a long chain; the read that adds nothing is the last.
 		if l.Revision() == before {
-			return nil
+			return chain.Undecided, nil
 		}
 	}
 }
--- a/internal/configuration/control/operator.go
+++ b/internal/configuration/control/operator.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"slices"
 	"time"
 
@@ -14,8 +15,12 @@
 	"github.com/tarragonmux/tarragonmux/proto/configpb"
 )
 
-// DefaultHistory is how many entries History returns when no limit is set.
-const DefaultHistory = 20
+const (
+	// DefaultHistory is how many entries History returns when no limit is set.
+	DefaultHistory = 20
+	// maxRequestBytes bounds one request, since a register holds at most 8 MiB.
+	maxRequestBytes = 7 << 20
+)
 
 // ErrNoGroup means that this process cannot change the group of control replicas.
 var ErrNoGroup = errors.New("this process runs no control replica; send the request to a control replica")
@@ -47,19 +52,28 @@
 	if _, err := uuid.Parse(r.GetRequestId()); err != nil {
 		return &configuration.Rejection{Field: "request_id", Reason: "it is not a UUID", Remedy: "set a new random UUID for each change, and keep it when sending the change again"}
 	}
+	if size := proto.Size(r); size > maxRequestBytes {
+		return &configuration.Rejection{Field: "change", Reason: fmt.Sprintf("it takes %d bytes, the most is %d", size, maxRequestBytes), Remedy: "split it into several changes"}
+	}
 	return nil
 }
 
 func (l *Log) apply(ctx context.Context, r *configpb.ApplyRequest) *configpb.ApplyReply {
 	// The id may have been accepted through another replica, so the chain is read even if this
 	// replica already knows that the next revision is taken.
-	if err := l.catchUp(ctx); err != nil {
+	undecided, err := l.readOn(ctx)
+	if err != nil {
 		return l.known(r, unavailable())
 	}
-	if reply := l.judge(r); reply != nil {
-		return reply
+	reply := l.judge(r)
+	if reply == nil {
+		return l.propose(ctx, r)
 	}
-	return l.propose(ctx, r)
+	if undecided && reply.GetVerdict() == configpb.Verdict_VERDICT_CONFLICT {
+		// The open register may hold an accepted change, so the current revision is not known.
+		return unavailable()
+	}
+	return reply
 }
 
 // known returns the verdict of the request id, or else the given reply.
@@ -120,11 +134,7 @@
 	case errors.Is(err, agreement.ErrCompacted):
 		return l.afterLoss(ctx, r)
 	case err != nil:
-		return &configpb.ApplyReply{
-			Verdict: configpb.Verdict_VERDICT_UNKNOWN,
-			Reason:  "no majority of the control replicas answered in time, so the change may or may not be accepted later",
-			Remedy:  "send the change again with the same request id",
-		}
+		return open()
 	}
 	if err := l.absorb(agreement.Chain{Decided: []agreement.Register{{Index: entry.GetRevision(), Value: decided}}}); err != nil {
 		l.options.Logger.Error("cannot apply a decided revision", "revision", entry.GetRevision(), "err", err)
@@ -145,12 +155,14 @@
 }
 
 // afterLoss answers when another entry holds the register. The conflict names the newest
-// revision, so that the operator can base the next change on it.
+// revision, so that the operator can base the next change on it; if that cannot be read, the
+// verdict is left open and the resend tells.
 func (l *Log) afterLoss(ctx context.Context, r *configpb.ApplyRequest) *configpb.ApplyReply {
 	if err := l.catchUp(ctx); err != nil {
 		l.options.Logger.Debug("could not read the configuration log after a conflict", "err", err)
+		return l.known(r, open())
 	}
-	return l.known(r, conflict(max(l.Revision(), r.GetExpectedRevision()+1)))
+	return l.known(r, conflict(l.Revision()))
 }
 
 // Get returns the newest document, as a majority knows it.
@@ -242,6 +254,14 @@
 	}
 }
 
+func open() *configpb.ApplyReply {
+	return &configpb.ApplyReply{
+		Verdict: configpb.Verdict_VERDICT_UNKNOWN,
+		Reason:  "no majority of the control replicas answered in time, so the change may or may not be accepted later",
+		Remedy:  "send the change again with the same request id",
+	}
+}
+
 func unavailable() *configpb.ApplyReply {
 	return &configpb.ApplyReply{
 		Verdict: configpb.Verdict_VERDICT_UNAVAILABLE,
--- /dev/null
+++ b/internal/configuration/feed/tail_test.go
@@ -0,0 +1,49 @@
+package feed_test
+
+import (
+	"context"
+	"strings"
+	"testing"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/tarragonmux/tarragonmux/internal/configuration/feed"
+	"github.com/tarragonmux/tarragonmux/internal/invariant"
+	"github.com/tarragonmux/tarragonmux/proto/configpb"
+)
+
+func publish(t *feed.Tail, revision uint64, author string) {
+	t.Publish(&configpb.Document{Revision: revision}, &configpb.Entry{Revision: revision, Author: author})
+}
+
+// A difference with a gap would stop a node; remembering everything would fill the memory.
+func TestFetchAnswersWithTheDifferenceOrTheDocument(t *testing.T) {
+	g := NewWithT(t)
+	tail := feed.NewTail()
+	since := func(revision uint64) *configpb.FetchReply {
+		return tail.Fetch(context.Background(), &configpb.FetchRequest{Revision: revision})
+	}
+	g.Expect(since(0).GetDocument()).To(BeNil())
+	tail.Publish(&configpb.Document{Revision: 5}, nil)
+	publish(tail, 6, "")
+	publish(tail, 7, "")
+	g.Expect(since(5).GetEntries()).To(HaveLen(2))
+	g.Expect(since(6).GetEntries()).To(HaveLen(1))
+	g.Expect(since(4).GetEntries()).To(BeEmpty())
+	g.Expect(since(4).GetDocument().GetRevision()).To(BeEquivalentTo(7))
+	g.Expect(since(9).GetDocument()).To(BeNil(), "who is ahead gets nothing older")
+	publish(tail, 9, "")
+	g.Expect(since(7).GetDocument()).NotTo(BeNil(), "revision 8 is unknown")
+	publish(tail, 10, strings.Repeat("x", 9<<20))
+	g.Expect(since(9).GetDocument()).NotTo(BeNil(), "the entry is too large to be remembered")
+	publish(tail, 11, "")
+	g.Expect(since(10).GetEntries()).To(HaveLen(1))
+	for revision := uint64(12); revision < 2000; revision++ {
+		publish(tail, revision, "")
+	}
+	g.Expect(tail.Recent(5000)).To(HaveLen(1024))
+	violations := invariant.Total()
+	publish(tail, 3, "")
+	g.Expect(invariant.Total()).To(Equal(violations + 1))
+	g.Expect(tail.Revision()).To(BeEquivalentTo(1999))
+}
--- a/internal/registerfake/fake.go
+++ b/internal/registerfake/fake.go
@@ -28,6 +28,9 @@
 	Open float64
 	// Vanished fails a proposal with ErrUndecided without any effect.
 	Vanished float64
+	// Unsure makes a read report a decided register as undecided, as long as no read has shown
+	// it yet: the replicas that answer hold too few of its votes.
+	Unsure float64
 	// MaxDelay bounds the delay before and after the effect of a call.
 	MaxDelay time.Duration
 }
@@ -45,6 +48,8 @@
 	snapshot []byte
 	decided  map[uint64][]byte
 	open     map[uint64][][]byte
+	// shown is the highest index that a read has returned.
+	shown uint64
 }
 
 // New returns registers without values.
@@ -246,7 +251,13 @@
 	}
 	begin := max(from, c.floor)
 	for i, value := range c.values(begin) {
-		result.Decided = append(result.Decided, agreement.Register{Index: begin + uint64(i), Value: value})
+		index := begin + uint64(i)
+		if index > c.shown && r.random.Float64() < r.faults.Unsure {
+			result.Undecided = true
+			return result
+		}
+		c.shown = max(c.shown, index)
+		result.Decided = append(result.Decided, agreement.Register{Index: index, Value: value})
 	}
 	return result
 }
