Bound the configuration log in bytes and answer fetches in time

A change may replace the whole document, about 5 MB at the target size. The log kept 32 documents, 256 entries and up to 1,024 registers of them; it now keeps 16 MiB of changes and 1 MiB of history, and compacts after 32 MiB.

A replica without a majority answered a fetch after 1 s, when the starting node had given up after 0.9 s, so a host with both roles did not count as a peer; it now answers after 0.5 s.

Each test was seen to fail on a seeded fault (bytes that trigger nothing, a window without a bound in bytes, an unbounded confirmation, a name with a hyphen at the end).

--- a/internal/configuration/bench_test.go
+++ b/internal/configuration/bench_test.go
@@ -57,6 +57,19 @@
 	}
 }
 
+func BenchmarkValidateDocument(b *testing.B) {
+	for _, size := range sizes {
+		d := sized(size.routes, size.teams)
+		b.Run(fmt.Sprintf("routes=%d/teams=%d", size.routes, size.teams), func(b *testing.B) {
+			for b.Loop() {
+				if fault := configuration.ValidateDocument(d); fault != nil {
+					b.Fatal(fault)
+				}
+			}
+		})
+	}
+}
+
 func BenchmarkApply(b *testing.B) {
 	changes := map[string]*configpb.Change{
 		"team":    put(&configpb.Team{Id: "team000033", InFlightQuota: 5}),
--- a/internal/configuration/control/control_test.go
+++ b/internal/configuration/control/control_test.go
@@ -94,6 +94,40 @@
 	})
 }
 
+// Large changes, such as those that replace the whole document, would fill memory and disks long before their
+// number makes a compaction due.
+func TestLargeChangesAreCompactedEarly(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		registers := registerfake.New(1, registerfake.Faults{})
+		l := control.New(control.Options{Proposer: registers.Proposer(), Compactor: registers, Logger: logging.Discard()})
+		ctx, stop := context.WithCancel(background)
+		defer stop()
+		go func() { _ = l.Run(ctx) }()
+		for revision := range uint64(24) {
+			r := request(revision, team("t", 1))
+			r.Author = strings.Repeat("x", 2<<20)
+			g.Expect(apply(l, r)).To(Equal(accepted(revision + 1)))
+		}
+		time.Sleep(time.Second)
+		g.Expect(len(registers.Values(control.Prefix))).To(BeNumerically("<", 12))
+		g.Expect(apply(newLog(registers), request(24, team("t", 1)))).To(Equal(accepted(25)))
+	})
+}
+
+// A replica without a majority that keeps a starting node waiting is no help to it.
+func TestFetchAnswersInTimeWithoutMajority(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		l := newLog(registerfake.New(1, registerfake.Faults{MaxDelay: time.Hour}))
+		began := time.Now()
+		reply, err := l.Fetch(background, &configpb.FetchRequest{})
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(reply.GetConfirmed()).To(BeFalse())
+		g.Expect(time.Since(began)).To(BeNumerically("<", 800*time.Millisecond))
+	})
+}
+
 // Request ids that are never forgotten would fill the memory; ones forgotten early would
 // let a resend be applied twice.
 func TestRequestIDsAreKeptForADay(t *testing.T) {
--- a/internal/configuration/control/ledger.go
+++ b/internal/configuration/control/ledger.go
@@ -19,7 +19,10 @@
 	requestRevisions = 10_000
 	// keptDocuments is how many of the newest documents are kept to validate resends.
 	keptDocuments = 32
-	// keptEntries is how many of the newest entries a snapshot carries for the history.
+	// keptDocumentBytes bounds the changes between them in bytes, since each of them can
+	// replace the whole document.
+	keptDocumentBytes = 16 << 20
+	// keptEntries is how many of the newest entries are kept for the history.
 	keptEntries = 256
 	// keptEntryBytes bounds these entries in bytes.
 	keptEntryBytes = 1 << 20
@@ -29,21 +32,44 @@
 // give equal ledgers on every replica. It is not safe for concurrent use.
 type ledger struct {
 	// documents are the newest ones with consecutive revisions, oldest first; never empty.
-	documents []*configpb.Document
+	documents window[*configpb.Document]
 	// requests by id, and the same in the order of revisions.
 	requests map[string]*configpb.AppliedRequest
 	order    []*configpb.AppliedRequest
 	// recent are the newest entries with consecutive revisions, oldest first.
-	recent []*configpb.Entry
+	recent window[*configpb.Entry]
 }
 
-func newLedger() *ledger {
-	return &ledger{
-		documents: []*configpb.Document{configuration.Empty()},
-		requests:  map[string]*configpb.AppliedRequest{},
+// window keeps the newest items within a number and a sum of sizes.
+type window[T any] struct {
+	items []T
+	sizes []int
+	bytes int
+}
+
+// add appends an item and drops the oldest ones beyond the bounds, but never all.
+func (w *window[T]) add(item T, size, most, mostBytes int) {
+	w.items = append(w.items, item)
+	w.sizes = append(w.sizes, size)
+	w.bytes += size
+	for len(w.items) > 1 && (len(w.items) > most || w.bytes > mostBytes) {
+		var none T
+		w.items[0] = none
+		w.bytes -= w.sizes[0]
+		w.items, w.sizes = w.items[1:], w.sizes[1:]
 	}
 }
 
+func newLedger() *ledger {
+	return ledgerOf(configuration.Empty())
+}
+
+func ledgerOf(d *configpb.Document) *ledger {
+	l := &ledger{requests: map[string]*configpb.AppliedRequest{}}
+	l.documents.add(d, 0, keptDocuments, keptDocumentBytes)
+	return l
+}
+
 // restore builds the ledger of a log snapshot. An empty one is the ledger before the first entry.
 func restore(data []byte) (*ledger, error) {
 	snapshot := &configpb.LogSnapshot{}
@@ -52,18 +78,20 @@
 	}
 	l := newLedger()
 	if snapshot.GetDocument() != nil {
-		l.documents = []*configpb.Document{snapshot.GetDocument()}
+		l = ledgerOf(snapshot.GetDocument())
 	}
 	for _, request := range snapshot.GetRequests() {
 		l.admit(request)
 	}
-	l.recent = snapshot.GetRecent()
+	for _, e := range snapshot.GetRecent() {
+		l.recent.add(e, proto.Size(e), keptEntries, keptEntryBytes)
+	}
 	return l, nil
 }
 
 // document returns the newest document.
 func (l *ledger) document() *configpb.Document {
-	return l.documents[len(l.documents)-1]
+	return l.documents.items[len(l.documents.items)-1]
 }
 
 // revision returns the newest revision.
@@ -71,13 +99,18 @@
 	return l.document().GetRevision()
 }
 
+// oldest returns the oldest document that is kept.
+func (l *ledger) oldest() *configpb.Document {
+	return l.documents.items[0]
+}
+
 // at returns the document of a revision; ok is false if it is not kept.
 func (l *ledger) at(revision uint64) (d *configpb.Document, ok bool) {
-	first := l.documents[0].GetRevision()
+	first := l.oldest().GetRevision()
 	if revision < first || revision > l.revision() {
 		return nil, false
 	}
-	return l.documents[revision-first], true
+	return l.documents.items[revision-first], true
 }
 
 // apply adds the next entry.
@@ -90,16 +123,9 @@
 	if err != nil {
 		return err
 	}
-	l.documents = append(l.documents, next)
-	if len(l.documents) > keptDocuments {
-		l.documents[0] = nil
-		l.documents = l.documents[1:]
-	}
-	l.recent = append(l.recent, e)
-	if len(l.recent) > keptEntries {
-		l.recent[0] = nil
-		l.recent = l.recent[1:]
-	}
+	size := proto.Size(e)
+	l.documents.add(next, size, keptDocuments, keptDocumentBytes)
+	l.recent.add(e, size, keptEntries, keptEntryBytes)
 	l.admit(&configpb.AppliedRequest{
 		RequestId: e.GetRequestId(),
 		Revision:  e.GetRevision(),
@@ -145,32 +171,22 @@
 // snapshot returns the log snapshot at the oldest kept document, and the first revision
 // that it does not cover.
 func (l *ledger) snapshot() (floor uint64, data []byte, err error) {
-	oldest := l.documents[0]
+	oldest := l.oldest()
 	snapshot := &configpb.LogSnapshot{Document: oldest}
 	for _, r := range l.order {
 		if r.GetRevision() <= oldest.GetRevision() {
 			snapshot.Requests = append(snapshot.Requests, r)
 		}
 	}
-	snapshot.Recent = upTo(l.recent, oldest.GetRevision())
+	for _, e := range l.recent.items {
+		if e.GetRevision() <= oldest.GetRevision() {
+			snapshot.Recent = append(snapshot.Recent, e)
+		}
+	}
 	data, err = proto.MarshalOptions{Deterministic: true}.Marshal(snapshot)
 	return oldest.GetRevision() + 1, data, errors.Wrap(err, "encode the snapshot of the configuration log; report this as a defect")
 }
 
-// upTo returns the newest entries up to the revision whose sizes stay within keptEntryBytes.
-func upTo(entries []*configpb.Entry, revision uint64) []*configpb.Entry {
-	end := len(entries)
-	for end > 0 && entries[end-1].GetRevision() > revision {
-		end--
-	}
-	begin, bytes := end, 0
-	for begin > 0 && bytes+proto.Size(entries[begin-1]) <= keptEntryBytes {
-		begin--
-		bytes += proto.Size(entries[begin])
-	}
-	return entries[begin:end]
-}
-
 func digest(c *configpb.Change) uint64 {
 	data, err := proto.MarshalOptions{Deterministic: true}.Marshal(c)
 	invariant.Check(err == nil, "configuration.change-encodes", "%v", err)
--- a/internal/configuration/control/log.go
+++ b/internal/configuration/control/log.go
@@ -27,6 +27,11 @@
 	proposeTimeout = 3 * time.Second
 	// defaultCompactEvery is how many registers accumulate before they are replaced by a snapshot.
 	defaultCompactEvery = 1024
+	// compactBytes is how many bytes of registers accumulate before they are replaced earlier.
+	compactBytes = 32 << 20
+	// confirmTimeout bounds the reading before a fetch is answered. It is shorter than the
+	// patience of a starting node, which counts the unconfirmed answers of a lost majority.
+	confirmTimeout = 500 * time.Millisecond
 )
 
 // Compactor replaces the registers of a chain below the floor by a snapshot at this replica.
@@ -82,6 +87,8 @@
 	mu     sync.Mutex
 	ledger *ledger
 	floor  uint64
+	// bytes of the values that were applied since the last compaction.
+	bytes int
 }
 
 // New returns a log that knows nothing until Run or the first request reads the chain.
@@ -217,6 +224,7 @@
 	if err := l.ledger.apply(entry); err != nil {
 		return errors.WithMessagef(err, "apply revision %d", index)
 	}
+	l.bytes += len(value)
 	l.tail.Publish(l.ledger.document(), entry)
 	return nil
 }
@@ -240,12 +248,14 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.floor = max(l.floor, floor)
+	l.bytes = 0
 }
 
 func (l *Log) dueSnapshot() (floor uint64, data []byte, due bool, err error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.ledger.documents[0].GetRevision()+1 < l.floor+l.options.CompactEvery {
+	next := l.ledger.oldest().GetRevision() + 1
+	if next < l.floor+l.options.CompactEvery && (l.bytes < compactBytes || next <= l.floor) {
 		return 0, nil, false, nil
 	}
 	floor, data, err = l.ledger.snapshot()
--- a/internal/configuration/control/operator.go
+++ b/internal/configuration/control/operator.go
@@ -186,7 +186,7 @@
 	if limit == 0 {
 		limit = DefaultHistory
 	}
-	recent := l.ledger.recent
+	recent := l.ledger.recent.items
 	recent = slices.Clone(recent[max(0, len(recent)-limit):])
 	slices.Reverse(recent)
 	return &configpb.HistoryReply{Entries: recent}, nil
@@ -221,13 +221,20 @@
 func (l *Log) Fetch(ctx context.Context, r *configpb.FetchRequest) (*configpb.FetchReply, error) {
 	confirmed := false
 	if r.GetWaitMs() == 0 {
-		confirmed = l.catchUp(ctx) == nil
+		confirmed = l.confirm(ctx)
 	}
 	reply := l.tail.Fetch(ctx, r)
 	reply.Confirmed = confirmed
 	return reply, nil
 }
 
+// confirm tells whether a majority confirmed in time that the log is up to date.
+func (l *Log) confirm(ctx context.Context) bool {
+	ctx, cancel := context.WithTimeout(ctx, confirmTimeout)
+	defer cancel()
+	return l.catchUp(ctx) == nil
+}
+
 func accepted(revision uint64) *configpb.ApplyReply {
 	return &configpb.ApplyReply{Verdict: configpb.Verdict_VERDICT_ACCEPTED, Revision: revision}
 }
--- a/internal/configuration/validate.go
+++ b/internal/configuration/validate.go
@@ -169,12 +169,12 @@
 
 func eachUnique[T any](part string, items []T, key func(T) string, check func(string, T) *Rejection) *Rejection {
 	for i, item := range items {
-		field := fmt.Sprintf("%s[%q]", part, key(item))
-		if r := check(field, item); r != nil {
-			return r
+		// The field is written out only for a faulty item, of which there is one at most.
+		if check(part, item) != nil {
+			return check(fmt.Sprintf("%s[%q]", part, key(item)), item)
 		}
 		if i > 0 && key(items[i-1]) == key(item) {
-			return reject(field, "remove one of the two", "it is listed twice")
+			return reject(fmt.Sprintf("%s[%q]", part, key(item)), "remove one of the two", "it is listed twice")
 		}
 	}
 	return nil
--- a/internal/configuration/validate_parts.go
+++ b/internal/configuration/validate_parts.go
@@ -34,7 +34,6 @@
 const nameRemedy = "use letters, digits, dots, hyphens and underscores, with a letter or digit at both ends"
 
 var (
-	namePattern     = regexp.MustCompile(`^[A-Za-z0-9]([A-Za-z0-9._-]*[A-Za-z0-9])?$`)
 	hostNamePattern = regexp.MustCompile(`^[a-z0-9]([a-z0-9.-]*[a-z0-9])?$`)
 	methodPattern   = regexp.MustCompile(`^[A-Z][A-Z-]*$`)
 )
@@ -61,12 +60,26 @@
 	if name == "" {
 		return reject(field, "set it", "it is missing")
 	}
-	if len(name) > longest || !namePattern.MatchString(name) {
+	if len(name) > longest || !isName(name) {
 		return reject(field, nameRemedy, "%.140q is not a valid name of at most %d bytes", name, longest)
 	}
 	return nil
 }
 
+// isName is written out, since a regular expression here and a formatted field for every item
+// took two thirds of the validation of a document with 60,000 teams.
+func isName(name string) bool {
+	for i := range len(name) {
+		c := name[i]
+		alphanumeric := 'a' <= c && c <= 'z' || 'A' <= c && c <= 'Z' || '0' <= c && c <= '9'
+		inner := i > 0 && i < len(name)-1 && (c == '.' || c == '-' || c == '_')
+		if !alphanumeric && !inner {
+			return false
+		}
+	}
+	return name != ""
+}
+
 func validateRange(field string, n, low, high int64) *Rejection {
 	if n < low || n > high {
 		return reject(field, "choose a value in the range", "%d is not in the range %d to %d", n, low, high)
--- a/internal/configuration/validate_test.go
+++ b/internal/configuration/validate_test.go
@@ -57,6 +57,7 @@
 		Entry("a buffered body beyond memory", put(altered(route("r3", "", "/x", "booking"), func(r *configpb.Route) { r.Idempotent = false; r.BodyLimitBytes = 1 << 30 })), "put_route.body_limit_bytes", "range"),
 		Entry("a team with an unknown service", put(&configpb.Team{Id: "t", Services: []string{"nope"}}), "put_team.services", "does not exist"),
 		Entry("an invalid team id", put(&configpb.Team{Id: "t/1"}), "put_team.id", "not a valid name"),
+		Entry("a team id that ends in a hyphen", put(&configpb.Team{Id: "t-"}), "put_team.id", "not a valid name"),
 		Entry("a document with a team twice", put(altered(example(), func(d *configpb.Document) { d.Teams = append(d.Teams, d.Teams[0]) })), `teams["archive"]`, "twice"),
 		Entry("a document with overlapping routes", put(altered(example(), func(d *configpb.Document) { d.Routes = append(d.Routes, route("r9", "", "/orders", "booking")) })), "routes", `"r1"`),
 		Entry("a document that moves a service", put(altered(example(), func(d *configpb.Document) { d.Services[0].DataCentres = []string{"a"} })), "services[0].data_centres", "cannot be changed"),
