--- a/internal/configuration/control/log.go
+++ b/internal/configuration/control/log.go
@@ -27,6 +27,11 @@
 	proposeTimeout = 3 * time.Second
 	// defaultCompactEvery is how many registers accumulate before they are replaced by a snapshot.
 	defaultCompactEvery = 1024
+	// compactBytes is how many bytes of registers accumulate before they are replaced earlier.
+	compactBytes = 32 << 20
+	// confirmTimeout bounds the reading before a fetch is answered. It is shorter than the
+	// patience of a starting node, which counts the unconfirmed answers of a lost majority.
+	confirmTimeout = 500 * time.Millisecond
 )
 
 // Compactor replaces the registers of a chain below the floor by a snapshot at this replica.
@@ -82,6 +87,8 @@
 	mu     sync.Mutex
 	ledger *ledger
 	floor  uint64
+	// bytes of the values that were applied since the last compaction.
+	bytes int
 }
 
 // New returns a log that knows nothing until Run or the first request reads the chain.
@@ -139,24 +146,35 @@
 	return l.ledger.document()
 }
 
-// catchUp applies what a majority knows to be decided. After it returns nil, the log is at
-// least as new as every change that was accepted before the call.
+// catchUp brings the log up to date. After it returns nil, the log is at least as new as
+// every change that was accepted before the call.
 func (l *Log) catchUp(ctx context.Context) error {
+	undecided, err := l.readOn(ctx)
+	if err == nil && undecided {
+		// The open register may hold a change that was accepted: too few of its voters answer.
+		return errors.WithMessage(agreement.ErrUndecided, "read the configuration log")
+	}
+	return err
+}
+
+// readOn applies what a majority knows to be decided, and tells whether the next register has
+// votes without a known decision.
+func (l *Log) readOn(ctx context.Context) (undecided bool, err error) {
 	ctx, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
 	for {
 		before := l.Revision()
 		chain, err := l.options.Proposer.Read(ctx, Prefix, before+1)
 		if err != nil {
-			return errors.WithMessage(err, "read the configuration log")
+			return false, errors.WithMessage(err, "read the configuration log")
 		}
 		if err := l.absorb(chain); err != nil {
 			l.options.Logger.Error("cannot apply the configuration log", "err", err)
-			return err
+			return false, err
 		}
 		// A proposer may answer with a part of a long chain; the read that adds nothing is the last.
 		if l.Revision() == before {
-			return nil
+			return chain.Undecided, nil
 		}
 	}
 }
@@ -206,6 +224,7 @@
 	if err := l.ledger.apply(entry); err != nil {
 		return errors.WithMessagef(err, "apply revision %d", index)
 	}
+	l.bytes += len(value)
 	l.tail.Publish(l.ledger.document(), entry)
 	return nil
 }
@@ -229,12 +248,14 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.floor = max(l.floor, floor)
+	l.bytes = 0
 }
 
 func (l *Log) dueSnapshot() (floor uint64, data []byte, due bool, err error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.ledger.documents[0].GetRevision()+1 < l.floor+l.options.CompactEvery {
+	next := l.ledger.oldest().GetRevision() + 1
+	if next < l.floor+l.options.CompactEvery && (l.bytes < compactBytes || next <= l.floor) {
 		return 0, nil, false, nil
 	}
 	floor, data, err = l.ledger.snapshot()
