Give back what a second attempt got too late

A hedge's grant that came after the first answer was used: the request was sent to the second server and cancelled. Nothing is sent any more once the request's context has ended, and the grant counts as unused. The second attempt takes its copy of the exchange when it registers, since the first attempt's goroutine changes it afterwards.

A caller that stops sending before any byte was sent on is told so with the outcome not-run. Both tests failed before the change (the second with the caller's fault checked only after a write).

--- a/internal/entry/answer_test.go
+++ b/internal/entry/answer_test.go
@@ -156,6 +156,18 @@
 		Eventually(f.grants.ended).Should(ConsistOf(grant.Cancelled, grant.OK))
 	})
 
+	// The request has ended by then: its exchange belongs to the first attempt, and the work is for nobody.
+	It("is given back unused when its grant comes after the first answer", func() {
+		first := newStandin(standin.Config{Instance: "first", WorkTime: 50 * time.Millisecond})
+		second := newStandin(standin.Config{Instance: "second", WorkTime: -1})
+		f := start(nil)
+		hedged(f, first.Address(), second.Address())
+		f.grants.hedgeTakes = 80 * time.Millisecond
+		Expect(f.do("GET", "/urgent", "").body).To(HavePrefix("instance=first "))
+		Eventually(f.grants.ended).Should(Equal([]grant.Result{grant.OK, grant.Unused}))
+		Expect(second.Ledger().Total.Started).To(BeZero())
+	})
+
 	// A server that is answering is not stalled; a hedge would only cost a slot.
 	It("is not sent once the first answer has begun", func() {
 		begun := serve(func(w http.ResponseWriter, _ *http.Request) {
--- a/internal/entry/dispatch.go
+++ b/internal/entry/dispatch.go
@@ -262,7 +262,7 @@
 
 // start tells whether the first byte may be written now.
 func (x *Exchange) start() bool {
-	if !time.Now().Before(x.grant.Expires()) {
+	if x.ctx.Err() != nil || !time.Now().Before(x.grant.Expires()) {
 		return false
 	}
 	if x.claim == nil {
--- a/internal/entry/fakes_test.go
+++ b/internal/entry/fakes_test.go
@@ -77,16 +77,21 @@
 	addresses []string
 	hedge     time.Duration
 	valid     time.Duration
-	refusal   error
-	results   []grant.Result
-	open      int
-	purposes  []grant.Purpose
-	advised   chan struct{}
+	// hedgeTakes delays the grants of hedges, which come even if they are no longer wanted.
+	hedgeTakes time.Duration
+	refusal    error
+	results    []grant.Result
+	open       int
+	purposes   []grant.Purpose
+	advised    chan struct{}
 }
 
 func (f *fakeGrants) HedgeDelay(string) time.Duration { return f.hedge }
 
 func (f *fakeGrants) Acquire(_ context.Context, r grant.Request) (grant.Grant, error) {
+	if r.Purpose == grant.Hedge {
+		time.Sleep(f.hedgeTakes)
+	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.refusal != nil {
--- a/internal/entry/forward.go
+++ b/internal/entry/forward.go
@@ -173,14 +173,16 @@
 		// The claim was started but nothing was written: the server cannot run the work.
 		x.claimOf().Rejected()
 	}
-	if x.ctx.Err() == nil && (e.Stage == roundtrip.Start || e.Stage == roundtrip.Wait) {
-		x.complete(grant.Unused)
-		return &failure{kind: problem.NoCapacity, detail: e.Err.Error(), unused: true, wait: backoffCap}
-	}
 	if final := x.callerFault(); final != nil {
 		x.complete(grant.Cancelled)
 		return &failure{kind: problem.BadRequest, mayHaveRun: e.Written, final: final}
 	}
+	ended := x.ctx.Err() != nil
+	if !e.Written && (ended || e.Stage == roundtrip.Start || e.Stage == roundtrip.Wait) {
+		// The server saw nothing, so nothing is held against it.
+		x.complete(grant.Unused)
+		return &failure{kind: problem.NoCapacity, detail: e.Err.Error(), unused: !ended, wait: backoffCap}
+	}
 	x.complete(resultOfEnd(x.ctx, e.Err, resultOfStage(e)))
 	return &failure{kind: problem.BackendFailed, detail: e.Error(), mayHaveRun: e.Written}
 }
--- a/internal/entry/race.go
+++ b/internal/entry/race.go
@@ -127,14 +127,14 @@
 		return
 	}
 	ctx, cancel := context.WithCancel(r.x.ctx)
-	request, ok := r.join(cancel)
-	if !ok {
+	child, request := r.join(ctx, cancel)
+	if child == nil {
 		cancel()
 		return
 	}
 	defer close(r.done)
 	request.Purpose = purpose
-	if err := r.runSecond(ctx, cancel, request); err != nil {
+	if err := r.runSecond(child, request); err != nil {
 		cancel()
 		r.secondErr = err
 	}
@@ -176,28 +176,30 @@
 	}
 }
 
-// join registers the second attempt, unless the first one has ended.
-func (r *race) join(cancel context.CancelFunc) (request grant.Request, ok bool) {
+// join registers the second attempt and copies what it needs, since the exchange belongs to the
+// first attempt's goroutine again once that attempt has ended. It returns nil if it has.
+func (r *race) join(ctx context.Context, cancel context.CancelFunc) (*Exchange, grant.Request) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.ended {
-		return grant.Request{}, false
+		return nil, grant.Request{}
 	}
 	r.second = true
 	r.done = make(chan struct{})
 	r.cancelSecond = cancel
-	request = r.request
+	child := r.x.fork(ctx, nil)
+	child.release = cancel
+	request := r.request
 	request.Exclude = r.excluded()
-	return request, true
+	return child, request
 }
 
-func (r *race) runSecond(ctx context.Context, cancel context.CancelFunc, request grant.Request) error {
-	g, err := r.cfg.Grants.Acquire(ctx, request)
+func (r *race) runSecond(child *Exchange, request grant.Request) error {
+	g, err := r.cfg.Grants.Acquire(child.ctx, request)
 	if err != nil {
 		return err
 	}
-	child := r.x.fork(ctx, g)
-	child.release = cancel
+	child.grant = g
 	if err := r.next.Handle(child); err != nil {
 		return err
 	}
--- a/internal/entry/refusal_test.go
+++ b/internal/entry/refusal_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -55,10 +56,19 @@
 	It("turn slow senders away", func() {
 		f := start(nil, refused())
 		begun := time.Now()
-		reply := f.wire("POST /read HTTP/1.1\r\nHost: h\r\nContent-Length: 9\r\n\r\nabc")
-		Expect(reply).To(And(ContainSubstring("bad-request"), ContainSubstring("Connection: close")))
-		Expect(f.wire("POST /none HTTP/1.1\r\nHost: h\r\nContent-Length: 9\r\n\r\nabc")).To(ContainSubstring("no-route"))
-		Expect(f.wire("PUT /v1/backends/cuefeed/i HTTP/1.1\r\nHost: h\r\nContent-Length: 9000\r\n\r\nabc")).To(ContainSubstring("bad-request"))
+		var wg sync.WaitGroup
+		for start, refusal := range map[string]string{
+			"POST /read HTTP/1.1\r\nContent-Length: 9":                 "bad-request",
+			"POST /none HTTP/1.1\r\nContent-Length: 9":                 "no-route",
+			"PUT /v1/backends/cuefeed/i HTTP/1.1\r\nContent-Length: 9": "bad-request",
+		} {
+			wg.Go(func() {
+				defer GinkgoRecover()
+				reply := f.wire(start + "\r\nHost: h\r\n\r\nabc")
+				Expect(reply).To(And(ContainSubstring(refusal), ContainSubstring("Connection: close")))
+			})
+		}
+		wg.Wait()
 		Expect(time.Since(begun)).To(BeNumerically("<", 5*time.Second), "the connections were closed")
 	})
 
@@ -156,11 +166,14 @@
 	})
 
 	// A body that streams was sent in part: a break must not be retried or told as not-run.
-	It("is unknown after a part of a streamed body was sent", func() {
+	DescribeTable("after a caller stopped sending a streamed body", func(sent int, outcome string) {
 		good := newStandin(standin.Config{})
 		f := start(nil, silent(), good.Address())
-		text := fmt.Sprintf("POST /read HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n\r\n%s", 100<<10, strings.Repeat("x", 70<<10))
-		Expect(f.wire(text)).To(And(ContainSubstring("bad-request"), ContainSubstring(`"outcome":"unknown"`)))
+		text := fmt.Sprintf("POST /read HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n\r\n%s", 100<<10, strings.Repeat("x", sent))
+		Expect(f.wire(text)).To(And(ContainSubstring("bad-request"), ContainSubstring(`"outcome":"`+outcome+`"`)))
 		Expect(good.Ledger().Total.Started).To(BeZero())
-	})
+	},
+		Entry("is unknown once a part was sent on", 70<<10, "unknown"),
+		Entry("is not-run before", 0, "not-run"),
+	)
 })
