--- a/internal/entry/answer_test.go
+++ b/internal/entry/answer_test.go
@@ -156,6 +156,21 @@
 		Eventually(f.grants.ended).Should(ConsistOf(grant.Cancelled, grant.OK))
 	})
 
+	// A server that failed the hedge would fail the retry too.
+	It("keeps later retries away from its server", func() {
+		late := raw(func(c net.Conn) {
+			_, _ = http.ReadRequest(bufio.NewReader(c))
+			time.Sleep(70 * time.Millisecond)
+			c.Close()
+		})
+		good := newStandin(standin.Config{WorkTime: -1})
+		f := start(nil)
+		hedged(f, late, once(""), good.Address())
+		Expect(f.do("GET", "/urgent", "").body).To(HavePrefix("instance=i-1 "))
+		Expect(f.grants.purposes).To(Equal([]grant.Purpose{grant.First, grant.Hedge, grant.Retry}))
+		Eventually(f.grants.ended).Should(Equal([]grant.Result{grant.Broken, grant.Broken, grant.OK}))
+	})
+
 	// The request has ended by then: its exchange belongs to the first attempt, and the work is for nobody.
 	It("is given back unused when its grant comes after the first answer", func() {
 		first := newStandin(standin.Config{Instance: "first", WorkTime: 50 * time.Millisecond})
--- a/internal/entry/race.go
+++ b/internal/entry/race.go
@@ -41,6 +41,8 @@
 	cancelSecond context.CancelFunc
 	done         chan struct{}
 	secondErr    error
+	// secondServer is the instance that the second attempt was granted, or "".
+	secondServer string
 }
 
 // race runs the first attempt in this goroutine. The second one costs a goroutine only if it may be due.
@@ -98,6 +100,10 @@
 	if r.winner != nil {
 		return r.winner, nil
 	}
+	if r.secondServer != "" {
+		r.request.Exclude = append(r.request.Exclude, r.secondServer)
+		r.x.attempts++
+	}
 	return nil, worse(err, r.secondErr)
 }
 
@@ -200,6 +206,7 @@
 		return err
 	}
 	child.grant = g
+	r.secondServer = g.Server().Instance
 	if err := r.next.Handle(child); err != nil {
 		return err
 	}
