--- a/internal/cli/bench.go
+++ b/internal/cli/bench.go
@@ -11,6 +11,7 @@
 
 type benchCommands struct {
 	Decisions   decisionsCommand   `cmd:"" help:"Measure how well the fleet decides, beside baselines."`
+	Durable     durableCommand     `cmd:"" help:"Measure claims, recovery and configuration changes with real files and syncs."`
 	Entry       entryBenchCommand  `cmd:"" help:"Measure the request path of one entry host against direct calls."`
 	Propagation propagationCommand `cmd:"" help:"Measure how soon a configuration change is in force on every node."`
 	Slopes      slopesCommand      `cmd:"" help:"Measure how the cost of each role grows with the size of the fleet."`
