--- a/internal/configuration/control/log.go
+++ b/internal/configuration/control/log.go
@@ -12,12 +12,15 @@
 	"github.com/tarragonmux/tarragonmux/internal/agreement"
 	"github.com/tarragonmux/tarragonmux/internal/configuration/feed"
 	"github.com/tarragonmux/tarragonmux/internal/invariant"
+	"github.com/tarragonmux/tarragonmux/internal/logging"
 	"github.com/tarragonmux/tarragonmux/proto/configpb"
 )
 
 // Prefix is the chain of registers that holds the configuration.
 const Prefix = "config"
 
+const logPrefix = "configuration log"
+
 const (
 	// readInterval is the longest time between two reads of the chain.
 	readInterval = 250 * time.Millisecond
@@ -72,7 +75,8 @@
 	Capacity Capacity
 	// CompactEvery is how many registers accumulate before they are replaced by a snapshot; 0 means 1,024.
 	CompactEvery uint64
-	Logger       *log.Logger
+	// Logger may be nil.
+	Logger *log.Logger
 }
 
 // Log follows the chain of configuration registers and serves operators and the feed. It
@@ -96,6 +100,10 @@
 	if o.CompactEvery == 0 {
 		o.CompactEvery = defaultCompactEvery
 	}
+	if o.Logger == nil {
+		o.Logger = logging.Discard()
+	}
+	o.Logger = o.Logger.WithPrefix(logPrefix)
 	return &Log{
 		options:   o,
 		tail:      feed.NewTail(),
@@ -112,7 +120,7 @@
 	defer ticker.Stop()
 	for {
 		if err := l.catchUp(ctx); err != nil && ctx.Err() == nil {
-			l.options.Logger.Debug("could not read the configuration log from a majority", "err", err)
+			l.options.Logger.Debug("Could not read the configuration log from a majority.", "err", err)
 		}
 		l.compact()
 		select {
@@ -169,7 +177,7 @@
 			return false, errors.WithMessage(err, "read the configuration log")
 		}
 		if err := l.absorb(chain); err != nil {
-			l.options.Logger.Error("cannot apply the configuration log", "err", err)
+			l.options.Logger.Error("Cannot apply the configuration log.", "err", err)
 			return false, err
 		}
 		// A proposer may answer with a part of a long chain; the read that adds nothing is the last.
@@ -242,7 +250,7 @@
 		err = l.options.Compactor.Compact(Prefix, floor, snapshot)
 	}
 	if err != nil {
-		l.options.Logger.Warn("could not compact the configuration log", "err", err)
+		l.options.Logger.Warn("Could not compact the configuration log.", "err", err)
 		return
 	}
 	l.mu.Lock()
--- a/internal/configuration/store/poll.go
+++ b/internal/configuration/store/poll.go
@@ -81,7 +81,7 @@
 		began := s.Revision()
 		if err := s.pollOne(ctx, address); err != nil {
 			turns.failed(address, time.Now())
-			s.options.Logger.Debug("could not poll a control replica", "address", address, "err", err)
+			s.options.Logger.Debug("Could not poll a control replica.", "address", address, "err", err)
 		} else {
 			turns.succeeded(address)
 		}
--- a/internal/configuration/store/start.go
+++ b/internal/configuration/store/start.go
@@ -23,7 +23,7 @@
 func (s *Store) start(ctx context.Context) error {
 	stored, err := s.file.load()
 	if err != nil {
-		s.options.Logger.Error("ignored the stored configuration", "err", err)
+		s.options.Logger.Error("Ignored the stored configuration.", "err", err)
 	}
 	s.writing.Lock()
 	s.starting = newStartup(s.options.Address, stored, time.Now())
--- a/internal/configuration/store/store.go
+++ b/internal/configuration/store/store.go
@@ -10,10 +10,13 @@
 
 	"github.com/tarragonmux/tarragonmux/internal/configuration"
 	"github.com/tarragonmux/tarragonmux/internal/configuration/feed"
+	"github.com/tarragonmux/tarragonmux/internal/logging"
 	"github.com/tarragonmux/tarragonmux/internal/route"
 	"github.com/tarragonmux/tarragonmux/proto/configpb"
 )
 
+const logPrefix = "configuration"
+
 // advanceLimit is up to how many entries the snapshot is built step by step; for more, one
 // compilation of the result is cheaper.
 const advanceLimit = 8
@@ -33,6 +36,7 @@
 	Client feed.Client
 	// Folder stores the document, such as the data folder's "configuration"; empty stores nothing.
 	Folder string
+	// Logger may be nil.
 	Logger *log.Logger
 }
 
@@ -59,6 +63,10 @@
 
 // New returns a store with nothing in force. Run makes it work.
 func New(o Options) *Store {
+	if o.Logger == nil {
+		o.Logger = logging.Discard()
+	}
+	o.Logger = o.Logger.WithPrefix(logPrefix)
 	return &Store{
 		options: o,
 		file:    file{folder: o.Folder},
@@ -183,11 +191,11 @@
 // enforce stores the document and puts its snapshot in force.
 func (s *Store) enforce(snapshot *configuration.Snapshot) {
 	if err := s.file.save(snapshot.Document()); err != nil {
-		s.options.Logger.Error("could not store the configuration", "revision", snapshot.Revision(), "err", err)
+		s.options.Logger.Error("Could not store the configuration.", "revision", snapshot.Revision(), "err", err)
 		if err := s.file.remove(); err != nil {
-			s.options.Logger.Error("an outdated configuration stays stored", "err", err)
+			s.options.Logger.Error("An outdated configuration stays stored.", "err", err)
 		}
 	}
 	s.holder.Set(snapshot)
-	s.options.Logger.Info("configuration in force", "revision", snapshot.Revision())
+	s.options.Logger.Info("Configuration in force.", "revision", snapshot.Revision())
 }
--- a/internal/records/claimer.go
+++ b/internal/records/claimer.go
@@ -13,6 +13,7 @@
 	"github.com/tarragonmux/tarragonmux/internal/agreement"
 	"github.com/tarragonmux/tarragonmux/internal/attempt"
 	"github.com/tarragonmux/tarragonmux/internal/invariant"
+	"github.com/tarragonmux/tarragonmux/internal/logging"
 	"github.com/tarragonmux/tarragonmux/internal/problem"
 	"github.com/tarragonmux/tarragonmux/proto/fleetpb"
 	"github.com/tarragonmux/tarragonmux/proto/recordspb"
@@ -27,6 +28,7 @@
 	maxRounds = 16
 	// unavailableRetry is when a caller may try again while no majority answers.
 	unavailableRetry = time.Second
+	logPrefix        = "records"
 )
 
 // Options set a Claimer.
@@ -37,7 +39,8 @@
 	Address     string
 	Proposer    agreement.Proposer
 	Peers       Peers
-	Logger      *log.Logger
+	// Logger may be nil.
+	Logger *log.Logger
 }
 
 // Claimer claims operations for this node. It is safe for concurrent use.
@@ -52,6 +55,10 @@
 
 // New returns a claimer without attempts.
 func New(o Options) *Claimer {
+	if o.Logger == nil {
+		o.Logger = logging.Discard()
+	}
+	o.Logger = o.Logger.WithPrefix(logPrefix)
 	attempts := NewAttempts(o.Incarnation)
 	return &Claimer{
 		options:  o,
--- a/internal/records/recorder.go
+++ b/internal/records/recorder.go
@@ -66,7 +66,7 @@
 func (r *recorder) submit(o outcome) <-chan struct{} {
 	finished := make(chan struct{})
 	if !r.begin() {
-		r.logger.Warn("too many outcomes wait to be recorded; one stays in memory only", "attempt", o.entry.attempt)
+		r.logger.Warn("Too many outcomes wait to be recorded; one stays in memory only.", "attempt", o.entry.attempt)
 		close(finished)
 		return finished
 	}
@@ -127,7 +127,7 @@
 			return
 		}
 		if time.Since(o.entry.created) > outcomeWindow {
-			r.logger.Warn("gave up recording an outcome; its resends are told that it is unknown", "attempt", o.entry.attempt)
+			r.logger.Warn("Gave up recording an outcome; its resends are told that it is unknown.", "attempt", o.entry.attempt)
 			return
 		}
 		select {
@@ -164,7 +164,7 @@
 		return true
 	}
 	if err != nil {
-		r.logger.Debug("could not record an outcome", "attempt", o.entry.attempt, "try", number, "err", err)
+		r.logger.Debug("Could not record an outcome.", "attempt", o.entry.attempt, "try", number, "err", err)
 		return false
 	}
 	r.check(o, decided)
