Prove membership and the spread of endpoint answers

Malformed messages leave the state as it was.

Found and repaired: the word of one data centre that a node is dead was first taken as a suspicion but believed when it was read a second time in the same exchange. An exchange no longer fetches the same entries again.

--- a/internal/election/runner.go
+++ b/internal/election/runner.go
@@ -259,13 +259,8 @@
 	if now.Before(c.nextPoll) || !c.member || len(c.groups.Current) == 0 {
 		return
 	}
-	_, known := r.dispatcher(c, now)
-	every := pollUnknown
-	if known {
-		every = pollKnown
-	}
-	// The jitter keeps the nodes of a fleet from asking in step.
-	c.nextPoll = now.Add(every*3/4 + rand.N(every/2))
+	// A voter that does not answer is followed by another one soon.
+	c.nextPoll = now.Add(jitter(pollUnknown))
 	if _, held := c.candidate.Held(now); held {
 		return
 	}
@@ -274,5 +269,15 @@
 		return
 	}
 	message := &fleetpb.VoteRequest{Service: c.service, Candidate: r.o.ID, HostsRevision: c.groups.Revision}
-	r.call(ctx, voter, message, func(reply *fleetpb.VoteReply) { r.learn(c, reply) })
+	r.call(ctx, voter, message, func(reply *fleetpb.VoteReply) {
+		r.learn(c, reply)
+		if reply.GetHolder() != "" {
+			c.nextPoll = time.Now().Add(jitter(pollKnown))
+		}
+	})
+}
+
+// jitter keeps the nodes of a fleet from asking in step.
+func jitter(d time.Duration) time.Duration {
+	return d*3/4 + rand.N(d/2)
 }
--- a/internal/membership/nodes.go
+++ b/internal/membership/nodes.go
@@ -111,7 +111,7 @@
 	case in.GetState() == fleetpb.NodeState_NODE_STATE_SUSPECT:
 		s.suspect(now, e, in.GetSuspectedBy())
 	case in.GetState() == fleetpb.NodeState_NODE_STATE_DEAD &&
-		e.node.GetState() == fleetpb.NodeState_NODE_STATE_ALIVE &&
+		e.node.GetState() <= fleetpb.NodeState_NODE_STATE_SUSPECT &&
 		len(in.GetSuspectedBy()) < confirmations:
 		s.suspect(now, e, in.GetSuspectedBy())
 	default:
--- a/internal/membership/runner.go
+++ b/internal/membership/runner.go
@@ -182,11 +182,23 @@
 		if id != "" && reply.GetFrom().GetId() != id {
 			return false
 		}
-		request = r.handleReply(sent, reply)
+		follow := r.handleReply(sent, reply)
+		if repeats(follow, request) {
+			return true
+		}
+		request = follow
 	}
 	return true
 }
 
+// repeats tells whether a follow-up asks for the same entries again. They were refused, such as the
+// word of one data centre that a node is dead.
+func repeats(follow, former *fleetpb.GossipRequest) bool {
+	return follow != nil && len(follow.GetNodes()) == 0 &&
+		slices.Equal(follow.GetWantNodes(), former.GetWantNodes()) &&
+		slices.Equal(follow.GetWantServers(), former.GetWantServers())
+}
+
 func (r *Runner) call(ctx context.Context, address string, request *fleetpb.GossipRequest) (*fleetpb.GossipReply, time.Time, error) {
 	ctx, cancel := context.WithTimeout(ctx, ProbeTimeout)
 	defer cancel()
