--- a/internal/configuration/store/poll.go
+++ b/internal/configuration/store/poll.go
@@ -112,7 +112,11 @@
 	if err != nil {
 		return err
 	}
-	return s.accept(reply)
+	err = s.accept(reply)
+	if err != nil {
+		s.options.Logger.Error("Cannot apply a revision; the former one stays in force.", "address", address, "in_force", s.Revision(), "err", err)
+	}
+	return err
 }
 
 func (s *Store) request(revision uint64, wait time.Duration) *configpb.FetchRequest {
