--- a/internal/standin/server.go
+++ b/internal/standin/server.go
@@ -266,7 +266,9 @@
 }
 
 func (v *life) end() {
-	// The connections break first, so that no work that ends now can still answer.
+	// The listener closes first, so that nobody who saw the break can connect again. The connections
+	// break before the work is cancelled, so that no work that ends now can still answer.
+	_ = v.listener.Close()
 	v.listener.(*limitedListener).breakAll()
 	// Closing also breaks connections that were accepted meanwhile.
 	_ = v.http.Close()
--- a/internal/standin/standin_test.go
+++ b/internal/standin/standin_test.go
@@ -72,7 +72,9 @@
 		Expect([]any{status, text, err}).To(Equal([]any{200, "healthy\n", nil}), "probes are answered while work stalls")
 		s.SetFaults(standin.Faults{})
 		for range 3 {
-			Eventually(replies).Should(Receive(HaveField("status", 200)))
+			var got reply
+			Eventually(replies).Should(Receive(&got))
+			Expect(got.status).To(Equal(200))
 		}
 		Expect(s.Ledger().Total).To(Equal(standin.Run{Started: 3, Finished: 3}))
 		Expect(s.Ledger().Rejected).To(Equal(2))
@@ -92,7 +94,7 @@
 
 	// A crash that kept the incarnation or the warmth would not exercise recovery.
 	It("crashes on a marked request and comes back cold with a new incarnation", func() {
-		s := start(standin.Config{WorkTime: time.Minute, RestartAfter: 100 * time.Millisecond, ColdStart: 400 * time.Millisecond})
+		s := start(standin.Config{WorkTime: time.Minute, RestartAfter: 300 * time.Millisecond, ColdStart: 400 * time.Millisecond})
 		Eventually(func() backend.State { return s.Server().State }).Should(Equal(backend.Ready))
 		before := s.Incarnation()
 		other := make(chan error)
