Judge evidence by nodes that were heard a moment ago

The former rule, that a node must be heard after a request became late, cost up to one heartbeat. A node now counts as a witness for 130 ms after its last message, which is below the least silence of a stall. Slow answers must be spread over 300 ms without the most distant one, since one slow answer by chance next to a short pause ejected a healthy server.

--- a/internal/dispatch/classify.go
+++ b/internal/dispatch/classify.go
@@ -130,7 +130,7 @@
 	for _, s := range m.servers {
 		m.overdue = m.overdue[:0]
 		for _, r := range s.inflight {
-			if !r.firstByte && r.age(now) >= threshold && r.credible(now, threshold) {
+			if !r.firstByte && r.age(now) >= threshold && r.credible(now) {
 				m.overdue = append(m.overdue, r)
 			}
 		}
--- a/internal/dispatch/detect.go
+++ b/internal/dispatch/detect.go
@@ -304,23 +304,21 @@
 func (m *Machine) looksSlow(now time.Time, s *server, limit time.Duration, expected float64, p *proof) bool {
 	spread := max(limit, min(m.threshold(), pauseSpan))
 	slow, total := 0, 0
-	var newest time.Time
-	count := func(n *node, sent time.Time) {
+	sent := span{}
+	count := func(n *node, at time.Time) {
 		slow++
-		p.note(s, n, sent)
-		if sent.After(newest) {
-			newest = sent
-		}
+		p.note(s, n, at)
+		sent.add(at)
 	}
 	for _, r := range s.inflight {
-		if !r.firstByte && r.age(now) >= limit && r.credible(now, limit) {
+		if !r.firstByte && r.age(now) >= limit && r.credible(now) {
 			total++
 			count(r.node, r.sent)
 		}
 	}
 	convincing := func() bool {
 		return total >= slowSamples && slow >= slowAnswers &&
-			newest.Sub(p.oldest) >= spread && binomialTail(total, slow, expected) < significance
+			sent.width() >= spread && binomialTail(total, slow, expected) < significance
 	}
 	for i := len(s.samples) - 1; i >= 0; i-- {
 		x := &s.samples[i]
@@ -342,6 +340,34 @@
 	return convincing()
 }
 
+// span is the time that events cover.
+type span struct {
+	oldest, second, penultimate, newest time.Time
+}
+
+func (s *span) add(at time.Time) {
+	switch {
+	case s.newest.IsZero() || at.After(s.newest):
+		s.penultimate, s.newest = s.newest, at
+	case s.penultimate.IsZero() || at.After(s.penultimate):
+		s.penultimate = at
+	}
+	switch {
+	case s.oldest.IsZero() || at.Before(s.oldest):
+		s.second, s.oldest = s.oldest, at
+	case s.second.IsZero() || at.Before(s.second):
+		s.second = at
+	}
+}
+
+// width is the time covered without the most distant event, which may be there by chance.
+func (s *span) width() time.Duration {
+	if s.second.IsZero() || s.penultimate.IsZero() {
+		return 0
+	}
+	return min(s.newest.Sub(s.second), s.penultimate.Sub(s.oldest))
+}
+
 // othersSlow is the share of slow answers of the other servers in the window, with a margin.
 func (m *Machine) othersSlow(now time.Time, s *server, limit time.Duration) float64 {
 	slow, total := 0, 0
--- a/internal/dispatch/evidence.go
+++ b/internal/dispatch/evidence.go
@@ -17,6 +17,10 @@
 	// doubtFactor times p95, but at least doubtFloor, is the age at which a server is doubted.
 	doubtFactor = 2
 	doubtFloor  = 75 * time.Millisecond
+	// witnessAge is how long ago a node may have been heard. It is longer than the heartbeat of
+	// 100 ms and shorter than stallFloor: a stall needs stallFloor of silence, so when many nodes are
+	// cut off at once, none of them is a witness by then.
+	witnessAge = 130 * time.Millisecond
 	// costWeight is the weight of a new value in the mean slot time.
 	costWeight = 0.05
 )
@@ -154,8 +158,8 @@
 }
 
 // stallProof collects the unanswered requests of a server. A request counts only if its node was
-// heard after the request became late, and confirmed that the grant had reached it: a node that is
-// cut off from the dispatcher in either direction says nothing about the server.
+// heard a moment ago and confirmed that the grant had reached it: a node that is cut off from the
+// dispatcher in either direction says nothing about the server.
 func (m *Machine) stallProof(now time.Time, s *server) proof {
 	threshold := m.threshold()
 	late := threshold / 2
@@ -163,12 +167,12 @@
 	p := proof{nodes: m.proofNodes[:0], ages: m.proofAges[:0], chance: 1}
 	for _, r := range s.inflight {
 		age := r.age(now)
-		if r.firstByte || age < doubt || !r.credible(now, doubt) {
+		if r.firstByte || age < doubt || !r.credible(now) {
 			continue
 		}
 		p.chance *= m.tail(age)
 		p.ages = append(p.ages, age)
-		if age < late || !r.credible(now, late) {
+		if age < late {
 			continue
 		}
 		p.late++
@@ -202,15 +206,13 @@
 	return p
 }
 
-func (r *request) credible(now time.Time, after time.Duration) bool {
+// credible tells whether the node would have reported an answer by now.
+func (r *request) credible(now time.Time) bool {
 	n := r.node
 	if !n.connected || r.number > n.received || now.Before(n.isolatedUntil) {
 		return false
 	}
-	if !r.Idempotent {
-		after += GrantExpiry
-	}
-	return !n.heard.Before(r.sent.Add(after))
+	return now.Sub(n.heard) <= witnessAge
 }
 
 // stalled tells whether the proof shows a stall: enough overdue requests, and no answer for as long
