Keep the callers' HTTP client from sending a request twice

Cause: net/http sends GETs and requests with an Idempotency-Key again by itself when a reused connection breaks. After the kill of a node the first sending had run, the second one reached the same dying process and was refused as shutting-down with the outcome not-run, and the caller heard only that.

Ruled out: the request path, which says not-run only for its own sending. Connections without reuse would also prevent it, at the cost of one connection a request.

Now the body cannot be read again, so the client reports the break.

--- a/internal/bench/load/send.go
+++ b/internal/bench/load/send.go
@@ -58,12 +58,11 @@
 }
 
 func exchange(ctx context.Context, client *http.Client, address string, r Request, o *Outcome) {
-	request, err := http.NewRequestWithContext(ctx, r.Method, "http://"+address+r.Path, strings.NewReader(r.Body))
+	request, err := newRequest(ctx, address, r)
 	if err != nil {
-		o.Err = errors.WithStack(err)
+		o.Err = err
 		return
 	}
-	setHeaders(request.Header, r)
 	response, err := client.Do(request)
 	if err != nil {
 		o.Err = errors.WithStack(err)
@@ -78,6 +77,19 @@
 	judge(r, response, body, o)
 }
 
+// newRequest builds a request that net/http sends at most once. By itself it sends GETs and keyed
+// requests again when a reused connection breaks, and a caller would then take the refusal of the
+// second one for that of the first, which may have run. A body that cannot be read again prevents it.
+func newRequest(ctx context.Context, address string, r Request) (*http.Request, error) {
+	request, err := http.NewRequestWithContext(ctx, r.Method, "http://"+address+r.Path, io.NopCloser(strings.NewReader(r.Body)))
+	if err != nil {
+		return nil, errors.WithStack(err)
+	}
+	request.ContentLength = int64(len(r.Body))
+	setHeaders(request.Header, r)
+	return request, nil
+}
+
 func setHeaders(h http.Header, r Request) {
 	h.Set("Request-Id", r.ID)
 	h.Set("Grpc-Timeout", strconv.FormatInt(r.Deadline.Milliseconds(), 10)+"m")
