--- a/internal/burn/render.go
+++ b/internal/burn/render.go
@@ -47,7 +47,7 @@
 		}
 	}
 	if len(volatile) > 0 {
-		notes = append(notes, "Counts were lost at the last restart, since there is no data folder, on: "+strings.Join(volatile, ", ")+".")
+		notes = append(notes, "Counts begin at the last start, since there is no data folder, on: "+strings.Join(volatile, ", ")+".")
 	}
 	return notes
 }
