Answer at once when a split cannot be told apart any more

When all members answered and a lost disk held the deciding vote of a fast round, proposals and reads retried until their deadline. They now answer ErrUndecided (reads: Undecided) in one round.

--- a/internal/agreement/operation.go
+++ b/internal/agreement/operation.go
@@ -22,6 +22,9 @@
 	compactedResult
 	// freeResult means that nothing was decided and the operation has no value of its own.
 	freeResult
+	// stuckResult means that all members answered and several values may still have been decided,
+	// because a lost disk held the vote that would tell. Only the end of the retention clears that.
+	stuckResult
 )
 
 // operation decides one register. It is used by one goroutine.
@@ -54,6 +57,8 @@
 			return nil, errors.WithStack(ErrCompacted)
 		case freeResult:
 			return nil, errors.WithStack(errFree)
+		case stuckResult:
+			return nil, errors.WithStack(ErrUndecided)
 		case again:
 		}
 		if ctx.Err() != nil || !pause.wait(ctx) {
@@ -284,10 +289,14 @@
 			return value, f, 0
 		}
 	}
-	if t.ended != 0 {
+	switch {
+	case t.ended != 0:
 		return nil, 0, t.ended
+	case len(t.granted) == len(q.members):
+		return nil, 0, stuckResult
+	default:
+		return nil, 0, again
 	}
-	return nil, 0, again
 }
 
 // accept asks all replicas to vote for the value in the ballot.
--- a/internal/agreement/repair_test.go
+++ b/internal/agreement/repair_test.go
@@ -107,15 +107,18 @@
 		_, err := q.ProposeFast(brief(c), "rec/k", 1, []byte("loser"))
 		c.g.Expect(err).To(MatchError(agreement.ErrUndecided))
 		c.decide(p, "rec/k", 1, "winner") // Votes of a and c; b voted for the other.
+		// The announcement of the decision is lost.
+		c.network.Cut("p", "a", true)
+		c.network.Cut("p", "c", true)
 		c.lose("c")
 		c.start("c")
 		c.voting("a", "b", "c")
 		c.network.Cut("q", "a", false)
 		c.network.Cut("q", "c", false)
-		value, err := q.Propose(brief(c), "rec/k", 1, []byte("third"))
-		if err == nil {
-			c.g.Expect(string(value)).To(Equal("winner"))
-		}
+		start := time.Now()
+		_, err = q.Propose(brief(c), "rec/k", 1, []byte("third"))
+		c.g.Expect(err).To(MatchError(agreement.ErrUndecided))
+		c.g.Expect(time.Since(start)).To(BeNumerically("<", 100*time.Millisecond))
 	})
 }
 
