--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -25,7 +25,7 @@
 	// DialTimeout bounds the opening of a connection.
 	DialTimeout = 500 * time.Millisecond
 	// idleConnections is how many idle connections are kept per peer.
-	idleConnections = 16
+	idleConnections = 64
 	// idleExpiration is how long an idle connection is kept.
 	idleExpiration = time.Minute
 	// helloTimeout bounds how long an accepted connection may take to send a whole call.
