--- a/internal/bench/netem/netem.go
+++ b/internal/bench/netem/netem.go
@@ -35,6 +35,16 @@
 // Delay returns the one-way latency between two data centres.
 type Delay func(from, to string) time.Duration
 
+// Between returns a delay of oneWay between any two data centres and of none within one.
+func Between(oneWay time.Duration) Delay {
+	return func(from, to string) time.Duration {
+		if from == to {
+			return 0
+		}
+		return oneWay
+	}
+}
+
 // Network knows the places of addresses and the faults in force. It is safe for concurrent use.
 type Network struct {
 	dialer transport.Dialer
--- a/internal/burn/persist.go
+++ b/internal/burn/persist.go
@@ -8,6 +8,7 @@
 	"github.com/pkg/errors"
 	"google.golang.org/protobuf/proto"
 
+	"github.com/tarragonmux/tarragonmux/internal/durablefile"
 	"github.com/tarragonmux/tarragonmux/internal/priority"
 	"github.com/tarragonmux/tarragonmux/proto/fleetpb"
 )
@@ -72,39 +73,5 @@
 	if err != nil {
 		return errors.Wrap(err, "encode the service-level counts")
 	}
-	if err := os.MkdirAll(folder, 0o755); err != nil {
-		return errors.Wrap(err, "create the data folder; check its permissions")
-	}
-	file, err := os.CreateTemp(folder, fileName+".tmp-*")
-	if err != nil {
-		return errors.Wrap(err, "create a file in the data folder; check its permissions and free space")
-	}
-	defer os.Remove(file.Name())
-	if err := writeAndSync(file, data); err != nil {
-		return err
-	}
-	if err := os.Rename(file.Name(), filepath.Join(folder, fileName)); err != nil {
-		return errors.Wrap(err, "replace the service-level counts")
-	}
-	return syncFolder(folder)
-}
-
-func writeAndSync(file *os.File, data []byte) error {
-	_, err := file.Write(data)
-	if err == nil {
-		err = file.Sync()
-	}
-	if closeErr := file.Close(); err == nil {
-		err = closeErr
-	}
-	return errors.Wrap(err, "write the service-level counts; check the disk's free space")
-}
-
-func syncFolder(folder string) error {
-	dir, err := os.Open(folder)
-	if err != nil {
-		return errors.Wrap(err, "open the data folder")
-	}
-	defer dir.Close()
-	return errors.Wrap(dir.Sync(), "sync the data folder")
+	return errors.Wrap(durablefile.Replace(filepath.Join(folder, fileName), data), "store the service-level counts")
 }
--- a/internal/cli/fleet.go
+++ b/internal/cli/fleet.go
@@ -101,17 +101,12 @@
 
 // Run lists the backend servers with the judgement of their dispatcher.
 func (c *backendsCommand) Run(ctx context.Context, out *output) error {
-	client, err := c.client()
-	if err != nil {
-		return err
-	}
-	nodes, err := client.Nodes(ctx)
+	answers, err := askNodes(ctx, &c.target, func(ctx context.Context, f fleetpb.DRPCFleetClient) (*fleetpb.BackendsReply, error) {
+		return f.Backends(ctx, &fleetpb.BackendsRequest{Service: c.Service})
+	})
 	if err != nil {
 		return err
 	}
-	answers := operator.Ask(ctx, client, nodes, func(ctx context.Context, f fleetpb.DRPCFleetClient) (*fleetpb.BackendsReply, error) {
-		return f.Backends(ctx, &fleetpb.BackendsRequest{Service: c.Service})
-	})
 	rows := mergeBackends(answers)
 	if len(rows) == 0 && allFailed(answers) {
 		return errors.New("no node answers; check that the nodes run and that their fleet addresses in the configuration are right")
--- a/internal/cli/report.go
+++ b/internal/cli/report.go
@@ -8,7 +8,6 @@
 	"github.com/pkg/errors"
 
 	"github.com/tarragonmux/tarragonmux/internal/burn"
-	"github.com/tarragonmux/tarragonmux/internal/operator"
 	"github.com/tarragonmux/tarragonmux/proto/fleetpb"
 )
 
@@ -23,17 +22,12 @@
 
 // Run merges the counts of every node that answers and prints the report.
 func (c *burnCommand) Run(ctx context.Context, out *output) error {
-	client, err := c.client()
-	if err != nil {
-		return err
-	}
-	nodes, err := client.Nodes(ctx)
+	answers, err := askNodes(ctx, &c.target, func(ctx context.Context, f fleetpb.DRPCFleetClient) (*fleetpb.BurnReply, error) {
+		return f.Burn(ctx, &fleetpb.BurnRequest{})
+	})
 	if err != nil {
 		return err
 	}
-	answers := operator.Ask(ctx, client, nodes, func(ctx context.Context, f fleetpb.DRPCFleetClient) (*fleetpb.BurnReply, error) {
-		return f.Burn(ctx, &fleetpb.BurnRequest{})
-	})
 	var replies []*fleetpb.BurnReply
 	var unreachable []string
 	for _, answer := range answers {
--- a/internal/cli/target.go
+++ b/internal/cli/target.go
@@ -1,11 +1,14 @@
 package cli
 
 import (
+	"context"
+
 	"github.com/pkg/errors"
 
 	"github.com/tarragonmux/tarragonmux/internal/operator"
 	"github.com/tarragonmux/tarragonmux/internal/settings"
 	"github.com/tarragonmux/tarragonmux/internal/transport"
+	"github.com/tarragonmux/tarragonmux/proto/fleetpb"
 )
 
 // target says which fleet an operator command talks to.
@@ -32,3 +35,16 @@
 	}
 	return operator.New(transport.NewPool(transport.NewDialer()), addresses), nil
 }
+
+// askNodes calls fn for every configured node side by side.
+func askNodes[T any](ctx context.Context, t *target, fn func(context.Context, fleetpb.DRPCFleetClient) (T, error)) ([]operator.Answer[T], error) {
+	client, err := t.client()
+	if err != nil {
+		return nil, err
+	}
+	nodes, err := client.Nodes(ctx)
+	if err != nil {
+		return nil, err
+	}
+	return operator.Ask(ctx, client, nodes, fn), nil
+}
--- a/internal/configuration/store/file.go
+++ b/internal/configuration/store/file.go
@@ -9,13 +9,13 @@
 	"github.com/pkg/errors"
 	"google.golang.org/protobuf/proto"
 
+	"github.com/tarragonmux/tarragonmux/internal/durablefile"
 	"github.com/tarragonmux/tarragonmux/proto/configpb"
 )
 
 const (
 	// fileName is the stored document within the folder: a CRC-32C in 4 bytes, big endian, and the document.
 	fileName      = "document"
-	temporaryName = "document.tmp"
 	checksumBytes = 4
 )
 
@@ -61,17 +61,7 @@
 		return errors.Wrap(err, "encode the configuration; report this as a defect")
 	}
 	binary.BigEndian.PutUint32(data, crc32.Checksum(data[checksumBytes:], castagnoli))
-	if err := os.MkdirAll(f.folder, 0o755); err != nil {
-		return errors.Wrap(err, "create the folder of the configuration; check the data folder")
-	}
-	temporary := filepath.Join(f.folder, temporaryName)
-	if err := writeSynced(temporary, data); err != nil {
-		return err
-	}
-	if err := os.Rename(temporary, filepath.Join(f.folder, fileName)); err != nil {
-		return errors.Wrap(err, "rename the stored configuration; check the data folder")
-	}
-	return syncFolder(f.folder)
+	return errors.Wrap(durablefile.Replace(filepath.Join(f.folder, fileName), data), "store the configuration")
 }
 
 // remove deletes the stored document, so that a restart does not use an outdated one.
@@ -82,31 +72,3 @@
 	}
 	return errors.Wrap(err, "remove the stored configuration; check the data folder")
 }
-
-func writeSynced(path string, data []byte) error {
-	out, err := os.Create(path)
-	if err != nil {
-		return errors.Wrap(err, "create the stored configuration; check the data folder")
-	}
-	if _, err := out.Write(data); err != nil {
-		_ = out.Close()
-		return errors.Wrap(err, "write the stored configuration; check the free space of the disk")
-	}
-	if err := out.Sync(); err != nil {
-		_ = out.Close()
-		return errors.Wrap(err, "sync the stored configuration; check the disk")
-	}
-	return errors.Wrap(out.Close(), "close the stored configuration; check the disk")
-}
-
-func syncFolder(path string) error {
-	folder, err := os.Open(path)
-	if err != nil {
-		return errors.Wrap(err, "open the folder of the configuration; check the data folder")
-	}
-	if err := folder.Sync(); err != nil {
-		_ = folder.Close()
-		return errors.Wrap(err, "sync the folder of the configuration; check the disk")
-	}
-	return errors.Wrap(folder.Close(), "close the folder of the configuration; check the disk")
-}
