--- a/internal/dispatch/classify.go
+++ b/internal/dispatch/classify.go
@@ -118,6 +118,9 @@
 	p.blockedAt = now
 	p.blockedUntil = now.Add(min(pathBlockFor<<min(p.blocks, 10), pathBlockCap))
 	p.blocks++
+	if p.blockedUntil.After(s.pathsBlockedUntil) {
+		s.pathsBlockedUntil = p.blockedUntil
+	}
 	m.stats.PathBlocks++
 }
 
--- a/internal/dispatch/placement.go
+++ b/internal/dispatch/placement.go
@@ -163,6 +163,9 @@
 
 // blocked tells whether the node's path to the server is bad.
 func (s *server) blocked(now time.Time, n *node) bool {
+	if !now.Before(s.pathsBlockedUntil) {
+		return false
+	}
 	if p := s.paths[n.nodeKey]; p != nil && now.Before(p.blockedUntil) {
 		return true
 	}
--- a/internal/dispatch/server.go
+++ b/internal/dispatch/server.go
@@ -55,6 +55,8 @@
 	ghosts     []ghost
 	lastAnswer time.Time
 	paths      map[string]*path
+	// pathsBlockedUntil is the latest end of a block, so that the usual case needs no look-up.
+	pathsBlockedUntil time.Time
 	// doubted is set while the server's oldest request waits unusually long; it then gets one
 	// more request, which confirms or clears the doubt.
 	doubted   bool
