--- a/internal/dispatchrpc/server.go
+++ b/internal/dispatchrpc/server.go
@@ -69,7 +69,12 @@
 
 // View returns what the dispatcher of the service sees; ok is false if this node is not it.
 func (s *Server) View(service string) (v dispatch.View, stats dispatch.Stats, ok bool) {
-	r := s.runner(service)
+	s.mu.RLock()
+	r := s.runners[service]
+	s.mu.RUnlock()
+	if r == nil {
+		return v, stats, false
+	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.machine == nil {
