--- a/internal/dispatch/doc.go
+++ b/internal/dispatch/doc.go
@@ -19,10 +19,11 @@
 //
 // Servers that stall, fail or are slow are ejected for 5 s, twice as long at each repeat, up to
 // 5 min, and return after one successful request, which is idempotent unless none came for 10 s.
-// A server that crashed is held for 1 s, up to 8 s, until it answers a request again. Ejections never take the healthy capacity below
-// the minimum of the service; a bad server that must stay gets one slot. Nothing is ejected while
-// more than half of the servers look bad (overload), or while the evidence comes from one node or
-// from other data centres only (a bad path, which is routed around).
+// A server that crashed is held for 1 s, up to 8 s, until it answers a request again. Ejections
+// never take the healthy capacity below the minimum of the service; a bad server that must stay
+// gets one slot. Nothing is ejected while more than half of the servers look bad (overload), or
+// while the evidence comes from one node or from other data centres only (a bad path, which is
+// routed around).
 //
 // # Settings
 //
