--- a/internal/app/source.go
+++ b/internal/app/source.go
@@ -112,7 +112,8 @@
 		result.Members = append(result.Members, dispatch.Member{
 			Node:       h.ID,
 			DataCentre: h.DataCentre,
-			Dead:       known && member.State == fleetpb.NodeState_NODE_STATE_DEAD,
+			// A host that was never heard keeps no share reserved.
+			Dead: !known || member.State == fleetpb.NodeState_NODE_STATE_DEAD,
 		})
 	}
 	return result, true
