Test the return of a data centre that was cut off

Its nodes have declared all others dead meanwhile. The others must take this as a suspicion that each refutes, and the fleet must be whole within 5 s. Seeded fault: with the word of one data centre believed, the test fails.

--- a/internal/membership/faults_test.go
+++ b/internal/membership/faults_test.go
@@ -123,6 +123,32 @@
 	})
 }
 
+// Guards against a data centre that was cut off and, on its return, makes the others believe that
+// they are dead; and against a fleet that stays split.
+func TestReturnOfDataCentre(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 24)
+		defer f.stop()
+		f.until(10*time.Second, f.joined)
+		f.network.setCut(func(from, to string) bool { return (centre(from) == "dc0") != (centre(to) == "dc0") })
+		time.Sleep(20 * time.Second)
+		m, _ := f.node("n1").Member("n0")
+		f.g.Expect(m.State).To(Equal(fleetpb.NodeState_NODE_STATE_DEAD))
+		f.network.setCut(nil)
+		began := time.Now()
+		for time.Since(began) < 5*time.Second {
+			time.Sleep(50 * time.Millisecond)
+			for _, id := range f.ids {
+				for _, m := range f.node(id).Members() {
+					dead := m.State == fleetpb.NodeState_NODE_STATE_DEAD
+					f.g.Expect(dead && centre(id) != "dc0" && m.DataCentre != "dc0").To(BeFalse(), "%s believes that %s is dead", id, m.ID)
+				}
+			}
+		}
+		f.g.Expect(f.joined()).To(BeTrue())
+	})
+}
+
 // Guards against endpoint answers that keep naming a dead host, and against a restarted or flapping
 // host that is not taken back.
 func TestKillAndRejoin(t *testing.T) {
