Test the signals of newer revisions and the reach of members

The configuration follows these signals and the endpoint answers follow the reported reach; neither had a test.

--- a/internal/membership/fleet_test.go
+++ b/internal/membership/fleet_test.go
@@ -127,6 +127,8 @@
 	done    sync.WaitGroup
 	ids     []string
 	starts  uint64
+	// signals holds the last signal of a newer revision that each node gave.
+	signals sync.Map
 }
 
 func newFleet(t *testing.T, size int) *fleet {
@@ -170,6 +172,7 @@
 			Incarnation: uint64(time.Now().UnixMilli()) + f.starts,
 		},
 		Source: fixedFleet{f.config}, Caller: port{f.network, id}, Logger: logging.Discard(),
+		OnRevision: func(p membership.PeerRevision) { f.signals.Store(id, p) },
 	})
 	r.SetReady(true)
 	ctx, cancel := context.WithCancel(context.Background())
--- a/internal/membership/runner_test.go
+++ b/internal/membership/runner_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/tarragonmux/tarragonmux/internal/backend"
+	"github.com/tarragonmux/tarragonmux/internal/hostset"
 	"github.com/tarragonmux/tarragonmux/internal/membership"
 
 	. "github.com/onsi/gomega"
@@ -61,3 +62,27 @@
 	}
 	return cancel
 }
+
+// Guards against nodes that do not hear of a newer configuration revision, that do not show which
+// revision a member has, or that send callers to a host that cannot reach the service.
+func TestRevisionsAndReachAreKnown(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 24)
+		defer f.stop()
+		f.until(10*time.Second, f.joined)
+		f.node("n3").SetRevision(7)
+		f.node("n3").SetUnreachable([]string{service})
+		time.Sleep(5 * time.Second)
+		for _, id := range f.ids {
+			signal, ok := f.signals.Load(id)
+			f.g.Expect(ok).To(Equal(id != "n3"), id)
+			if ok {
+				f.g.Expect(signal).To(Equal(membership.PeerRevision{Node: "n3", Address: f.config.Hosts[3].FleetAddress, Revision: 7}))
+			}
+			m, _ := f.node(id).Member("n3")
+			f.g.Expect(m.Revision).To(Equal(uint64(7)))
+			f.g.Expect(f.node(id).Verdict("n3", service)).To(Equal(hostset.Out))
+			f.g.Expect(f.node(id).Verdict("n3", "catalogue")).To(Equal(hostset.Good))
+		}
+	})
+}
