Hold a second change of hosts back until the voters have the first

Cause, found by the election simulation: a second change admitted too early gave two holders. The check asked for a majority of all former hosts, which need not hold a majority of a service's voting group, and did not wait for votes given before. Now each former voting group must have a majority with the change in force for 500 ms, longer than a vote's lease of 400 ms. Ruled out: waiting in the voters, since a voter that lags does not know of the change. Before: TestHostsWaitForTheVoters accepted the change at once; after: refused until the third voter has had it for 500 ms.

--- a/internal/configuration/control/control_test.go
+++ b/internal/configuration/control/control_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/google/uuid"
 	. "github.com/onsi/gomega"
+	"google.golang.org/protobuf/proto"
 
 	"github.com/tarragonmux/tarragonmux/internal/configuration/control"
 	"github.com/tarragonmux/tarragonmux/internal/logging"
@@ -248,18 +249,24 @@
 	put := func(i int) *configpb.Change {
 		return &configpb.Change{Kind: &configpb.Change_PutHost{PutHost: hostOf(i)}}
 	}
-	g.Expect(apply(l, request(0, &configpb.Change{Kind: &configpb.Change_ReplaceAll{ReplaceAll: &configpb.ReplaceAll{Document: document(3)}}}))).To(Equal(accepted(1)))
+	service := &configpb.Service{Name: "s", DataCentres: []string{"a"}, MinimumHealthySlots: 3, SlotLimit: 1, ConnectionLimit: 1}
+	for p := range int32(3) {
+		service.Priorities = append(service.Priorities, &configpb.PriorityTarget{Priority: configpb.Priority(p + 1), TargetLatencyMs: 1, TargetShare: 0.9})
+	}
+	first := document(3)
+	first.Services = []*configpb.Service{service}
+	g.Expect(apply(l, request(0, &configpb.Change{Kind: &configpb.Change_ReplaceAll{ReplaceAll: &configpb.ReplaceAll{Document: first}}}))).To(Equal(accepted(1)))
 	g.Expect(apply(l, request(1, put(3)))).To(Equal(accepted(2)))
 	inForce["h0"], inForce["h1"], inForce["h3"] = 2, 1, 2
 	g.Expect(apply(l, request(2, put(4)))).To(Equal(rejected("hosts")))
 	g.Expect(apply(l, request(2, team("t", 1)))).To(Equal(accepted(3)), "other changes do not wait")
 	inForce["h1"] = 2
+	g.Expect(apply(l, request(3, put(4)))).To(Equal(rejected("hosts")), "an earlier vote may still bind a voter")
+	time.Sleep(600 * time.Millisecond)
 	g.Expect(apply(l, request(3, put(4)))).To(Equal(accepted(4)))
 
-	service := &configpb.Service{Name: "s", DataCentres: []string{"a"}, MinimumHealthySlots: 4, SlotLimit: 1, ConnectionLimit: 1}
-	for p := range int32(3) {
-		service.Priorities = append(service.Priorities, &configpb.PriorityTarget{Priority: configpb.Priority(p + 1), TargetLatencyMs: 1, TargetShare: 0.9})
-	}
+	service = proto.CloneOf(service)
+	service.MinimumHealthySlots = 4
 	reply, err := l.Apply(background, request(4, &configpb.Change{Kind: &configpb.Change_PutService{PutService: service}}))
 	g.Expect(err).NotTo(HaveOccurred())
 	g.Expect(reply.GetVerdict()).To(Equal(configpb.Verdict_VERDICT_ACCEPTED))
--- a/internal/configuration/control/log.go
+++ b/internal/configuration/control/log.go
@@ -88,9 +88,10 @@
 	// proposing serialises the proposals of this replica, so that they do not compete.
 	proposing chan struct{}
 
-	mu     sync.Mutex
-	ledger *ledger
-	floor  uint64
+	mu      sync.Mutex
+	ledger  *ledger
+	floor   uint64
+	settled settlement
 	// bytes of the values that were applied since the last compaction.
 	bytes int
 }
@@ -123,6 +124,7 @@
 			l.options.Logger.Debug("Could not read the configuration log from a majority.", "err", err)
 		}
 		l.compact()
+		l.watchHosts()
 		select {
 		case <-ticker.C:
 		case <-l.wake:
