Go on for 5 s while no control replica answers

Cause, found by running the README from a fresh clone on a busy machine: config apply right after the start of the control replicas found no majority and gave up, so that every later step answered "starting". A host that is known by gossip only is shown as such instead of as heard -1 ms ago.

--- a/internal/cli/cli_test.go
+++ b/internal/cli/cli_test.go
@@ -62,7 +62,7 @@
 		status, _, stderr := execute("config", "get")
 		Expect(status).To(Equal(exitFailure))
 		Expect(stderr).To(ContainSubstring("--control"))
-		status, _, stderr = execute("config", "get", "--control", "127.0.0.1:1")
+		status, _, stderr = execute("config", "get", "--control", "127.0.0.1:1", "--retry-for", "100ms")
 		Expect(status).To(Equal(exitFailure))
 		Expect(stderr).To(ContainSubstring("control-unavailable"))
 	})
--- a/internal/cli/config.go
+++ b/internal/cli/config.go
@@ -332,11 +332,19 @@
 	}
 	rows := make([][]string, 0, len(r.Hosts))
 	for _, h := range r.Hosts {
-		rows = append(rows, []string{h.ID, h.DataCentre, h.State, strconv.FormatUint(h.Revision, 10), fmt.Sprintf("%d ms", h.AgeMS)})
+		rows = append(rows, []string{h.ID, h.DataCentre, h.State, strconv.FormatUint(h.Revision, 10), heard(h.AgeMS)})
 	}
 	return out.table([]string{"HOST", "DATA CENTRE", "STATE", "REVISION", "HEARD"}, rows)
 }
 
+// heard tells how long ago the answering replica heard a host directly; a host may be known by gossip only.
+func heard(ageMS int64) string {
+	if ageMS < 0 {
+		return "by gossip"
+	}
+	return fmt.Sprintf("%d ms ago", ageMS)
+}
+
 type replaceControlCommand struct {
 	target
 	Remove  string `arg:"" help:"Id of the control replica to remove."`
--- a/internal/cli/target.go
+++ b/internal/cli/target.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/pkg/errors"
 
@@ -13,9 +14,10 @@
 
 // target says which fleet an operator command talks to.
 type target struct {
-	Control  []string `help:"Fleet addresses (ip:port) of control replicas." env:"TARRAGONMUX_CONTROL" placeholder:"ADDRESS"`
-	Settings string   `help:"Settings file to take the control replicas from." env:"TARRAGONMUX_SETTINGS" placeholder:"FILE"`
-	JSON     bool     `help:"Print JSON for programs."`
+	Control  []string      `help:"Fleet addresses (ip:port) of control replicas." env:"TARRAGONMUX_CONTROL" placeholder:"ADDRESS"`
+	Settings string        `help:"Settings file to take the control replicas from." env:"TARRAGONMUX_SETTINGS" placeholder:"FILE"`
+	RetryFor time.Duration `help:"How long to go on while no control replica answers." default:"5s"`
+	JSON     bool          `help:"Print JSON for programs."`
 }
 
 // client returns the operators' client for the target.
@@ -33,7 +35,7 @@
 	if len(addresses) == 0 {
 		return nil, errors.New("no control replica is named; use --control ADDRESS or --settings FILE, or set TARRAGONMUX_CONTROL")
 	}
-	return operator.New(transport.NewPool(transport.NewDialer()), addresses), nil
+	return operator.New(transport.NewPool(transport.NewDialer()), addresses).RetryFor(t.RetryFor), nil
 }
 
 // askNodes calls fn for every configured node side by side.
--- a/internal/operator/client.go
+++ b/internal/operator/client.go
@@ -36,8 +36,9 @@
 
 // Client talks to control replicas and nodes. It is safe for concurrent use.
 type Client struct {
-	pool    *transport.Pool
-	control []string
+	pool     *transport.Pool
+	control  []string
+	retryFor time.Duration
 }
 
 // New returns a client for the control replicas at the fleet addresses.
@@ -45,8 +46,30 @@
 	return &Client{pool: pool, control: slices.Clone(control)}
 }
 
-// each calls fn for one control replica after another until one answers.
+// RetryFor returns a client that goes on for the time while no control replica answers, such as
+// while the replicas start.
+func (c *Client) RetryFor(d time.Duration) *Client {
+	retrying := *c
+	retrying.retryFor = d
+	return &retrying
+}
+
+// each calls fn for one control replica after another until one answers, in rounds while the client
+// may retry.
 func (c *Client) each(ctx context.Context, fn func(ctx context.Context, client configpb.DRPCOperatorClient) error) error {
+	deadline := time.Now().Add(c.retryFor)
+	for {
+		err := c.round(ctx, fn)
+		if err == nil || ctx.Err() != nil || time.Now().After(deadline) {
+			return err
+		}
+		if err := sleep(ctx, resendDelay); err != nil {
+			return err
+		}
+	}
+}
+
+func (c *Client) round(ctx context.Context, fn func(ctx context.Context, client configpb.DRPCOperatorClient) error) error {
 	last := error(ErrControlUnavailable)
 	for _, address := range c.control {
 		err := c.call(ctx, address, fn)
