Count segments and the busiest node in the traffic measurement

The slopes counted bytes without packet headers and only the mean node. Headers are estimated as 52 bytes for each read and write and for the last acknowledgement of each call; the traffic is listed by call.

--- a/internal/bench/slopes/fleet.go
+++ b/internal/bench/slopes/fleet.go
@@ -2,8 +2,7 @@
 
 import (
 	"context"
-	"net"
-	"sync/atomic"
+	"fmt"
 	"syscall"
 	"time"
 
@@ -30,54 +29,28 @@
 	serversPerNode = 0.5
 )
 
-// counter counts the bytes that hosts exchange with each other.
-type counter struct {
-	bytes atomic.Int64
-}
-
-type countingDialer struct {
-	next    transport.Dialer
-	counter *counter
-}
-
-// DialContext opens a counted connection.
-func (d *countingDialer) DialContext(ctx context.Context, network, address string) (net.Conn, error) {
-	conn, err := d.next.DialContext(ctx, network, address)
-	if err != nil {
-		return nil, err
-	}
-	return &countingConn{Conn: conn, counter: d.counter}, nil
-}
-
-type countingConn struct {
-	net.Conn
-	counter *counter
-}
-
-// Read counts what arrives.
-func (c *countingConn) Read(p []byte) (int, error) {
-	n, err := c.Conn.Read(p)
-	c.counter.bytes.Add(int64(n))
-	return n, err
-}
-
-// Write counts what leaves.
-func (c *countingConn) Write(p []byte) (int, error) {
-	n, err := c.Conn.Write(p)
-	c.counter.bytes.Add(int64(n))
-	return n, err
-}
-
 // sample is what one node of a fleet costs.
 type sample struct {
-	// bytes a second that a node sends and receives over fleet connections.
+	// bytes a second that a node sends and receives over fleet connections, with headers.
 	bytes float64
+	// busiest is the same of the node that has the most.
+	busiest float64
+	// payload is the bytes without headers.
+	payload float64
 	// cpu in percent of a core.
 	cpu float64
 	// memory in MB.
 	memory float64
 	// requests a second and node.
 	requests float64
+	// calls lists the traffic by call.
+	calls string
+}
+
+// String is the line of a progress report.
+func (s sample) String() string {
+	return fmt.Sprintf("%.2f KB/s with headers, %.2f KB/s without, busiest node %.2f KB/s; %.2f%% of a core, %.2f MB, %.1f requests/s",
+		s.bytes/kilobyte, s.payload/kilobyte, s.busiest/kilobyte, s.cpu, s.memory, s.requests)
 }
 
 // fleetSlopes measures whole fleets at several numbers of nodes, servers and requests.
@@ -93,8 +66,24 @@
 	return all, nil
 }
 
+// today measures both services of one user at the largest fleet of today.
+func today(ctx context.Context, o Options) ([]Series, error) {
+	const nodes = 48
+	s, err := measureUser(ctx, o, scenario.Thies(), nodes, 0)
+	if err != nil {
+		return nil, err
+	}
+	o.progress("today: %d nodes, 36 servers, 2 services, idle: %v%s", nodes, s, s.calls)
+	mean := Series{Role: "node", Figure: "control traffic with headers, idle, 2 services", Unit: "KB/s", Per: "node of the fleet"}
+	mean.add(nodes, s.bytes/kilobyte)
+	most := Series{Role: "busiest node", Figure: mean.Figure, Unit: mean.Unit, Per: mean.Per}
+	most.add(nodes, s.busiest/kilobyte)
+	return []Series{mean.single(), most.single()}, nil
+}
+
 func byNodes(ctx context.Context, o Options) ([]Series, error) {
-	bytes := Series{Role: "node", Figure: "control traffic, idle", Unit: "KB/s", Per: "node of the fleet"}
+	bytes := Series{Role: "node", Figure: "control traffic with headers, idle", Unit: "KB/s", Per: "node of the fleet"}
+	most := Series{Role: "busiest node", Figure: bytes.Figure, Unit: bytes.Unit, Per: bytes.Per}
 	cpu := Series{Role: "node", Figure: "processor time, idle", Unit: "% of a core", Per: "node of the fleet"}
 	memory := Series{Role: "node", Figure: "memory, idle", Unit: "MB", Per: "node of the fleet"}
 	for _, nodes := range []int{6, 12, 24, 48} {
@@ -103,18 +92,20 @@
 			return nil, err
 		}
 		bytes.add(float64(nodes), s.bytes/kilobyte)
+		most.add(float64(nodes), s.busiest/kilobyte)
 		cpu.add(float64(nodes), s.cpu)
 		memory.add(float64(nodes), s.memory)
-		o.progress("%d nodes, 24 servers, idle: %+v", nodes, s)
+		o.progress("%d nodes, 24 servers, idle: %v", nodes, s)
 	}
-	return []Series{bytes.fit(targetNodes), cpu.fit(targetNodes), memory.fit(targetNodes)}, nil
+	return []Series{bytes.fit(targetNodes), most.fit(targetNodes), cpu.fit(targetNodes), memory.fit(targetNodes)}, nil
 }
 
 func byServers(ctx context.Context, o Options) ([]Series, error) {
 	const nodes = 12
 	// At the target a node is in the host sets of 480 * 48 / 1,500 services with 37.5 servers each.
 	const target = 480.0 * hostSet / targetNodes * targetServers
-	bytes := Series{Role: "node", Figure: "control traffic, idle", Unit: "KB/s", Per: "server in the node's host sets"}
+	bytes := Series{Role: "node", Figure: "control traffic with headers, idle", Unit: "KB/s", Per: "server in the node's host sets"}
+	most := Series{Role: "busiest node", Figure: bytes.Figure, Unit: bytes.Unit, Per: bytes.Per}
 	cpu := Series{Role: "node", Figure: "processor time, idle", Unit: "% of a core", Per: "server in the node's host sets"}
 	for _, servers := range []int{12, 24, 48, 96} {
 		s, err := measure(ctx, o, nodes, servers, 0)
@@ -122,15 +113,16 @@
 			return nil, err
 		}
 		bytes.add(float64(servers), s.bytes/kilobyte)
+		most.add(float64(servers), s.busiest/kilobyte)
 		cpu.add(float64(servers), s.cpu)
-		o.progress("%d nodes, %d servers, idle: %+v", nodes, servers, s)
+		o.progress("%d nodes, %d servers, idle: %v", nodes, servers, s)
 	}
-	return []Series{bytes.fit(target), cpu.fit(target)}, nil
+	return []Series{bytes.fit(target), most.fit(target), cpu.fit(target)}, nil
 }
 
 func byRate(ctx context.Context, o Options) ([]Series, error) {
 	const nodes = 12
-	bytes := Series{Role: "node", Figure: "grant traffic with control traffic", Unit: "KB/s", Per: "request a second and node"}
+	bytes := Series{Role: "node", Figure: "grant traffic with control traffic and headers", Unit: "KB/s", Per: "request a second and node"}
 	cpu := Series{Role: "node", Figure: "processor time with callers and stand-ins", Unit: "% of a core", Per: "request a second and node"}
 	for _, rate := range []float64{0, 10, 20, 40} {
 		s, err := measure(ctx, o, nodes, 48, rate)
@@ -139,7 +131,7 @@
 		}
 		bytes.add(s.requests, s.bytes/kilobyte)
 		cpu.add(s.requests, s.cpu)
-		o.progress("%d nodes, 48 servers, %.0f requests a second and node: %+v", nodes, rate, s)
+		o.progress("%d nodes, 48 servers, %.0f requests a second and node: %v", nodes, rate, s)
 	}
 	return []Series{bytes.fit(targetRate), cpu.fit(targetRate)}, nil
 }
@@ -151,11 +143,20 @@
 	return min(defaultSpan, max(minimumSpan, o.For/fleets-fleetOverhead))
 }
 
-// measure runs one fleet and returns what a node costs.
+// measure runs one fleet with one service and returns what a node costs.
 func measure(ctx context.Context, o Options, nodes, servers int, ratePerNode float64) (sample, error) {
-	c := &counter{}
+	user := scenario.Hanbit()
+	user.Backends = []localfleet.Backends{{Service: "cuefeed", Instances: servers, Slots: slots, Connections: 330, WorkTime: 20 * time.Millisecond}}
+	user.Services = user.Services[:1]
+	user.Routes = user.Routes[:1]
+	return measureUser(ctx, o, user, nodes, ratePerNode)
+}
+
+// measureUser runs one fleet of a user and returns what a node costs.
+func measureUser(ctx context.Context, o Options, user scenario.User, nodes int, ratePerNode float64) (sample, error) {
+	t := newTraffic()
 	before := heap()
-	fleet, user, err := startFleet(ctx, c, nodes, servers)
+	fleet, err := startFleet(ctx, t, user, nodes)
 	if err != nil {
 		return sample{}, err
 	}
@@ -169,39 +170,43 @@
 		close(done)
 	}()
 	time.Sleep(settle)
-	s := observe(c, l, class.Name, span(o), nodes)
+	s := observe(t, l, class.Name, span(o), fleet)
 	s.memory = float64(heap()-before) / float64(nodes) / megabyte
 	stop()
 	<-done
 	return s, nil
 }
 
-func startFleet(ctx context.Context, c *counter, nodes, servers int) (*localfleet.Fleet, scenario.User, error) {
-	user := scenario.Hanbit()
-	user.Backends = []localfleet.Backends{{Service: "cuefeed", Instances: servers, Slots: slots, Connections: 330, WorkTime: 20 * time.Millisecond}}
-	user.Services = user.Services[:1]
-	user.Routes = user.Routes[:1]
+func startFleet(ctx context.Context, t *traffic, user scenario.User, nodes int) (*localfleet.Fleet, error) {
 	config := user.Fleet(nodes, 3)
-	config.WrapDialer = func(_ string, next transport.Dialer) transport.Dialer {
-		return &countingDialer{next: next, counter: c}
+	config.WrapDialer = func(host string, next transport.Dialer) transport.Dialer {
+		return &countingDialer{next: next, traffic: t, from: host}
 	}
 	ctx, cancel := context.WithTimeout(ctx, startTimeout)
 	defer cancel()
-	fleet, err := localfleet.Start(ctx, config)
-	return fleet, user, err
+	return localfleet.Start(ctx, config)
 }
 
-// observe measures one span. Every byte is counted once, at the side that dialed, and belongs to two hosts.
-func observe(c *counter, l *load.Load, class string, span time.Duration, nodes int) sample {
+// observe measures one span. Every byte is counted at the side that dialed, and belongs to two hosts.
+func observe(t *traffic, l *load.Load, class string, span time.Duration, fleet *localfleet.Fleet) sample {
 	l.Reset()
-	bytes, cpu, begin := c.bytes.Load(), processorTime(), time.Now()
+	nodes := float64(len(fleet.Nodes))
+	before, cpu, begin := t.snapshot(), processorTime(), time.Now()
 	time.Sleep(span)
 	elapsed := time.Since(begin).Seconds()
-	return sample{
-		bytes:    2 * float64(c.bytes.Load()-bytes) / elapsed / float64(nodes),
-		cpu:      100 * (processorTime() - cpu).Seconds() / elapsed / float64(nodes),
-		requests: float64(l.Stats(class).Counts().OK) / elapsed / float64(nodes),
+	used, after := processorTime()-cpu, t.snapshot()
+	s := sample{
+		cpu:      100 * used.Seconds() / elapsed / nodes,
+		requests: float64(l.Stats(class).Counts().OK) / elapsed / nodes,
+		calls:    byCall(before, after, elapsed, len(fleet.Nodes)),
+	}
+	for _, h := range fleet.Nodes {
+		sum := after.of(h).minus(before.of(h))
+		s.bytes += sum.withHeaders() / elapsed / nodes
+		s.payload += sum.bytes / elapsed / nodes
+		s.busiest = max(s.busiest, sum.withHeaders()/elapsed)
 	}
+	return s
 }
 
 // processorTime returns the time that this process has used in all.
--- a/internal/bench/slopes/slopes.go
+++ b/internal/bench/slopes/slopes.go
@@ -35,7 +35,7 @@
 type Options struct {
 	// For bounds the whole run; a fleet is measured for a share of it.
 	For time.Duration
-	// Only runs the named group: configuration, dispatcher or fleet; empty runs all.
+	// Only runs the named group: configuration, dispatcher, today or fleet; empty runs all.
 	Only string
 	// Progress receives a line per measurement.
 	Progress io.Writer
@@ -50,6 +50,7 @@
 	return []group{
 		{"configuration", configurationSlopes},
 		{"dispatcher", dispatcherSlopes},
+		{"today", today},
 		{"fleet", fleetSlopes},
 	}
 }
@@ -70,7 +71,7 @@
 		all = append(all, series...)
 	}
 	if !known {
-		return nil, errors.Errorf("unknown group %q; use configuration, dispatcher or fleet", o.Only)
+		return nil, errors.Errorf("unknown group %q; use configuration, dispatcher, today or fleet", o.Only)
 	}
 	return all, nil
 }
@@ -98,3 +99,11 @@
 func (s *Series) add(size, value float64) {
 	s.Points = append(s.Points, Point{Size: size, Value: value})
 }
+
+// single completes a figure that is measured at one size, which is not extrapolated.
+func (s Series) single() Series {
+	s.TargetSize = s.Points[0].Size
+	s.AtTarget = s.Points[0].Value
+	s.Intercept = s.AtTarget
+	return s
+}
--- a/internal/cli/bench_slopes.go
+++ b/internal/cli/bench_slopes.go
@@ -10,7 +10,7 @@
 
 type slopesCommand struct {
 	JSON bool          `help:"Print JSON for programs."`
-	Only string        `help:"Measure one group: configuration, dispatcher or fleet." placeholder:"NAME"`
+	Only string        `help:"Measure one group: configuration, dispatcher, today or fleet." placeholder:"NAME"`
 	For  time.Duration `help:"Bound of the whole run." default:"3m"`
 }
 
