Send views when they change, with the servers out of rotation only

Every dispatcher sent all servers with address and data centre to every node twice a second, but nodes act on the ejected and the probation state, the overload and the latency only. A view now carries these, goes out at the start of a stream, on a change and every 5 s. A new latency alone waits for the next message. Ruled out: deltas against the former view, which need a sequence and a repair; the reduced view is a few bytes and whole.

--- a/internal/dispatchrpc/channel.go
+++ b/internal/dispatchrpc/channel.go
@@ -230,7 +230,7 @@
 func (c *channel) takeView(v *dispatchpb.View) {
 	ejected := map[string]bool{}
 	for _, s := range v.Servers {
-		if s.State == dispatch.ViewEjected || s.State == dispatch.ViewProbation {
+		if outOfRotation(s.State) {
 			ejected[s.Instance] = true
 		}
 	}
--- a/internal/dispatchrpc/runner.go
+++ b/internal/dispatchrpc/runner.go
@@ -1,10 +1,13 @@
 package dispatchrpc
 
 import (
+	"cmp"
+	"slices"
 	"sync"
 	"time"
 
 	"github.com/pkg/errors"
+	"google.golang.org/protobuf/proto"
 
 	"github.com/tarragonmux/tarragonmux/internal/dispatch"
 	"github.com/tarragonmux/tarragonmux/proto/dispatchpb"
@@ -34,6 +37,9 @@
 	closed chan struct{}
 	ended  bool
 	heard  time.Time
+	// view is the last view for the node, and viewAt when it was added to a message.
+	view   *dispatchpb.View
+	viewAt time.Time
 }
 
 func (x *session) pending() *dispatchpb.DispatcherBatch {
@@ -147,7 +153,7 @@
 	r.sessions[hello.Node] = x
 	r.machine.Connect(now, hello.Node, hello.DataCentre, hello.Incarnation, outstanding(now, hello), hello.Ejected)
 	// The first message ends the node's autonomous mode, so it must not wait for a heartbeat.
-	x.pending().View = r.viewOf(now)
+	x.show(now, r.reduce(r.machine.View(now)))
 	x.signal()
 	r.apply(now, x, first)
 	return x
@@ -265,11 +271,20 @@
 	}
 }
 
+// broadcastView sends the view to the nodes that have another one. A change of the ejected servers or
+// of the overload goes out at once; a new latency goes with the next message.
 func (r *runner) broadcastView(now time.Time) {
-	view := r.viewOf(now)
+	full := r.machine.View(now)
+	view := r.reduce(full)
 	for _, x := range r.sessions {
-		x.pending().View = view
-		x.signal()
+		if now.Sub(x.viewAt) < ViewAgainEvery && proto.Equal(x.view, view) {
+			continue
+		}
+		urgent := !sameRouting(x.view, view)
+		x.show(now, view)
+		if urgent {
+			x.signal()
+		}
 	}
 	stats := r.machine.Stats()
 	if stats.Ejections != r.lastStats.Ejections || stats.PathBlocks != r.lastStats.PathBlocks {
@@ -279,14 +294,33 @@
 	r.lastStats = stats
 }
 
-func (r *runner) viewOf(now time.Time) *dispatchpb.View {
-	v := r.machine.View(now)
+// show adds the view to the next message.
+func (x *session) show(now time.Time, view *dispatchpb.View) {
+	x.pending().View = view
+	x.view = view
+	x.viewAt = now
+}
+
+// reduce returns what nodes need of the view. Of the servers these are the ones that nodes must not
+// use without a dispatcher; nodes have all others in their own registry.
+func (r *runner) reduce(v dispatch.View) *dispatchpb.View {
 	out := &dispatchpb.View{Term: r.term, P95Ms: v.P95.Milliseconds(), Overload: v.Overload}
 	for _, s := range v.Servers {
-		out.Servers = append(out.Servers, &dispatchpb.ServerView{
-			Instance: s.Instance, Address: s.Address, DataCentre: s.DataCentre,
-			State: s.State, LeaseLeftMs: s.LeaseLeft.Milliseconds(),
-		})
+		if outOfRotation(s.State) {
+			out.Servers = append(out.Servers, &dispatchpb.ServerView{Instance: s.Instance, State: s.State})
+		}
 	}
+	slices.SortFunc(out.Servers, func(a, b *dispatchpb.ServerView) int { return cmp.Compare(a.Instance, b.Instance) })
 	return out
 }
+
+// outOfRotation tells whether nodes without a dispatcher must not use a server in the state.
+func outOfRotation(state string) bool {
+	return state == dispatch.ViewEjected || state == dispatch.ViewProbation
+}
+
+// sameRouting tells whether two views differ in the latency at most.
+func sameRouting(a, b *dispatchpb.View) bool {
+	return a.GetOverload() == b.GetOverload() &&
+		slices.EqualFunc(a.GetServers(), b.GetServers(), func(x, y *dispatchpb.ServerView) bool { return proto.Equal(x, y) })
+}
--- a/internal/dispatchrpc/settings.go
+++ b/internal/dispatchrpc/settings.go
@@ -13,8 +13,10 @@
 	HeartbeatEvery = 100 * time.Millisecond
 	// SilenceLimit is the silence after which either side gives a stream up.
 	SilenceLimit = 300 * time.Millisecond
-	// ViewEvery is how often a dispatcher sends its view.
+	// ViewEvery is how often a dispatcher compares its view with the one that each node has.
 	ViewEvery = 500 * time.Millisecond
+	// ViewAgainEvery is how often a dispatcher sends a view that has not changed.
+	ViewAgainEvery = 5 * time.Second
 	// AutonomousAfter is the time without a dispatcher after which a node routes on its own.
 	AutonomousAfter = 300 * time.Millisecond
 	// HedgeFloor is the least delay before a hedge.
