Stop nodes gracefully in the soak and check that no request is cut

While a node leaves, slow requests go to it over new connections for the endpoints' time to live; each must be answered or refused.

--- a/internal/bench/soak/checks_test.go
+++ b/internal/bench/soak/checks_test.go
@@ -163,6 +163,13 @@
 	g.Expect(of(c.learn([]*configpb.Entry{entryOf(ask("x", 1, 3))}))).To(Equal(CheckAccepted), "the history changed")
 }
 
+// A broken connection to a host that shuts down gracefully is a cut request; a refusal is not.
+func TestShutdownCheck(t *testing.T) {
+	g := NewWithT(t)
+	g.Expect(of(cut("n", load.Outcome{Err: errors.New("EOF")}))).To(Equal(CheckShutdown))
+	g.Expect(cut("n", load.Outcome{Kind: problem.ShuttingDown, Refusal: problem.NotRun})).To(BeNil())
+}
+
 // The first violation must be kept with its time and the events that led to it.
 func TestJudgeKeepsTheFirstViolation(t *testing.T) {
 	g := NewWithT(t)
--- a/internal/bench/soak/environment.go
+++ b/internal/bench/soak/environment.go
@@ -14,6 +14,7 @@
 	"github.com/tarragonmux/tarragonmux/internal/bench/netem"
 	"github.com/tarragonmux/tarragonmux/internal/bench/scenario"
 	"github.com/tarragonmux/tarragonmux/internal/standin"
+	"github.com/tarragonmux/tarragonmux/internal/transport"
 	"github.com/tarragonmux/tarragonmux/proto/configpb"
 )
 
@@ -47,6 +48,7 @@
 	judge    *judge
 	promises *promises
 	changes  *changes
+	dialer   transport.Dialer
 	client   *http.Client
 	load     *load.Load
 	// firstRevision is the revision before the operators begin.
@@ -84,7 +86,7 @@
 	dialer := network.Dialer(netem.Place{Host: callerPlace})
 	e := &environment{
 		options: o, user: user, network: network, fleet: fleet, judge: newJudge(o.Show),
-		promises: newPromises(), changes: newChanges(), client: load.NewClient(dialer),
+		promises: newPromises(), changes: newChanges(), dialer: dialer, client: load.NewClient(dialer),
 		counts: Counts{ByKind: map[Kind]int{}, Refused: map[string]int{}}, down: map[string]int{},
 	}
 	e.load = load.New(load.Config{
--- a/internal/bench/soak/faults.go
+++ b/internal/bench/soak/faults.go
@@ -50,6 +50,8 @@
 	switch f.Kind {
 	case KillNode:
 		e.restart(ctx, f, e.fleet.Nodes[f.Target], false)
+	case StopNode:
+		e.stopNode(ctx, f, e.fleet.Nodes[f.Target])
 	case KillControl:
 		e.restart(ctx, f, e.fleet.Controls[f.Target], false)
 	case LoseDisk:
--- a/internal/bench/soak/judge.go
+++ b/internal/bench/soak/judge.go
@@ -33,6 +33,8 @@
 	CheckRace Check = "one-winner"
 	// CheckQuiet: a server that drains or vanished gets no new work after 3 s.
 	CheckQuiet Check = "no-new-work"
+	// CheckShutdown: a graceful shutdown cuts no request in flight.
+	CheckShutdown Check = "graceful-shutdown"
 	// CheckRecovery: the fleet serves everything again within 10 s after the last fault.
 	CheckRecovery Check = "recovery"
 	// CheckProof: the run has what its other checks need, such as complete logs of the stand-ins.
--- a/internal/bench/soak/schedule.go
+++ b/internal/bench/soak/schedule.go
@@ -13,6 +13,7 @@
 // The kinds of faults.
 const (
 	KillNode       Kind = "kill-node"
+	StopNode       Kind = "stop-node"
 	KillControl    Kind = "kill-control"
 	KillDispatcher Kind = "kill-dispatcher"
 	FreezeNode     Kind = "freeze-node"
@@ -37,7 +38,7 @@
 // Kinds lists every kind.
 func Kinds() []Kind {
 	return []Kind{
-		KillNode, KillControl, KillDispatcher, FreezeNode, FreezeControl, CutHosts, CutDataCentre, LoseDisk,
+		KillNode, StopNode, KillControl, KillDispatcher, FreezeNode, FreezeControl, CutHosts, CutDataCentre, LoseDisk,
 		Stall, Slow, Flap, Refuse, DropAnswers, Errors, Truncate, Crash, Drain, Vanish, CrashRequest, Flood,
 	}
 }
@@ -47,6 +48,9 @@
 	noNewWorkAfter = 3 * time.Second
 	// quietWatch is how long such a server is watched after the bound.
 	quietWatch = time.Second
+	// stopSpan is the usual time of a graceful stop: the endpoints' time to live of 1 s, 2 s more, and
+	// the requests in flight.
+	stopSpan = 5 * time.Second
 	// returnSpan is the time in which no second disk is lost after one was.
 	returnSpan   = 10 * time.Second
 	firstFault   = 300 * time.Millisecond
@@ -112,6 +116,9 @@
 		if quiet(kind) {
 			f.For = noNewWorkAfter + quietWatch
 		}
+		if kind == StopNode {
+			f.For = stopSpan
+		}
 		if f.end() <= span && admissible(f, before) {
 			return f, true
 		}
@@ -152,7 +159,7 @@
 
 func (k Kind) group() group {
 	switch k {
-	case KillNode, KillDispatcher, FreezeNode, CutHosts, CutDataCentre:
+	case KillNode, StopNode, KillDispatcher, FreezeNode, CutHosts, CutDataCentre:
 		return nodeGroup
 	case KillControl, FreezeControl, LoseDisk:
 		return controlGroup
@@ -208,7 +215,7 @@
 // resources names what no two faults may use at once.
 func resources(f Fault) []string {
 	switch f.Kind {
-	case KillNode, FreezeNode:
+	case KillNode, StopNode, FreezeNode:
 		return []string{fmt.Sprintf("node %d", f.Target)}
 	case KillDispatcher:
 		return []string{"dispatcher"}
--- /dev/null
+++ b/internal/bench/soak/shutdown.go
@@ -0,0 +1,76 @@
+package soak
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/tarragonmux/tarragonmux/internal/bench/load"
+	"github.com/tarragonmux/tarragonmux/internal/bench/localfleet"
+)
+
+const (
+	// stopTimeout bounds one graceful stop.
+	stopTimeout = 30 * time.Second
+	// Requests are sent to a leaving host while callers may still know its address: for the
+	// endpoints' time to live.
+	leavingRequests = 5
+	leavingPause    = 200 * time.Millisecond
+	// leavingWork keeps these requests in flight while the host leaves.
+	leavingWork = time.Second
+)
+
+// stopNode stops a node gracefully, checks the requests that it has in flight, and starts it again.
+func (e *environment) stopNode(ctx context.Context, f Fault, h *localfleet.Host) {
+	if h.Process() == nil {
+		e.judge.note("%s: %s does not run", f.Kind, h.ID)
+		return
+	}
+	e.note(f, h.ID)
+	var leaving sync.WaitGroup
+	leaving.Go(func() { e.useLeaving(ctx, f, h) })
+	bounded, cancel := context.WithTimeout(ctx, stopTimeout)
+	defer cancel()
+	if err := h.Stop(bounded); err != nil && ctx.Err() == nil {
+		e.judge.report(found(CheckShutdown, "%s did not stop gracefully: %v", h.ID, err))
+	}
+	leaving.Wait()
+	if ctx.Err() == nil {
+		e.start(ctx, h)
+	}
+	e.ended(f, h.ID)
+}
+
+// useLeaving sends slow requests over new connections. Each must be answered or refused.
+func (e *environment) useLeaving(ctx context.Context, f Fault, h *localfleet.Host) {
+	var running sync.WaitGroup
+	defer running.Wait()
+	for i := range leavingRequests {
+		r := load.Request{
+			ID: fmt.Sprintf("%d-leaving-%d-%d", e.options.Seed, f.At.Milliseconds(), i), Method: http.MethodGet,
+			Path: e.idempotentPath(f.Service), Deadline: longestDeadline, Work: leavingWork,
+		}
+		running.Go(func() {
+			client := load.NewClient(e.dialer)
+			defer client.CloseIdleConnections()
+			o := load.Send(ctx, client, h.Settings.Entry.Address, r)
+			e.sink(o)
+			if ctx.Err() == nil {
+				e.judge.report(cut(h.ID, o))
+			}
+		})
+		if !pause(ctx, leavingPause) {
+			return
+		}
+	}
+}
+
+// cut finds a request that got neither a whole answer nor a refusal from a leaving host.
+func cut(host string, o load.Outcome) *finding {
+	if o.Err == nil {
+		return nil
+	}
+	return found(CheckShutdown, "request %s to %s, which shuts down gracefully, was cut: %v", o.ID, host, o.Err)
+}
