--- a/internal/cli/target.go
+++ b/internal/cli/target.go
@@ -1,18 +1,23 @@
 package cli
 
 import (
+	"context"
+	"time"
+
 	"github.com/pkg/errors"
 
 	"github.com/tarragonmux/tarragonmux/internal/operator"
 	"github.com/tarragonmux/tarragonmux/internal/settings"
 	"github.com/tarragonmux/tarragonmux/internal/transport"
+	"github.com/tarragonmux/tarragonmux/proto/fleetpb"
 )
 
 // target says which fleet an operator command talks to.
 type target struct {
-	Control  []string `help:"Fleet addresses (ip:port) of control replicas." env:"TARRAGONMUX_CONTROL" placeholder:"ADDRESS"`
-	Settings string   `help:"Settings file to take the control replicas from." env:"TARRAGONMUX_SETTINGS" placeholder:"FILE"`
-	JSON     bool     `help:"Print JSON for programs."`
+	Control  []string      `help:"Fleet addresses (ip:port) of control replicas." env:"TARRAGONMUX_CONTROL" placeholder:"ADDRESS"`
+	Settings string        `help:"Settings file to take the control replicas from." env:"TARRAGONMUX_SETTINGS" placeholder:"FILE"`
+	RetryFor time.Duration `help:"How long to go on while no control replica answers." default:"5s"`
+	JSON     bool          `help:"Print JSON for programs."`
 }
 
 // client returns the operators' client for the target.
@@ -30,5 +35,18 @@
 	if len(addresses) == 0 {
 		return nil, errors.New("no control replica is named; use --control ADDRESS or --settings FILE, or set TARRAGONMUX_CONTROL")
 	}
-	return operator.New(transport.NewPool(transport.NewDialer()), addresses), nil
+	return operator.New(transport.NewPool(transport.NewDialer()), addresses).RetryFor(t.RetryFor), nil
+}
+
+// askNodes calls fn for every configured node side by side.
+func askNodes[T any](ctx context.Context, t *target, fn func(context.Context, fleetpb.DRPCFleetClient) (T, error)) ([]operator.Answer[T], error) {
+	client, err := t.client()
+	if err != nil {
+		return nil, err
+	}
+	nodes, err := client.Nodes(ctx)
+	if err != nil {
+		return nil, err
+	}
+	return operator.Ask(ctx, client, nodes, fn), nil
 }
