Send the stand-ins' announcements through the emulated network

Aim: a frozen host must not hear announcements while it is frozen. They went past the emulated network before.

--- a/internal/bench/localfleet/fleet.go
+++ b/internal/bench/localfleet/fleet.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net"
+	"net/http"
 	"os"
 	"slices"
 	"time"
@@ -31,6 +32,8 @@
 	announceTo = 3
 	// startsAtOnce bounds the processes that start side by side.
 	startsAtOnce = 16
+	// idleAnnouncer is how long a stand-in keeps an idle connection to an entry host.
+	idleAnnouncer = 5 * time.Second
 	// joinPeers is how many nodes each host joins through.
 	joinPeers = 3
 )
@@ -257,6 +260,7 @@
 		HealthLag:      b.HealthLag,
 		RestartAfter:   b.RestartAfter,
 		Entries:        f.announceTo(i),
+		Client:         f.announcer(instance, dataCentre),
 		Seed:           f.config.Seed + uint64(n),
 	})
 	if err != nil {
@@ -265,6 +269,16 @@
 	return server, server.Start()
 }
 
+// announcer returns the client of a stand-in's announcements through the emulated network, or nil
+// for the stand-in's own.
+func (f *Fleet) announcer(instance, dataCentre string) *http.Client {
+	if f.config.Network == nil {
+		return nil
+	}
+	dialer := f.config.Network.Dialer(netem.Place{Host: instance, DataCentre: dataCentre})
+	return &http.Client{Transport: &http.Transport{DialContext: dialer.DialContext, MaxIdleConnsPerHost: 1, IdleConnTimeout: idleAnnouncer}}
+}
+
 func (f *Fleet) announceTo(i int) []string {
 	var entries []string
 	for k := range min(announceTo, len(f.Nodes)) {
