Let the records speak before a refusal of keyed work

Cause, found by trying a fleet of three hosts in both roles: after a restart without backend servers a resend waited for a grant until its deadline and was then told not-run, although the records held its answer. The claim ran beside the request for a grant, but its result was only looked at once a grant had come, and a refusal of the grant went before it. Now a claim that fails or finds a recorded answer withdraws the request for a grant, and a refusal waits up to 250 ms for the claim: a recorded answer is replayed, and an outcome that may be run is told as such. Ruled out: lost records (config history and a resend with a server got the answer). Before: three new specs failed (refused, queued, unknown); after: they pass.

--- a/internal/entry/atmostonce.go
+++ b/internal/entry/atmostonce.go
@@ -5,6 +5,9 @@
 	"crypto/sha256"
 	"encoding/binary"
 	"net/http"
+	"time"
+
+	"github.com/pkg/errors"
 
 	"github.com/tarragonmux/tarragonmux/internal/attempt"
 	"github.com/tarragonmux/tarragonmux/internal/problem"
@@ -19,6 +22,8 @@
 // claiming is a claim that is under way beside the request for a grant.
 type claiming struct {
 	cancel context.CancelFunc
+	// granting ends when the claim fails or the operation ran before: then no grant is needed.
+	granting context.Context
 	// done is closed when result and err are set.
 	done   chan struct{}
 	result attempt.Result
@@ -67,32 +72,39 @@
 
 func (f *atMostOnce) begin(x *Exchange) *claiming {
 	ctx, cancel := context.WithCancel(x.ctx)
-	c := &claiming{cancel: cancel, done: make(chan struct{})}
+	granting, stopGranting := context.WithCancel(ctx)
+	c := &claiming{cancel: cancel, granting: granting, done: make(chan struct{})}
 	op := attempt.Operation{
 		Service: x.match.Service, Route: x.match.Route, Key: x.key, Team: x.teamName, Fingerprint: fingerprint(x),
 	}
 	go func() {
-		defer close(c.done)
+		defer func() {
+			close(c.done)
+			if c.err != nil || c.result.Replay != nil {
+				stopGranting()
+			}
+		}()
 		c.result, c.err = f.cfg.Claims.Claim(ctx, op)
 	}()
 	return c
 }
 
-// end ends the claim in the way that the work ended and returns what the caller is told.
+// end ends the claim in the way that the work ended and returns what the caller is told. What the
+// records say of the operation goes before a refusal of this sending.
 func (f *atMostOnce) end(x *Exchange, err error) error {
 	c := x.claim
 	if err != nil {
-		c.cancel()
+		c.settle()
 	}
 	<-c.done
 	switch {
 	case c.err != nil:
-		return err
+		return c.prefer(err)
 	case c.result.Replay != nil:
-		if err == errReplay {
-			return replay(x, c.result.Replay)
+		if err == errCallerGone {
+			return err
 		}
-		return err
+		return replay(x, c.result.Replay)
 	case c.result.Claim == nil:
 		return err
 	case err == nil && x.record != nil:
@@ -105,6 +117,27 @@
 	return err
 }
 
+// settle gives the claim a moment to learn whether the operation ran before, so that the caller is
+// not told not-run of one that did, and ends it then.
+func (c *claiming) settle() {
+	timer := time.NewTimer(settleTimeout)
+	defer timer.Stop()
+	select {
+	case <-c.done:
+	case <-timer.C:
+	}
+	c.cancel()
+}
+
+// prefer returns the claim's refusal if it says more about the operation than the other one.
+func (c *claiming) prefer(err error) error {
+	var refusal *problem.Problem
+	if errors.As(c.err, &refusal) && refusal.Outcome != problem.NotRun {
+		return refusal
+	}
+	return err
+}
+
 // abandon is done before the caller hears not-run. It must work after the caller has gone.
 func (f *atMostOnce) abandon(x *Exchange, claim attempt.Claim) {
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(x.ctx), abandonTimeout)
--- a/internal/entry/config.go
+++ b/internal/entry/config.go
@@ -34,6 +34,9 @@
 	copyBytes = 32 << 10
 	// leaveMargin covers callers that asked for endpoints just before the host began to leave.
 	leaveMargin = 2 * time.Second
+	// settleTimeout bounds the wait for the records before a refusal of keyed work; a claim takes a
+	// few milliseconds.
+	settleTimeout = 250 * time.Millisecond
 	// abandonTimeout bounds the write of an abandoned claim, which delays a refusal.
 	abandonTimeout = 500 * time.Millisecond
 	// drainTimeout bounds the wait for the rest of a body that was refused.
--- a/internal/entry/dispatch.go
+++ b/internal/entry/dispatch.go
@@ -131,7 +131,15 @@
 	if x.attempts > 0 {
 		t.request.Purpose = grant.Retry
 	}
-	g, err := t.cfg.Grants.Acquire(x.ctx, t.request)
+	ctx := x.ctx
+	if x.claim != nil {
+		ctx = x.claim.granting
+	}
+	g, err := t.cfg.Grants.Acquire(ctx, t.request)
+	if err != nil && x.ctx.Err() == nil && ctx.Err() != nil {
+		// The claim ended first: it failed, or the operation ran before.
+		return nil, t.awaitClaim()
+	}
 	if err != nil {
 		return nil, t.notGranted(err)
 	}
--- a/internal/entry/fakes_test.go
+++ b/internal/entry/fakes_test.go
@@ -80,15 +80,21 @@
 	// hedgeTakes delays the grants of hedges, which come even if they are no longer wanted.
 	hedgeTakes time.Duration
 	refusal    error
-	results    []grant.Result
-	open       int
-	purposes   []grant.Purpose
-	advised    chan struct{}
+	// queued keeps requests waiting until they are withdrawn.
+	queued   bool
+	results  []grant.Result
+	open     int
+	purposes []grant.Purpose
+	advised  chan struct{}
 }
 
 func (f *fakeGrants) HedgeDelay(string) time.Duration { return f.hedge }
 
-func (f *fakeGrants) Acquire(_ context.Context, r grant.Request) (grant.Grant, error) {
+func (f *fakeGrants) Acquire(ctx context.Context, r grant.Request) (grant.Grant, error) {
+	if f.queued {
+		<-ctx.Done()
+		return nil, problem.New(problem.DeadlinePassed, problem.NotRun, "")
+	}
 	if r.Purpose == grant.Hedge {
 		time.Sleep(f.hedgeTakes)
 	}
--- a/internal/entry/once_test.go
+++ b/internal/entry/once_test.go
@@ -84,6 +84,31 @@
 		Eventually(f.observed.outcomes).Should(Equal([]string{entry.OutcomeAnswered, entry.OutcomeReplayed}))
 	})
 
+	// A refusal or a long wait for a server, instead of the record, tells the caller that its order was
+	// not run although it was.
+	DescribeTable("is answered from the record when no server can be had", func(grants func(*fakeGrants)) {
+		b := newStandin(standin.Config{WorkTime: -1})
+		f := start(nil, b.Address())
+		first := f.do("POST", "/once", "x", "Idempotency-Key", "k")
+		grants(f.grants)
+		f.claims.delay = 20 * time.Millisecond
+		begin := time.Now()
+		Expect(f.do("POST", "/once", "x", "Idempotency-Key", "k").body).To(Equal(first.body))
+		Expect(time.Since(begin)).To(BeNumerically("<", time.Second))
+	},
+		Entry("refused", func(g *fakeGrants) { g.refusal = problem.New(problem.QueueFull, problem.NotRun, "") }),
+		Entry("queued", func(g *fakeGrants) { g.queued = true }),
+	)
+
+	// What the records say of the operation goes before a refusal of this sending.
+	It("is not called not-run by a full queue when its outcome is unknown", func() {
+		f := start(nil)
+		f.claims.records = map[string]*fakeClaim{"k": {owner: f.claims, state: "unknown"}}
+		f.grants.refusal = problem.New(problem.QueueFull, problem.NotRun, "")
+		f.claims.delay = 20 * time.Millisecond
+		Expect(f.do("POST", "/once", "", "Idempotency-Key", "k").problem.Outcome).To(Equal("unknown"))
+	})
+
 	It("says that the work ran when its answer was too large to keep", func() {
 		b := newStandin(standin.Config{WorkTime: -1})
 		f := start(nil, b.Address())
