--- a/internal/agreement/compaction.go
+++ b/internal/agreement/compaction.go
@@ -6,6 +6,7 @@
 	"github.com/pkg/errors"
 	"google.golang.org/protobuf/proto"
 
+	"github.com/tarragonmux/tarragonmux/internal/logging"
 	"github.com/tarragonmux/tarragonmux/internal/storage"
 	"github.com/tarragonmux/tarragonmux/proto/agreementpb"
 )
@@ -73,7 +74,7 @@
 	r.compactedAt = r.now()
 	if err != nil {
 		// The journal is whole without the snapshot, so the replica goes on.
-		r.logger.Warn("No snapshot could be written; the journal grows until the next try.", "err", err)
+		r.logger.Warn("no snapshot could be written; the journal grows until the next try", "err", logging.Err(err))
 	}
 }
 
--- a/internal/agreement/identity.go
+++ b/internal/agreement/identity.go
@@ -7,6 +7,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/tarragonmux/tarragonmux/internal/invariant"
+	"github.com/tarragonmux/tarragonmux/internal/logging"
 	"github.com/tarragonmux/tarragonmux/proto/agreementpb"
 )
 
@@ -272,13 +273,13 @@
 		return
 	}
 	reason := "the folder is older than what the peers have seen of it, or its disk was replaced in the group"
-	r.logger.Error("The data folder is not this replica's newest one.", "id", r.cfg.ID, "disk", r.disk, "sequence", s.durable)
+	r.logger.Error("the data folder is not this replica's newest one", "id", r.cfg.ID, "disk", r.disk, "sequence", s.durable)
 	seen := r.store.seen
 	if err := r.log.Close(); err != nil {
-		r.logger.Warn("The old journal could not be closed.", "err", err)
+		r.logger.Warn("the old journal could not be closed", "err", logging.Err(err))
 	}
 	if err := r.beginAnew(reason); err != nil {
-		r.logger.Error("No new data folder could be made; the replica stops.", "err", err)
+		r.logger.Error("no new data folder could be made; the replica stops", "err", logging.Err(err))
 		r.stop(err.Error())
 		return
 	}
@@ -297,7 +298,7 @@
 		}
 		g.Members = append(g.Members, &agreementpb.Member{Id: m.ID, DiskId: disk, Address: m.Address, Joined: 1})
 	}
-	r.logger.Info("The first control group is formed.", "id", r.cfg.ID, "members", len(g.Members))
+	r.logger.Info("the first control group is formed", "id", r.cfg.ID, "members", len(g.Members))
 	r.adopt(g)
 	r.verified = true
 	r.become(Voting, "")
@@ -320,7 +321,7 @@
 	if r.state == Stopped && r.log.Err() != nil {
 		return
 	}
-	r.logger.Info("The replica moves to a new group.", "id", r.cfg.ID, "epoch", g.GetEpoch())
+	r.logger.Info("the replica moves to a new group", "id", r.cfg.ID, "epoch", g.GetEpoch())
 	self := findMember(g, r.cfg.ID)
 	switch {
 	case self == nil:
--- a/internal/agreement/learn.go
+++ b/internal/agreement/learn.go
@@ -7,6 +7,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/tarragonmux/tarragonmux/internal/logging"
 	"github.com/tarragonmux/tarragonmux/proto/agreementpb"
 )
 
@@ -145,7 +146,7 @@
 		go func() {
 			c, err := r.copyFrom(ctx, group.GetEpoch(), m)
 			if err != nil {
-				r.logger.Debug("A member did not give its state.", "member", m.GetId(), "err", err)
+				r.logger.Debug("a member did not give its state", "member", m.GetId(), "err", logging.Err(err))
 			}
 			results <- c
 		}()
@@ -253,7 +254,7 @@
 	}
 	r.store.ready = joined
 	r.verified = true
-	r.logger.Info("The replica has copied the state and votes.", "id", r.cfg.ID, "epoch", group.GetEpoch())
+	r.logger.Info("the replica has copied the state and votes", "id", r.cfg.ID, "epoch", group.GetEpoch())
 	r.become(Voting, "")
 	return nil
 }
--- a/internal/agreement/proposer.go
+++ b/internal/agreement/proposer.go
@@ -108,7 +108,7 @@
 	for _, m := range members {
 		p.members = append(p.members, Member{ID: m.GetId(), Address: m.GetAddress()})
 	}
-	p.logger.Debug("The proposer follows a new control group.", "epoch", epoch, "members", len(members))
+	p.logger.Debug("the proposer follows a new control group", "epoch", epoch, "members", len(members))
 }
 
 // hear takes what every reply tells of the group and of the replica's journal.
--- a/internal/agreement/replica.go
+++ b/internal/agreement/replica.go
@@ -173,7 +173,7 @@
 	if !errors.Is(err, storage.ErrDamaged) {
 		return err
 	}
-	r.logger.Error("The data folder is damaged; the replica begins with an empty one.", "folder", r.cfg.Folder, "err", err)
+	r.logger.Error("the data folder is damaged; the replica begins with an empty one", "folder", r.cfg.Folder, "err", logging.Err(err))
 	return r.beginAnew("the data folder was damaged: " + err.Error())
 }
 
@@ -261,7 +261,7 @@
 	}
 	r.putAside++
 	r.state, r.reason = Blank, reason
-	r.logger.Warn("The replica begins with an empty folder and a new disk id.", "reason", reason, "kept", aside, "disk", r.disk)
+	r.logger.Warn("the replica begins with an empty folder and a new disk id", "reason", reason, "kept", aside, "disk", r.disk)
 	return nil
 }
 
@@ -339,7 +339,7 @@
 		return
 	}
 	if r.state != s {
-		r.logger.Info("The replica changed its state.", "id", r.cfg.ID, "state", s, "reason", reason, "epoch", r.store.group.GetEpoch())
+		r.logger.Info("the replica changed its state", "id", r.cfg.ID, "state", s, "reason", reason, "epoch", r.store.group.GetEpoch())
 	}
 	r.state, r.reason = s, reason
 }
@@ -376,7 +376,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.log == journal && r.state != Stopped {
-		r.logger.Error("The journal failed; the replica stops voting until the process is restarted.", "err", err)
+		r.logger.Error("the journal failed; the replica stops voting until the process is restarted", "err", logging.Err(err))
 		r.stop(err.Error())
 	}
 	return true
--- a/internal/agreement/swap.go
+++ b/internal/agreement/swap.go
@@ -6,6 +6,7 @@
 	"github.com/pkg/errors"
 	"google.golang.org/protobuf/proto"
 
+	"github.com/tarragonmux/tarragonmux/internal/logging"
 	"github.com/tarragonmux/tarragonmux/proto/agreementpb"
 )
 
@@ -35,7 +36,7 @@
 	defer cancel()
 	out, err := r.client.Replica(m).Swap(ctx, request)
 	if err != nil || out.GetError() != "" {
-		r.logger.Warn("The replica was not swapped in; it asks again.", "member", m.ID, "err", err, "answer", out.GetError())
+		r.logger.Warn("the replica was not swapped in; it asks again", "member", m.ID, "err", logging.Err(err), "answer", out.GetError())
 		return
 	}
 	r.poke()
--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -49,6 +49,8 @@
 func Run(args []string, stdout, stderr io.Writer) int {
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
 	defer stop()
+	// A second signal ends the process at once.
+	context.AfterFunc(ctx, stop)
 	return run(ctx, args, stdout, stderr)
 }
 
--- a/internal/configuration/control/log.go
+++ b/internal/configuration/control/log.go
@@ -121,7 +121,7 @@
 	defer ticker.Stop()
 	for {
 		if err := l.catchUp(ctx); err != nil && ctx.Err() == nil {
-			l.options.Logger.Debug("Could not read the configuration log from a majority.", "err", err)
+			l.options.Logger.Debug("could not read the configuration log from a majority", "err", logging.Err(err))
 		}
 		l.compact()
 		l.watchHosts()
@@ -179,7 +179,7 @@
 			return false, errors.WithMessage(err, "read the configuration log")
 		}
 		if err := l.absorb(chain); err != nil {
-			l.options.Logger.Error("Cannot apply the configuration log.", "err", err)
+			l.options.Logger.Error("cannot apply the configuration log", "err", logging.Err(err))
 			return false, err
 		}
 		// A proposer may answer with a part of a long chain; the read that adds nothing is the last.
@@ -252,7 +252,7 @@
 		err = l.options.Compactor.Compact(Prefix, floor, snapshot)
 	}
 	if err != nil {
-		l.options.Logger.Warn("Could not compact the configuration log.", "err", err)
+		l.options.Logger.Warn("could not compact the configuration log", "err", logging.Err(err))
 		return
 	}
 	l.mu.Lock()
--- a/internal/configuration/control/operator.go
+++ b/internal/configuration/control/operator.go
@@ -12,6 +12,7 @@
 
 	"github.com/tarragonmux/tarragonmux/internal/agreement"
 	"github.com/tarragonmux/tarragonmux/internal/configuration"
+	"github.com/tarragonmux/tarragonmux/internal/logging"
 	"github.com/tarragonmux/tarragonmux/proto/configpb"
 )
 
@@ -137,7 +138,7 @@
 		return open()
 	}
 	if err := l.absorb(agreement.Chain{Decided: []agreement.Register{{Index: entry.GetRevision(), Value: decided}}}); err != nil {
-		l.options.Logger.Error("Cannot apply a decided revision.", "revision", entry.GetRevision(), "err", err)
+		l.options.Logger.Error("cannot apply a decided revision", "revision", entry.GetRevision(), "err", logging.Err(err))
 	}
 	return l.afterDecision(ctx, r, decided)
 }
@@ -159,7 +160,7 @@
 // verdict is left open and the resend tells.
 func (l *Log) afterLoss(ctx context.Context, r *configpb.ApplyRequest) *configpb.ApplyReply {
 	if err := l.catchUp(ctx); err != nil {
-		l.options.Logger.Debug("Could not read the configuration log after a conflict.", "err", err)
+		l.options.Logger.Debug("could not read the configuration log after a conflict", "err", logging.Err(err))
 		return l.known(r, open())
 	}
 	return l.known(r, conflict(l.Revision()))
--- a/internal/configuration/store/hints.go
+++ b/internal/configuration/store/hints.go
@@ -7,6 +7,8 @@
 	"sync"
 
 	"golang.org/x/sync/errgroup"
+
+	"github.com/tarragonmux/tarragonmux/internal/logging"
 )
 
 const (
@@ -81,6 +83,6 @@
 		return
 	}
 	if err := s.fetch(ctx, h.address, 0); err != nil {
-		s.options.Logger.Debug("Could not fetch the configuration from a peer.", "address", h.address, "err", err)
+		s.options.Logger.Debug("could not fetch the configuration from a peer", "address", h.address, "err", logging.Err(err))
 	}
 }
--- a/internal/configuration/store/poll.go
+++ b/internal/configuration/store/poll.go
@@ -7,6 +7,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/tarragonmux/tarragonmux/internal/configuration"
+	"github.com/tarragonmux/tarragonmux/internal/logging"
 	"github.com/tarragonmux/tarragonmux/proto/configpb"
 )
 
@@ -81,7 +82,7 @@
 		began := s.Revision()
 		if err := s.pollOne(ctx, address); err != nil {
 			turns.failed(address, time.Now())
-			s.options.Logger.Debug("Could not poll a control replica.", "address", address, "err", err)
+			s.options.Logger.Debug("could not poll a control replica", "address", address, "err", logging.Err(err))
 		} else {
 			turns.succeeded(address)
 		}
@@ -114,7 +115,7 @@
 	}
 	err = s.accept(reply)
 	if err != nil {
-		s.options.Logger.Error("Cannot apply a revision; the former one stays in force.", "address", address, "in_force", s.Revision(), "err", err)
+		s.options.Logger.Error("cannot apply a revision; the former one stays in force", "address", address, "in_force", s.Revision(), "err", logging.Err(err))
 	}
 	return err
 }
--- a/internal/configuration/store/start.go
+++ b/internal/configuration/store/start.go
@@ -7,6 +7,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/tarragonmux/tarragonmux/internal/configuration"
+	"github.com/tarragonmux/tarragonmux/internal/logging"
 	"github.com/tarragonmux/tarragonmux/proto/configpb"
 )
 
@@ -23,7 +24,7 @@
 func (s *Store) start(ctx context.Context) error {
 	stored, err := s.file.load()
 	if err != nil {
-		s.options.Logger.Error("Ignored the stored configuration.", "err", err)
+		s.options.Logger.Error("ignored the stored configuration", "err", logging.Err(err))
 	}
 	s.writing.Lock()
 	s.starting = newStartup(s.options.Address, stored, time.Now())
--- a/internal/configuration/store/store.go
+++ b/internal/configuration/store/store.go
@@ -191,11 +191,11 @@
 // enforce stores the document and puts its snapshot in force.
 func (s *Store) enforce(snapshot *configuration.Snapshot) {
 	if err := s.file.save(snapshot.Document()); err != nil {
-		s.options.Logger.Error("Could not store the configuration.", "revision", snapshot.Revision(), "err", err)
+		s.options.Logger.Error("could not store the configuration", "revision", snapshot.Revision(), "err", logging.Err(err))
 		if err := s.file.remove(); err != nil {
-			s.options.Logger.Error("An outdated configuration stays stored.", "err", err)
+			s.options.Logger.Error("an outdated configuration stays stored", "err", logging.Err(err))
 		}
 	}
 	s.holder.Set(snapshot)
-	s.options.Logger.Info("Configuration in force.", "revision", snapshot.Revision())
+	s.options.Logger.Info("configuration in force", "revision", snapshot.Revision())
 }
--- a/internal/records/recorder.go
+++ b/internal/records/recorder.go
@@ -12,6 +12,7 @@
 
 	"github.com/tarragonmux/tarragonmux/internal/agreement"
 	"github.com/tarragonmux/tarragonmux/internal/invariant"
+	"github.com/tarragonmux/tarragonmux/internal/logging"
 	"github.com/tarragonmux/tarragonmux/proto/recordspb"
 )
 
@@ -66,7 +67,7 @@
 func (r *recorder) submit(o outcome) <-chan struct{} {
 	finished := make(chan struct{})
 	if !r.begin() {
-		r.logger.Warn("Too many outcomes wait to be recorded; one stays in memory only.", "attempt", o.entry.attempt)
+		r.logger.Warn("too many outcomes wait to be recorded; one stays in memory only", "attempt", o.entry.attempt)
 		close(finished)
 		return finished
 	}
@@ -127,7 +128,7 @@
 			return
 		}
 		if time.Since(o.entry.created) > outcomeWindow {
-			r.logger.Warn("Gave up recording an outcome; its resends are told that it is unknown.", "attempt", o.entry.attempt)
+			r.logger.Warn("gave up recording an outcome; its resends are told that it is unknown", "attempt", o.entry.attempt)
 			return
 		}
 		select {
@@ -164,7 +165,7 @@
 		return true
 	}
 	if err != nil {
-		r.logger.Debug("Could not record an outcome.", "attempt", o.entry.attempt, "try", number, "err", err)
+		r.logger.Debug("could not record an outcome", "attempt", o.entry.attempt, "try", number, "err", logging.Err(err))
 		return false
 	}
 	r.check(o, decided)
