Let streams without work fall quiet

Heartbeats of idle streams every 100 ms in both directions cost a dispatcher of 48 nodes 50 KB/s of headers alone. A node that had nothing in flight for 2 s now sends a message without Progress each second, which the dispatcher answers; both sides allow 1.3 s of silence meanwhile. The first request ends this, and the dispatcher has the usual 300 ms to answer it. Streams with work keep 100 ms, now counted from the last message of any kind. The share of a quiet node is used only after the dispatcher must have reserved it, so that the sum stays within the slots; in exchange a node that is cut off while it is quiet is autonomous up to 1.3 s after its dispatcher was heard last. A stream that the dispatcher ended counts as noticed, and keeps 300 ms.

Ruled out: 500 ms between quiet messages (12 KB/s at a dispatcher), and longer heartbeats for all streams (slower detection of lost nodes). No field was added; Progress is the heartbeat, and its absence says quiet.

--- a/internal/dispatchrpc/alone.go
+++ b/internal/dispatchrpc/alone.go
@@ -28,7 +28,7 @@
 
 // autonomous tells whether the node has had no dispatcher for too long.
 func (c *channel) autonomous(now time.Time) bool {
-	return now.Sub(c.heard) > AutonomousAfter
+	return c.pace.alone(now, c.heard)
 }
 
 // waiting returns the calls in the order in which they are served.
--- a/internal/dispatchrpc/channel.go
+++ b/internal/dispatchrpc/channel.go
@@ -38,6 +38,7 @@
 	opened   time.Time
 	// heard is the time of the last message of a dispatcher.
 	heard time.Time
+	pace  pace
 	// ejected are the instances that the last view showed as ejected.
 	ejected map[string]bool
 	alone   alone
@@ -158,10 +159,11 @@
 	if c.answered {
 		last = c.heard
 	}
-	if !c.linked || now.Sub(last) > SilenceLimit || b.NotDispatcher != nil {
+	if !c.linked || c.pace.silent(now, last) || b.NotDispatcher != nil {
 		return false
 	}
 	c.heard = now
+	c.pace.heardQuiet = c.pace.quiet
 	if c.alone.unreported {
 		// The hello did not name what was granted alone after it; a new stream does.
 		return false
@@ -242,20 +244,26 @@
 	c.hedge.Store(int64(delay))
 }
 
-// flush returns what is to be sent, with the heartbeat, or nil if the stream is gone.
-func (c *channel) flush(stream uint64) *dispatchpb.NodeBatch {
+// flush returns what is to be sent, with the heartbeat unless the stream is quiet, and the longest
+// pause before the next message. It returns nil if the stream is gone.
+func (c *channel) flush(now time.Time, stream uint64) (*dispatchpb.NodeBatch, time.Duration) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if !c.linked || c.stream != stream {
-		return nil
+		return nil, 0
 	}
+	c.pace.next(now, c.inFlight())
 	b := c.out
 	c.out = &dispatchpb.NodeBatch{}
+	if c.pace.quiet {
+		b.Progress = nil
+		return b, c.pace.interval()
+	}
 	if b.Progress == nil {
 		b.Progress = &dispatchpb.Progress{}
 	}
 	b.Progress.Received = c.received
-	return b
+	return b, c.pace.interval()
 }
 
 // link starts a stream: it returns the first batch, with everything that this node has in flight
@@ -279,6 +287,7 @@
 	c.alone.unreported = false
 	c.answered = false
 	c.opened = now
+	c.pace.used, c.pace.quiet = now, false
 	c.out = &dispatchpb.NodeBatch{}
 	waiting := c.waiting()
 	clear(c.calls)
--- a/internal/dispatchrpc/connect.go
+++ b/internal/dispatchrpc/connect.go
@@ -59,7 +59,7 @@
 		defer cancel()
 		c.write(ctx, link, number)
 	}()
-	return c.read(link)
+	return c.read(ctx, link, number)
 }
 
 func (c *channel) open(ctx context.Context, holder leadership.Holder) (nodeLink, error) {
@@ -71,10 +71,13 @@
 	return stream, errors.Wrap(err, "open a stream to the dispatcher")
 }
 
-func (c *channel) read(link nodeLink) error {
+func (c *channel) read(ctx context.Context, link nodeLink, number uint64) error {
 	for {
 		batch, err := link.Recv()
 		if err != nil {
+			if ctx.Err() == nil {
+				c.broken(time.Now(), number)
+			}
 			return errors.Wrap(err, "read from the dispatcher")
 		}
 		if !c.receive(time.Now(), batch) {
@@ -85,7 +88,7 @@
 
 // write sends what is pending at once, and a heartbeat when there is nothing.
 func (c *channel) write(ctx context.Context, link nodeLink, number uint64) {
-	heartbeat := time.NewTicker(HeartbeatEvery)
+	heartbeat := time.NewTimer(HeartbeatEvery)
 	defer heartbeat.Stop()
 	for {
 		select {
@@ -94,10 +97,11 @@
 		case <-c.wake:
 		case <-heartbeat.C:
 		}
-		batch := c.flush(number)
+		batch, interval := c.flush(time.Now(), number)
 		if batch == nil || link.Send(batch) != nil {
 			return
 		}
+		heartbeat.Reset(interval)
 	}
 }
 
@@ -136,7 +140,7 @@
 	if c.linked && c.answered && c.heard.After(last) {
 		last = c.heard
 	}
-	return now.Sub(last) > SilenceLimit
+	return c.pace.silent(now, last)
 }
 
 // maintain refuses calls whose deadline passed and serves calls while there is no dispatcher.
--- a/internal/dispatchrpc/doc.go
+++ b/internal/dispatchrpc/doc.go
@@ -11,10 +11,15 @@
 // # Node
 //
 // A Client is the node's grant.Source. It keeps one stream per service, sends everything that is
-// pending in one message, and sends a heartbeat every 100 ms. A stream that is silent for 300 ms
-// is given up on either side.
+// pending in one message, and sends a heartbeat when it sent nothing else for 100 ms. A stream that
+// is silent for 300 ms is given up on either side.
 //
-// A node that has had no dispatcher for 300 ms is autonomous: it uses its own share of the slots
+// A stream on which the node had nothing in flight for 2 s is quiet: the node sends a message each
+// second, which the dispatcher answers, and either side gives the stream up after 1.3 s of silence.
+// The first request ends this; the dispatcher then has 300 ms to answer.
+//
+// A node that has had no dispatcher for 300 ms, or for 1.3 s if its stream was quiet, is autonomous:
+// it uses its own share of the slots
 // of each server, serves urgent work first, never ejects, and does not use servers that the last
 // dispatcher had ejected. The shares of all nodes of the host set never add up to more than the
 // slots. Requests wait for a free slot until their deadline and are then refused as
--- a/internal/dispatchrpc/runner.go
+++ b/internal/dispatchrpc/runner.go
@@ -37,6 +37,8 @@
 	closed chan struct{}
 	ended  bool
 	heard  time.Time
+	// quiet is set if the node's last message said that the stream is quiet.
+	quiet bool
 	// view is the last view for the node, and viewAt when it was added to a message.
 	view   *dispatchpb.View
 	viewAt time.Time
@@ -123,7 +125,7 @@
 		r.refreshServers(now, settings)
 	}
 	for _, x := range r.sessions {
-		if now.Sub(x.heard) > SilenceLimit {
+		if x.silent(now) {
 			r.lose(now, x)
 		}
 	}
@@ -201,7 +203,7 @@
 
 // apply feeds one batch into the state machine.
 func (r *runner) apply(now time.Time, x *session, batch *dispatchpb.NodeBatch) {
-	x.heard = now
+	x.hear(now, batch)
 	r.machine.Heard(now, x.node, batch.GetProgress().GetReceived())
 	for _, c := range batch.Completes {
 		r.machine.Complete(now, x.node, c.Id, completion(c))
@@ -244,9 +246,10 @@
 	}
 }
 
-// send writes to the node until the session ends. Everything that is pending goes into one message.
+// send writes to the node until the session ends. Everything that is pending goes into one message;
+// a heartbeat goes out when nothing else did.
 func (r *runner) send(x *session, link dispatcherLink) error {
-	heartbeat := time.NewTicker(HeartbeatEvery)
+	heartbeat := time.NewTimer(HeartbeatEvery)
 	defer heartbeat.Stop()
 	for {
 		closing := false
@@ -258,19 +261,26 @@
 		case <-x.wake:
 		case <-heartbeat.C:
 		}
-		r.mu.Lock()
-		batch := x.pending()
-		x.out = nil
-		r.mu.Unlock()
+		batch, interval := r.next(x)
 		if err := link.Send(batch); err != nil {
 			return errors.Wrap(err, "send to a node")
 		}
 		if closing {
 			return nil
 		}
+		heartbeat.Reset(interval)
 	}
 }
 
+// next takes what is pending for the node.
+func (r *runner) next(x *session) (*dispatchpb.DispatcherBatch, time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	batch := x.pending()
+	x.out = nil
+	return batch, x.interval()
+}
+
 // broadcastView sends the view to the nodes that have another one. A change of the ejected servers or
 // of the overload goes out at once; a new latency goes with the next message.
 func (r *runner) broadcastView(now time.Time) {
--- a/internal/dispatchrpc/settings.go
+++ b/internal/dispatchrpc/settings.go
@@ -9,10 +9,18 @@
 
 // Times of streams between nodes and dispatchers.
 const (
-	// HeartbeatEvery is the longest pause between two messages in either direction.
+	// HeartbeatEvery is the longest pause between two messages in either direction of a stream that
+	// is not quiet.
 	HeartbeatEvery = 100 * time.Millisecond
 	// SilenceLimit is the silence after which either side gives a stream up.
 	SilenceLimit = 300 * time.Millisecond
+	// QuietAfter is how long a node has nothing in flight before its stream is quiet.
+	QuietAfter = 2 * time.Second
+	// QuietEvery is the longest pause between two messages of a node on a quiet stream. With 48 nodes
+	// the heartbeats of idle streams would otherwise cost a dispatcher 50 KB/s.
+	QuietEvery = time.Second
+	// QuietLimit is the silence after which either side gives a quiet stream up.
+	QuietLimit = QuietEvery + SilenceLimit
 	// ViewEvery is how often a dispatcher compares its view with the one that each node has.
 	ViewEvery = 500 * time.Millisecond
 	// ViewAgainEvery is how often a dispatcher sends a view that has not changed.
--- a/internal/dispatchrpc/stream_test.go
+++ b/internal/dispatchrpc/stream_test.go
@@ -9,6 +9,7 @@
 
 	. "github.com/onsi/gomega"
 
+	"github.com/tarragonmux/tarragonmux/internal/dispatchrpc"
 	"github.com/tarragonmux/tarragonmux/internal/grant"
 	"github.com/tarragonmux/tarragonmux/internal/invariant"
 	"github.com/tarragonmux/tarragonmux/internal/priority"
@@ -92,6 +93,28 @@
 			f.g.Eventually(func() bool { return f.nodes[2].client.Autonomous(service) }, 2*time.Second).Should(BeFalse())
 		})
 	}
+	t.Run("frozen on quiet streams", func(t *testing.T) {
+		t.Parallel()
+		resumesOnQuietStreams(t)
+	})
+}
+
+// resumesOnQuietStreams loses the dispatcher of nodes that had nothing in flight for seconds. They hear
+// it once a second only, and this must not cost their next requests more.
+func resumesOnQuietStreams(t *testing.T) {
+	f := newFleet(t, 5, 6, 6)
+	f.elect(f.nodes[0])
+	f.ready()
+	time.Sleep(dispatchrpc.QuietAfter + dispatchrpc.QuietEvery/2)
+	for _, n := range f.nodes[1:] {
+		f.g.Expect(n.client.Autonomous(service)).To(BeFalse())
+	}
+	f.nodes[0].listener.deaf.Store(true)
+	f.nodes[0].listener.mute.Store(true)
+	f.lose(f.nodes[1])
+	for i, gap := range f.measureGaps(func() {}) {
+		f.g.Expect(gap).To(BeNumerically("<", time.Second), "node %d", i+1)
+	}
 }
 
 // measureGaps returns, for each node but the first, the longest time without a grant around the fault.
