Spread callers without a name over all hosts

Cause: equal names get equal answers, and the empty name is one name, so that callers that ask without one were all sent to the same four hosts. Ruled out: the remote address as the name, since many callers may share one address. Before: 1,000 unnamed answers began at one host; after: at all 46 good ones, each below 50 times.

--- a/internal/hostset/endpoints.go
+++ b/internal/hostset/endpoints.go
@@ -1,11 +1,13 @@
 package hostset
 
 import (
+	"math/rand/v2"
 	"slices"
+	"strconv"
 	"time"
 )
 
-// AnswerSize is how many addresses an endpoint answer has.
+// AnswerSize is how many addresses a caller with a name gets.
 const AnswerSize = 4
 
 // Verdict tells whether callers should be sent to a node.
@@ -46,9 +48,10 @@
 	return &Directory{source: source, health: health, ttl: ttl}
 }
 
-// Endpoints returns up to AnswerSize addresses for the caller and how long they may be kept. The
-// list is empty if the service is not configured or if no node can serve it. Callers without a
-// name should be told apart by their address, since equal names get equal answers.
+// Endpoints returns up to AnswerSize addresses for the caller and how long they may be kept. Equal
+// names get equal answers. A caller without a name cannot be told from others behind the same
+// address, so it gets every good host of the service, in an order drawn anew for each answer. The
+// list is empty if the service is not configured or if no node can serve it.
 func (d *Directory) Endpoints(service, caller string) ([]Endpoint, time.Duration) {
 	fleet := d.source.Fleet()
 	if fleet == nil {
@@ -59,7 +62,12 @@
 		return nil, d.ttl
 	}
 	good, doubtful := d.split(fleet.Set(s), service)
-	chosen := choose(caller, good, AnswerSize)
+	size := AnswerSize
+	if caller == "" {
+		size = max(size, len(good))
+		caller = strconv.FormatUint(rand.Uint64(), 36)
+	}
+	chosen := choose(caller, good, size)
 	chosen = append(chosen, choose(caller, doubtful, AnswerSize-len(chosen))...)
 	endpoints := make([]Endpoint, 0, len(chosen))
 	for _, h := range chosen {
--- a/internal/hostset/hostset_test.go
+++ b/internal/hostset/hostset_test.go
@@ -118,6 +118,28 @@
 	}
 }
 
+// Callers without a name may all come from one address; equal answers would send them all to the
+// same four hosts.
+func TestUnnamedCallersAreSpread(t *testing.T) {
+	g := NewWithT(t)
+	const hosts = 48
+	f := newFixture(hosts)
+	f.verdicts["n7"] = hostset.Out
+	f.verdicts["n8"] = hostset.Doubtful
+	d := hostset.NewDirectory(f, f, ttl)
+	first := map[string]int{}
+	for range callers {
+		endpoints, _ := d.Endpoints("booking", "")
+		g.Expect(endpoints).To(HaveLen(hosts - 2))
+		first[endpoints[0].Node]++
+	}
+	g.Expect(first).To(HaveLen(hosts - 2))
+	for node, n := range first {
+		// The bound is six standard deviations from the mean of 21.7.
+		g.Expect(n).To(BeNumerically("<", 50), node)
+	}
+}
+
 // Guards against empty answers during a storm of false suspicions, and against answers with hosts
 // that cannot serve.
 func TestDoubtfulHostsAreTheLastResort(t *testing.T) {
