List the traffic of the busiest node by call and the oldest renewal

The mean by call divided the traffic among control replicas by the nodes; only connections of nodes count now. The highest age of a renewal in any node's view bounds how slow gossip may become.

--- a/internal/bench/slopes/fleet.go
+++ b/internal/bench/slopes/fleet.go
@@ -20,6 +20,8 @@
 	defaultSpan = 5 * time.Second
 	minimumSpan = 2 * time.Second
 	settle      = 2 * time.Second
+	// ageSample is the time between two looks at the ages of renewals.
+	ageSample = 50 * time.Millisecond
 	// fleets is how many fleets a run measures, to share the time.
 	fleets         = 12
 	fleetOverhead  = 5 * time.Second
@@ -43,14 +45,16 @@
 	memory float64
 	// requests a second and node.
 	requests float64
+	// oldest is the highest age of a renewal that a node had of a server that renews.
+	oldest time.Duration
 	// calls lists the traffic by call.
 	calls string
 }
 
 // String is the line of a progress report.
 func (s sample) String() string {
-	return fmt.Sprintf("%.2f KB/s with headers, %.2f KB/s without, busiest node %.2f KB/s; %.2f%% of a core, %.2f MB, %.1f requests/s",
-		s.bytes/kilobyte, s.payload/kilobyte, s.busiest/kilobyte, s.cpu, s.memory, s.requests)
+	return fmt.Sprintf("%.2f KB/s with headers, %.2f KB/s without, busiest node %.2f KB/s; %.2f%% of a core, %.2f MB, %.1f requests/s; oldest renewal %.2f s",
+		s.bytes/kilobyte, s.payload/kilobyte, s.busiest/kilobyte, s.cpu, s.memory, s.requests, s.oldest.Seconds())
 }
 
 // fleetSlopes measures whole fleets at several numbers of nodes, servers and requests.
@@ -191,24 +195,58 @@
 func observe(t *traffic, l *load.Load, class string, span time.Duration, fleet *localfleet.Fleet) sample {
 	l.Reset()
 	nodes := float64(len(fleet.Nodes))
-	before, cpu, begin := t.snapshot(), processorTime(), time.Now()
-	time.Sleep(span)
-	elapsed := time.Since(begin).Seconds()
-	used, after := processorTime()-cpu, t.snapshot()
+	before := byHost(t, fleet)
+	cpu, begin := processorTime(), time.Now()
+	oldest := watchAges(fleet, span)
+	elapsed, used := time.Since(begin).Seconds(), processorTime()-cpu
+	after := byHost(t, fleet)
 	s := sample{
 		cpu:      100 * used.Seconds() / elapsed / nodes,
 		requests: float64(l.Stats(class).Counts().OK) / elapsed / nodes,
-		calls:    byCall(before, after, elapsed, len(fleet.Nodes)),
+		oldest:   oldest,
 	}
-	for _, h := range fleet.Nodes {
-		sum := after.of(h).minus(before.of(h))
-		s.bytes += sum.withHeaders() / elapsed / nodes
-		s.payload += sum.bytes / elapsed / nodes
-		s.busiest = max(s.busiest, sum.withHeaders()/elapsed)
+	all, most := map[string]tally{}, map[string]tally{}
+	for i := range fleet.Nodes {
+		calls := minus(after[i], before[i])
+		for name, sum := range calls {
+			sum.add(all[name])
+			all[name] = sum
+		}
+		if total(calls).withHeaders() > total(most).withHeaders() {
+			most = calls
+		}
 	}
+	s.bytes = total(all).withHeaders() / elapsed / nodes
+	s.payload = total(all).bytes / elapsed / nodes
+	s.busiest = total(most).withHeaders() / elapsed
+	s.calls = "\n mean:" + byCall(all, elapsed*nodes) + "\n busiest node:" + byCall(most, elapsed)
 	return s
 }
 
+// watchAges returns the highest age of a renewal in the view of any node during a span. It bounds
+// how long a renewal takes to reach every node.
+func watchAges(fleet *localfleet.Fleet, span time.Duration) (oldest time.Duration) {
+	for end := time.Now().Add(span); time.Now().Before(end); time.Sleep(ageSample) {
+		for _, h := range fleet.Nodes {
+			for service := range fleet.Backends {
+				for _, s := range h.Process().Node().Membership.Servers(service) {
+					oldest = max(oldest, time.Since(s.Renewed))
+				}
+			}
+		}
+	}
+	return oldest
+}
+
+// byHost returns the traffic of each node.
+func byHost(t *traffic, fleet *localfleet.Fleet) []map[string]tally {
+	var list []map[string]tally
+	for _, h := range fleet.Nodes {
+		list = append(list, t.of(h))
+	}
+	return list
+}
+
 // processorTime returns the time that this process has used in all.
 func processorTime() time.Duration {
 	var usage syscall.Rusage
--- a/internal/bench/slopes/traffic.go
+++ b/internal/bench/slopes/traffic.go
@@ -48,13 +48,18 @@
 // at the end that dialed counts as one segment, and each call as one more, which acknowledges its
 // reply. Other acknowledgements travel with data.
 type traffic struct {
-	mu    sync.Mutex
-	calls map[string]tally
-	hosts map[string]tally
+	mu   sync.Mutex
+	sums map[part]tally
+}
+
+// part is the share that one call has in the traffic of one host. A host is known by its id where it
+// dials and by its address where it is dialed.
+type part struct {
+	host, call string
 }
 
 func newTraffic() *traffic {
-	return &traffic{calls: map[string]tally{}, hosts: map[string]tally{}}
+	return &traffic{sums: map[part]tally{}}
 }
 
 func (t *traffic) count(c *countingConn, n int, call bool) {
@@ -65,21 +70,42 @@
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	for _, sum := range []struct {
-		of  map[string]tally
-		key string
-	}{{t.calls, c.call}, {t.hosts, c.from}, {t.hosts, c.to}} {
-		total := sum.of[sum.key]
-		total.add(add)
-		sum.of[sum.key] = total
+	for _, host := range []string{c.from, c.to} {
+		sum := t.sums[part{host, c.call}]
+		sum.add(add)
+		t.sums[part{host, c.call}] = sum
 	}
 }
 
-// snapshot returns copies of the sums.
-func (t *traffic) snapshot() *traffic {
+// of returns what a host sent and received, by call.
+func (t *traffic) of(h *localfleet.Host) map[string]tally {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return &traffic{calls: maps.Clone(t.calls), hosts: maps.Clone(t.hosts)}
+	calls := map[string]tally{}
+	for p, sum := range t.sums {
+		if p.host == h.ID || p.host == h.Settings.Fleet.Address {
+			sum.add(calls[p.call])
+			calls[p.call] = sum
+		}
+	}
+	return calls
+}
+
+// minus returns what was added since an earlier state.
+func minus(after, before map[string]tally) map[string]tally {
+	calls := map[string]tally{}
+	for name, sum := range after {
+		calls[name] = sum.minus(before[name])
+	}
+	return calls
+}
+
+// total sums up all calls.
+func total(calls map[string]tally) (sum tally) {
+	for _, t := range calls {
+		sum.add(t)
+	}
+	return sum
 }
 
 // countingDialer counts the connections that the host with the id from opens.
@@ -147,32 +173,16 @@
 	return string(rest[:end])
 }
 
-// byCall lists the traffic of a node by call, the largest first. Each byte belongs to two hosts.
-func byCall(before, after *traffic, seconds float64, nodes int) string {
-	type line struct {
-		name string
-		tally
-	}
-	var lines []line
-	for name, sum := range after.calls {
-		lines = append(lines, line{name, sum.minus(before.calls[name])})
-	}
-	slices.SortFunc(lines, func(a, b line) int {
-		return cmp.Or(cmp.Compare(b.withHeaders(), a.withHeaders()), cmp.Compare(a.name, b.name))
+// byCall lists the traffic by call, the largest first.
+func byCall(calls map[string]tally, seconds float64) string {
+	names := slices.SortedFunc(maps.Keys(calls), func(a, b string) int {
+		return cmp.Or(cmp.Compare(calls[b].withHeaders(), calls[a].withHeaders()), cmp.Compare(a, b))
 	})
 	var text strings.Builder
-	share := 2 / seconds / float64(nodes)
-	for _, l := range lines {
-		fmt.Fprintf(&text, "\n  %-22s %6.2f KB/s with headers, %6.2f KB/s without, %6.1f segments/s, %5.1f calls/s",
-			l.name, l.withHeaders()*share/kilobyte, l.bytes*share/kilobyte, l.segments*share, l.calls*share)
+	for _, name := range names {
+		t := calls[name]
+		fmt.Fprintf(&text, "\n  %-28s %6.2f KB/s with headers, %6.2f KB/s without, %6.1f segments/s, %5.1f calls/s",
+			name, t.withHeaders()/seconds/kilobyte, t.bytes/seconds/kilobyte, t.segments/seconds, t.calls/seconds)
 	}
 	return text.String()
 }
-
-// of returns what a host sent and received. It is known by its id where it dials and by its
-// address where it is dialed.
-func (t *traffic) of(h *localfleet.Host) tally {
-	sum := t.hosts[h.ID]
-	sum.add(t.hosts[h.Settings.Fleet.Address])
-	return sum
-}
