--- a/internal/bench/soak/judge.go
+++ b/internal/bench/soak/judge.go
@@ -43,7 +43,7 @@
 
 // Event is an entry of the timeline.
 type Event struct {
-	At   time.Duration `json:"at"`
+	At   time.Duration `json:"at_ns"`
 	What string        `json:"what"`
 }
 
@@ -55,7 +55,7 @@
 // Violation is a broken promise.
 type Violation struct {
 	Check  Check         `json:"check"`
-	At     time.Duration `json:"at"`
+	At     time.Duration `json:"at_ns"`
 	Detail string        `json:"detail"`
 	// Before are the last events before the violation.
 	Before []Event `json:"before"`
