Serve work that can meet its target before work that cannot

Cause: the queue was ordered by deadline alone, so that under overload each request was granted close to its deadline and answered after its target latency, and good work was late behind work that was lost already. Now a request is due at its target; one that cannot meet it any more is put behind those that can, and is served if slots are free before its deadline. Ruled out: refusing late requests at once, since the load may fall before the deadline.

--- a/internal/app/source.go
+++ b/internal/app/source.go
@@ -3,6 +3,7 @@
 import (
 	"slices"
 	"sync"
+	"time"
 
 	"github.com/tarragonmux/tarragonmux/internal/configuration"
 	"github.com/tarragonmux/tarragonmux/internal/dispatch"
@@ -105,7 +106,9 @@
 		DefaultConnections:    int(s.GetConnectionLimit()),
 	}
 	for _, t := range s.GetPriorities() {
-		result.Shares[priority.FromProto(t.GetPriority())] = t.GetMinimumShare()
+		rank := priority.FromProto(t.GetPriority())
+		result.Shares[rank] = t.GetMinimumShare()
+		result.Targets[rank] = time.Duration(t.GetTargetLatencyMs()) * time.Millisecond
 	}
 	for _, h := range d.set(name) {
 		member, known := d.members(h.ID)
--- a/internal/bench/decisions/environment.go
+++ b/internal/bench/decisions/environment.go
@@ -151,7 +151,7 @@
 	return load.Class{
 		Name: name, Service: e.service, Path: paths[name], Rate: rate,
 		Deadline: min(4*targets[name], maxDeadline), Target: targets[name], Work: e.work,
-		Teams: []string{"team-1", "team-2", "team-3", "team-4", "team-5", "team-6", "team-7", "team-8"},
+		Teams: scenario.TeamNames(),
 	}
 }
 
--- a/internal/bench/decisions/floods.go
+++ b/internal/bench/decisions/floods.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/tarragonmux/tarragonmux/internal/bench/load"
+	"github.com/tarragonmux/tarragonmux/internal/bench/scenario"
 	"github.com/tarragonmux/tarragonmux/internal/bench/table"
 	"github.com/tarragonmux/tarragonmux/proto/configpb"
 )
@@ -115,7 +116,7 @@
 	quiet.Teams = quiet.Teams[:quietTeams]
 	flood := e.class(normal, 0)
 	flood.Name = "flood"
-	flood.Teams = []string{"team-flood"}
+	flood.Teams = []string{scenario.FloodTeam}
 	l := e.load(ctx, nil, quiet, flood)
 	time.Sleep(settle)
 	span := e.span(measureTeam)
--- a/internal/bench/scenario/scenario.go
+++ b/internal/bench/scenario/scenario.go
@@ -154,13 +154,21 @@
 	return &configpb.Route{Id: id, PathPrefix: path, Methods: []string{"POST"}, Service: service, Priority: p}
 }
 
-// teams lets every team have as many requests in flight as a benchmark may need.
+// FloodTeam is a team that floods in experiments.
+const FloodTeam = "team-flood"
+
+// teams lets every team have as many requests in flight as a benchmark may need. Teams must be
+// configured to be told apart: unknown ones share the team "default".
 func teams() []*configpb.Team {
-	return []*configpb.Team{{Id: "default", Weight: 1, InFlightQuota: 4096}}
+	teams := []*configpb.Team{{Id: "default", Weight: 1, InFlightQuota: 4096}}
+	for _, name := range append(TeamNames(), FloodTeam) {
+		teams = append(teams, &configpb.Team{Id: name, Weight: 1, InFlightQuota: 4096})
+	}
+	return teams
 }
 
 func class(name, service, path string, rate float64, target time.Duration) load.Class {
-	return load.Class{Name: name, Service: service, Path: path, Rate: rate, Deadline: 4 * target, Target: target, Teams: teamNames()}
+	return load.Class{Name: name, Service: service, Path: path, Rate: rate, Deadline: 4 * target, Target: target, Teams: TeamNames()}
 }
 
 func keyed(name, service, path string, rate float64, target time.Duration) load.Class {
@@ -170,6 +178,7 @@
 	return c
 }
 
-func teamNames() []string {
+// TeamNames lists the teams of a usual load.
+func TeamNames() []string {
 	return []string{"team-1", "team-2", "team-3", "team-4", "team-5", "team-6", "team-7", "team-8"}
 }
--- a/internal/dispatch/config.go
+++ b/internal/dispatch/config.go
@@ -52,6 +52,8 @@
 	MinimumHealthyPercent int
 	// Shares are the minimum shares of slot time by priority, 0 to 1.
 	Shares [priority.Count]float64
+	// Targets are the target latencies by priority; 0 means that the priority has none.
+	Targets [priority.Count]time.Duration
 	// DefaultSlots is used for servers that announce none.
 	DefaultSlots int
 	// DefaultConnections is used for servers that announce none; 0 means no limit.
--- a/internal/dispatch/machine.go
+++ b/internal/dispatch/machine.go
@@ -292,12 +292,22 @@
 	}
 	r := m.newRequest()
 	*r = request{Request: q, node: n, state: stateQueued, arrived: now}
+	r.due = m.due(now, &q)
 	r.crashSuspect = m.crashes.suspect(q.Fingerprint)
 	n.requests[q.ID] = r
 	m.queue.push(r)
 	m.pump(now)
 }
 
+// due returns the time by which the answer meets the target, or the deadline if that is earlier.
+func (m *Machine) due(now time.Time, q *Request) time.Time {
+	target := m.config.Targets[q.Priority]
+	if at := now.Add(target); target > 0 && at.Before(q.Deadline) {
+		return at
+	}
+	return q.Deadline
+}
+
 // admit returns the kind of refusal of a request that cannot be served, or "".
 func (m *Machine) admit(now time.Time, q *Request) problem.Kind {
 	if q.Priority >= priority.Count {
@@ -312,8 +322,7 @@
 	if q.Purpose != grant.First && (m.overload || !m.retries.Allows(now)) {
 		return problem.NoCapacity
 	}
-	c := &m.queue.classes[q.Priority]
-	if c.length < m.queueLimit() {
+	if m.queue.ranks[q.Priority].length() < m.queueLimit() {
 		return ""
 	}
 	victim := m.queue.victim(q.Priority, q.Team)
--- a/internal/dispatch/placement.go
+++ b/internal/dispatch/placement.go
@@ -50,12 +50,16 @@
 	m.parked = m.parked[:0]
 }
 
-// dispatch grants, refuses or parks the request, and returns false if it parked it.
+// dispatch grants, refuses, demotes or parks the request, and returns false if it parked it.
 func (m *Machine) dispatch(now time.Time, r *request) bool {
 	if kind := m.refusal(now, r); kind != "" {
 		m.refuseQueued(r, kind)
 		return true
 	}
+	if !r.late && r.due.Sub(now) < m.needed() {
+		m.queue.demote(r)
+		return true
+	}
 	s, possible := m.place(now, r)
 	if !possible {
 		m.refuseQueued(r, problem.NoCapacity)
--- a/internal/dispatch/queue.go
+++ b/internal/dispatch/queue.go
@@ -9,7 +9,7 @@
 	"github.com/tarragonmux/tarragonmux/internal/priority"
 )
 
-// bucket holds the queued requests of the teams that share one hash, the earliest deadline first.
+// bucket holds the queued requests of the teams that share one hash, the earliest due time first.
 type bucket struct {
 	requests []*request
 	weight   float64
@@ -21,7 +21,7 @@
 func (b *bucket) Len() int { return len(b.requests) }
 
 func (b *bucket) Less(i, j int) bool {
-	return b.requests[i].Deadline.Before(b.requests[j].Deadline)
+	return b.requests[i].due.Before(b.requests[j].due)
 }
 
 func (b *bucket) Swap(i, j int) {
@@ -54,7 +54,7 @@
 	return newest
 }
 
-// class is the queue of one priority: deficit round robin over the buckets.
+// class is a queue with deficit round robin over the buckets.
 type class struct {
 	buckets [teamBuckets]*bucket
 	active  []*bucket
@@ -126,9 +126,36 @@
 	return most
 }
 
+// rank holds the waiting requests of one priority. Those that can still meet the target latency go
+// first: under overload a slot spent on late work would make the next request late, too.
+type rank struct {
+	fresh class
+	late  class
+}
+
+// of returns the class that the request is in.
+func (k *rank) of(r *request) *class {
+	if r.late {
+		return &k.late
+	}
+	return &k.fresh
+}
+
+func (k *rank) length() int {
+	return k.fresh.length + k.late.length
+}
+
+// head returns the request whose turn it is, or nil.
+func (k *rank) head() *request {
+	if r := k.fresh.head(); r != nil {
+		return r
+	}
+	return k.late.head()
+}
+
 // queue holds the requests that wait for a grant.
 type queue struct {
-	classes [priority.Count]class
+	ranks [priority.Count]rank
 	// credit is the slot time in seconds owed to a priority under its minimum share.
 	credit [priority.Count]float64
 	salt   uint64
@@ -142,14 +169,22 @@
 
 func (q *queue) length() int {
 	total := 0
-	for i := range q.classes {
-		total += q.classes[i].length
+	for i := range q.ranks {
+		total += q.ranks[i].length()
 	}
 	return total
 }
 
 func (q *queue) push(r *request) {
-	q.classes[r.Priority].push(r, q.slotOf(r.Team))
+	q.ranks[r.Priority].of(r).push(r, q.slotOf(r.Team))
+}
+
+// demote puts a request that can no longer meet its target behind those that can.
+func (q *queue) demote(r *request) {
+	q.remove(r)
+	r.late = true
+	r.due = r.Deadline
+	q.push(r)
 }
 
 // take removes a request that is granted, and charges its team's turn.
@@ -159,9 +194,9 @@
 }
 
 func (q *queue) remove(r *request) {
-	c := &q.classes[r.Priority]
-	c.remove(r)
-	if c.length == 0 {
+	k := &q.ranks[r.Priority]
+	k.of(r).remove(r)
+	if k.length() == 0 {
 		q.credit[r.Priority] = 0
 	}
 }
@@ -170,12 +205,12 @@
 // minimum share goes first; otherwise the most urgent goes first.
 func (q *queue) next(cost *[priority.Count]float64) *request {
 	for p := priority.Count - 1; p > 0; p-- {
-		if q.credit[p] >= cost[p] && q.classes[p].length > 0 {
-			return q.classes[p].head()
+		if q.credit[p] >= cost[p] && q.ranks[p].length() > 0 {
+			return q.ranks[p].head()
 		}
 	}
-	for p := range q.classes {
-		if r := q.classes[p].head(); r != nil {
+	for p := range q.ranks {
+		if r := q.ranks[p].head(); r != nil {
 			return r
 		}
 	}
@@ -185,8 +220,8 @@
 // served charges the slot time of a granted request: every waiting priority earns its share of
 // it, and the served one pays.
 func (q *queue) served(p priority.Priority, cost float64, shares *[priority.Count]float64) {
-	for i := range q.classes {
-		if q.classes[i].length > 0 {
+	for i := range q.ranks {
+		if q.ranks[i].length() > 0 {
 			q.credit[i] += shares[i] * cost
 		}
 	}
@@ -194,7 +229,7 @@
 	for i := range q.credit {
 		// A bounded debt keeps a priority that had idle capacity from paying for it under a later flood.
 		q.credit[i] = min(max(q.credit[i], -cost), creditCap*max(cost, minimumCost))
-		if q.classes[i].length == 0 {
+		if q.ranks[i].length() == 0 {
 			q.credit[i] = 0
 		}
 	}
@@ -212,7 +247,10 @@
 // victim returns the request to drop so that a request of the team may enter a full class; it
 // returns nil when the newcomer itself is the one to drop.
 func (q *queue) victim(p priority.Priority, team string) *request {
-	c := &q.classes[p]
+	c := &q.ranks[p].fresh
+	if late := &q.ranks[p].late; late.length > 0 {
+		c = late
+	}
 	most := c.largest()
 	if most == nil || most == c.buckets[q.slotOf(team)] {
 		return nil
@@ -222,12 +260,18 @@
 
 // expired appends the queued requests that have less than need left, bucket heads first.
 func (q *queue) expired(now time.Time, need time.Duration, out []*request) []*request {
-	for i := range q.classes {
-		for _, b := range q.classes[i].active {
-			for _, r := range b.requests {
-				if r.Deadline.Sub(now) < need {
-					out = append(out, r)
-				}
+	for i := range q.ranks {
+		out = q.ranks[i].fresh.expired(now, need, out)
+		out = q.ranks[i].late.expired(now, need, out)
+	}
+	return out
+}
+
+func (c *class) expired(now time.Time, need time.Duration, out []*request) []*request {
+	for _, b := range c.active {
+		for _, r := range b.requests {
+			if r.Deadline.Sub(now) < need {
+				out = append(out, r)
 			}
 		}
 	}
--- a/internal/dispatch/request.go
+++ b/internal/dispatch/request.go
@@ -76,6 +76,10 @@
 	node    *node
 	state   requestState
 	arrived time.Time
+	// due is when the answer should be there: the target latency after the arrival, or the deadline
+	// once the request is late.
+	due  time.Time
+	late bool
 	// bucket and index are the position in the queue.
 	bucket *bucket
 	index  int
--- a/internal/dispatch/service_test.go
+++ b/internal/dispatch/service_test.go
@@ -117,6 +117,38 @@
 	}
 }
 
+// Under overload, work that can still meet its target latency must go before work that cannot any
+// more; served by deadline alone, all of it would be late although it is answered.
+func TestTargetsAreMetUnderOverload(t *testing.T) {
+	for _, size := range sizes {
+		t.Run(size.name, func(t *testing.T) {
+			t.Parallel()
+			g := NewWithT(t)
+			w := newWorld(size, 1)
+			targets := [priority.Count]time.Duration{500 * time.Millisecond, time.Second, 2 * time.Second}
+			w.config.Targets = targets
+			w.takeOver()
+			var all []*tally
+			for _, p := range priority.All() {
+				all = append(all, w.load(&stream{
+					priority: p, team: p.String(), rate: w.capacity() * 2 / 3, deadline: 3 * time.Second, retries: true,
+				}))
+			}
+			w.run(warmUp)
+			for _, t := range all {
+				*t = tally{}
+			}
+			const measured = 10
+			w.run(measured * time.Second)
+			met := 0
+			for i, t := range all {
+				met += t.metWithin(targets[i])
+			}
+			g.Expect(float64(met)).To(BeNumerically(">", 0.9*measured*w.capacity()))
+		})
+	}
+}
+
 // A new dispatcher must count the requests that its predecessor granted; the slots of a server
 // would otherwise be given out twice.
 func TestTakeoverKeepsSlots(t *testing.T) {
--- a/internal/dispatch/sim_test.go
+++ b/internal/dispatch/sim_test.go
@@ -427,3 +427,13 @@
 	}
 	return float64(good) / float64(max(t.asked, 1))
 }
+
+// metWithin counts the answers within the target.
+func (t *tally) metWithin(target time.Duration) (met int) {
+	for _, l := range t.latencies {
+		if l <= target {
+			met++
+		}
+	}
+	return met
+}
--- a/internal/dispatchrpc/settings.go
+++ b/internal/dispatchrpc/settings.go
@@ -42,6 +42,8 @@
 	MinimumHealthyPercent int
 	// Shares are the minimum shares of slot time by priority, 0 to 1.
 	Shares [priority.Count]float64
+	// Targets are the target latencies by priority; 0 means none.
+	Targets [priority.Count]time.Duration
 	// DefaultSlots and DefaultConnections hold for servers that announce none.
 	DefaultSlots       int
 	DefaultConnections int
@@ -64,6 +66,7 @@
 		MinimumHealthySlots:   s.MinimumHealthySlots,
 		MinimumHealthyPercent: s.MinimumHealthyPercent,
 		Shares:                s.Shares,
+		Targets:               s.Targets,
 		DefaultSlots:          s.DefaultSlots,
 		DefaultConnections:    s.DefaultConnections,
 		Members:               s.Members,
