Let streams tell the elections that the dispatcher serves

Every member of a host set asked a voter once a second who dispatches, which cost 1.1 KB/s per node with 2 services and would cost about 10 KB/s in 15 host sets. A live stream shows the same: the client now reports the dispatcher's term at most twice a second, which puts the next question off by 2 s, and reports the end of a stream, after which the node asks within 250 ms. Announcements, terms and the refusal of older word are unchanged. leadership.Observer is an addition that Elections may implement. Ruled out: rarer questions alone, since they are the way to learn the dispatcher when its announcement is lost. Seeded: questions not put off, not brought forward, older terms believed, no report of a loss, no term; each fails a new test.

--- a/internal/dispatchrpc/channel.go
+++ b/internal/dispatchrpc/channel.go
@@ -41,7 +41,9 @@
 	pace  pace
 	// ejected are the instances that the last view showed as ejected.
 	ejected map[string]bool
-	alone   alone
+	// term is that of the last view.
+	term  uint64
+	alone alone
 	// closed is set when the node no longer follows the service.
 	closed bool
 }
@@ -237,6 +239,7 @@
 		}
 	}
 	c.ejected = ejected
+	c.term = v.Term
 	delay := time.Duration(0)
 	if !v.Overload && v.P95Ms > 0 {
 		delay = max(time.Duration(v.P95Ms)*time.Millisecond, HedgeFloor)
--- a/internal/dispatchrpc/connect.go
+++ b/internal/dispatchrpc/connect.go
@@ -11,8 +11,12 @@
 	"github.com/tarragonmux/tarragonmux/proto/dispatchpb"
 )
 
-// watchEvery is how often a stream is checked for silence and a change of the dispatcher.
-const watchEvery = 20 * time.Millisecond
+const (
+	// watchEvery is how often a stream is checked for silence and a change of the dispatcher.
+	watchEvery = 20 * time.Millisecond
+	// vouchEvery is how often the elections are told that the dispatcher answers.
+	vouchEvery = 500 * time.Millisecond
+)
 
 // connect keeps a stream to the dispatcher, whoever it is, until the context ends.
 func (c *channel) connect(ctx context.Context) {
@@ -59,7 +63,7 @@
 		defer cancel()
 		c.write(ctx, link, number)
 	}()
-	return c.read(ctx, link, number)
+	return c.read(ctx, link, number, holder.Node)
 }
 
 func (c *channel) open(ctx context.Context, holder leadership.Holder) (nodeLink, error) {
@@ -71,7 +75,12 @@
 	return stream, errors.Wrap(err, "open a stream to the dispatcher")
 }
 
-func (c *channel) read(ctx context.Context, link nodeLink, number uint64) error {
+func (c *channel) read(ctx context.Context, link nodeLink, number uint64, node string) error {
+	observer, observed := c.client.config.Elections.(leadership.Observer)
+	if observed {
+		defer observer.Lost(c.service)
+	}
+	var vouched time.Time
 	for {
 		batch, err := link.Recv()
 		if err != nil {
@@ -83,9 +92,20 @@
 		if !c.receive(time.Now(), batch) {
 			return errors.New("the stream is silent or the peer is not the dispatcher; it is opened anew")
 		}
+		if now := time.Now(); observed && now.Sub(vouched) >= vouchEvery {
+			vouched = now
+			observer.Serves(c.service, node, c.dispatcherTerm())
+		}
 	}
 }
 
+// dispatcherTerm is the term of the dispatcher as its last view showed it.
+func (c *channel) dispatcherTerm() uint64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.term
+}
+
 // write sends what is pending at once, and a heartbeat when there is nothing.
 func (c *channel) write(ctx context.Context, link nodeLink, number uint64) {
 	heartbeat := time.NewTimer(HeartbeatEvery)
--- a/internal/dispatchrpc/fleet_test.go
+++ b/internal/dispatchrpc/fleet_test.go
@@ -49,8 +49,10 @@
 	client   *dispatchrpc.Client
 	server   *dispatchrpc.Server
 	listener *gate
-	cancel   context.CancelFunc
-	stopped  chan struct{}
+	// served counts the reports of the present dispatcher, lost those of ended streams.
+	served, lost atomic.Int64
+	cancel       context.CancelFunc
+	stopped      chan struct{}
 }
 
 func newFleet(t *testing.T, size, servers, slots int) *fleet {
@@ -133,6 +135,19 @@
 	return leadership.Lease{Term: f.term, Until: f.until}, f.leader == n.name && time.Now().Before(f.until)
 }
 
+// Serves implements leadership.Observer.
+func (n *member) Serves(name, node string, term uint64) {
+	f := n.fleet
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if name == service && node == f.leader && term == f.term {
+		n.served.Add(1)
+	}
+}
+
+// Lost implements leadership.Observer.
+func (n *member) Lost(string) { n.lost.Add(1) }
+
 // Dispatcher implements leadership.Elections.
 func (n *member) Dispatcher(string) (leadership.Holder, bool) {
 	f := n.fleet
--- a/internal/dispatchrpc/stream_test.go
+++ b/internal/dispatchrpc/stream_test.go
@@ -117,6 +117,19 @@
 	}
 }
 
+// Nodes that do not report their dispatcher make all others ask voters; nodes that do not report its
+// loss learn the next one late.
+func TestStreamsTellTheElections(t *testing.T) {
+	f := newFleet(t, 2, 1, 1)
+	f.elect(f.nodes[0])
+	f.ready()
+	served := f.nodes[1].served.Load()
+	f.g.Eventually(f.nodes[1].served.Load, 2*time.Second).Should(BeNumerically(">", served))
+	lost := f.nodes[1].lost.Load()
+	f.nodes[0].stop()
+	f.g.Eventually(f.nodes[1].lost.Load, time.Second).Should(BeNumerically(">", lost))
+}
+
 // measureGaps returns, for each node but the first, the longest time without a grant around the fault.
 func (f *fleet) measureGaps(fault func()) []time.Duration {
 	gaps := make([]time.Duration, len(f.nodes)-1)
--- a/internal/election/doc.go
+++ b/internal/election/doc.go
@@ -1,9 +1,9 @@
 // Package election decides which node dispatches a service.
 //
 // The dispatcher holds a lease from a majority of the voting group of the service. A vote is a
-// lease of 400 ms on the voter's monotonic clock, renewed every 150 ms, or after 75 ms if no majority answered. The candidate counts its
-// lease from before it sent the request and gives it up 10% early, so that it ends before the
-// votes do as long as two clocks differ by at most 5% in speed.
+// lease of 400 ms on the voter's monotonic clock, renewed every 150 ms, or after 75 ms if no
+// majority answered. The candidate counts its lease from before it sent the request and gives it up
+// 10% early, so that it ends before the votes do as long as two clocks differ by at most 5% in speed.
 //
 // A candidate first asks all voters who holds the lease, and requests votes only after a majority
 // answered that nobody does. So a node whose incoming messages are lost does not take votes that
@@ -16,7 +16,8 @@
 // voter does not vote for one lease, since it may have forgotten a vote.
 //
 // The new dispatcher tells the members of the host set directly. Nodes that miss this ask a voter
-// once a second, and five times a second while they know no dispatcher.
+// once a second, and five times a second while they know no dispatcher or lost the stream to it. A
+// node whose dispatcher answers on its stream does not ask.
 //
 // The package has no settings.
 package election
--- a/internal/election/learn.go
+++ b/internal/election/learn.go
@@ -62,6 +62,33 @@
 	c.known = word{node: node, term: term, confirmed: now}
 }
 
+// Serves takes the word of a dispatcher that answers on its stream. It implements leadership.Observer.
+func (r *Runner) Serves(service, node string, term uint64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	c, ok := r.services[service]
+	if !ok {
+		return
+	}
+	r.hear(c, node, term)
+	if c.known.node == node && c.known.term == term {
+		c.nextPoll = time.Now().Add(jitter(pollServed))
+	}
+}
+
+// Lost makes this node ask a voter soon. It implements leadership.Observer.
+func (r *Runner) Lost(service string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	c, ok := r.services[service]
+	if !ok {
+		return
+	}
+	if soon := time.Now().Add(jitter(pollUnknown)); c.nextPoll.After(soon) {
+		c.nextPoll = soon
+	}
+}
+
 // Held returns this node's lease on the service; ok is false if it holds none or if it has run out.
 func (r *Runner) Held(service string) (l leadership.Lease, ok bool) {
 	r.mu.Lock()
--- a/internal/election/runner.go
+++ b/internal/election/runner.go
@@ -23,6 +23,9 @@
 	// pollKnown and pollUnknown are the times between two questions to a voter.
 	pollKnown   = time.Second
 	pollUnknown = 200 * time.Millisecond
+	// pollServed is the time from an answer of the dispatcher on its stream to the next question to
+	// a voter. It exceeds the pause between two answers on a quiet stream.
+	pollServed = 2 * time.Second
 	// confirmedFor is how long word of a dispatcher is believed.
 	confirmedFor = 3 * time.Second
 	// maxCalls bounds the messages under way at once.
@@ -95,7 +98,10 @@
 	confirmed time.Time
 }
 
-var _ leadership.Elections = (*Runner)(nil)
+var (
+	_ leadership.Elections = (*Runner)(nil)
+	_ leadership.Observer  = (*Runner)(nil)
+)
 
 // NewRunner returns a runner. It must be made when the process starts, since voters are silent for
 // one lease from then on. Run makes it campaign and learn.
--- /dev/null
+++ b/internal/election/served_test.go
@@ -0,0 +1,76 @@
+package election_test
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	. "github.com/onsi/gomega"
+)
+
+// messages counts the messages of a span, in which all nodes but the holder do what is given.
+func (c *cluster) messages(span time.Duration, holder string, each func(node string)) int {
+	c.mu.Lock()
+	c.calls = 0
+	c.mu.Unlock()
+	for end := time.Now().Add(span); time.Now().Before(end); time.Sleep(time.Second) {
+		for node := range c.runners {
+			if node != holder {
+				each(node)
+			}
+		}
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.calls
+}
+
+// Nodes that ask voters although they hear their dispatcher cost more than all renewals together;
+// nodes that lost it must not wait for their next turn to ask.
+func TestNodesAskVotersOnlyWithoutTheirDispatcher(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		c := newCluster(t, 48, "booking")
+		defer c.stop()
+		g.Expect(c.until(func() bool { _, known := c.holder("booking"); return known })).To(BeNumerically("<", 2*time.Second))
+		holder, _ := c.holder("booking")
+		h, _ := c.runners[holder].Dispatcher("booking")
+		asking := c.messages(10*time.Second, holder, func(string) {})
+		served := func(node string) { c.runners[node].Serves("booking", holder, h.Term) }
+		c.messages(2*time.Second, holder, served)
+		quiet := c.messages(10*time.Second, holder, served)
+		g.Expect(asking-quiet).To(BeNumerically("~", 10*47, 100), "one question per node and second is saved")
+		for node, r := range c.runners {
+			if node != holder {
+				r.Lost("booking")
+			}
+		}
+		c.mu.Lock()
+		c.calls = 0
+		c.mu.Unlock()
+		time.Sleep(300 * time.Millisecond)
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		g.Expect(c.calls).To(BeNumerically(">=", 40), "nodes without their dispatcher ask soon")
+	})
+}
+
+// Late word of a former dispatcher must not hide the present one.
+func TestWordOfAFormerDispatcherIsRefused(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		c := newCluster(t, 9, "booking")
+		defer c.stop()
+		known := func() bool { _, known := c.holder("booking"); return known }
+		g.Expect(c.until(known)).To(BeNumerically("<", 2*time.Second))
+		holder, _ := c.holder("booking")
+		h, _ := c.runners[holder].Dispatcher("booking")
+		for node, r := range c.runners {
+			if node != holder {
+				r.Serves("booking", node, h.Term-1)
+				r.Serves("booking", "stranger", h.Term+1)
+			}
+		}
+		g.Expect(known()).To(BeTrue())
+	})
+}
--- a/internal/leadership/leadership.go
+++ b/internal/leadership/leadership.go
@@ -26,3 +26,12 @@
 	// Dispatcher returns the dispatcher as far as this node knows; ok is false if it knows none.
 	Dispatcher(service string) (h Holder, ok bool)
 }
+
+// Observer takes word of dispatchers from the streams to them, so that nodes need not ask voters who
+// the dispatcher is. Elections may implement it. It is safe for concurrent use.
+type Observer interface {
+	// Serves tells that the dispatcher of the term answered on its stream.
+	Serves(service, node string, term uint64)
+	// Lost tells that the stream to the dispatcher ended.
+	Lost(service string)
+}
