Let candidates without a lease go first

One node often held the leases of both services and paid for all streams and renewals. A candidate whose node holds another lease now begins 100 ms later, so that the next ranks go first. A takeover in which every other candidate is loaded takes 100 ms longer; it stays under 1 s (400 ms lease, 200 ms for the last rank, 100 ms, one round). Ruled out: handing leases over to balance them, which would interrupt grants for no fault.

--- a/internal/election/candidate.go
+++ b/internal/election/candidate.go
@@ -17,6 +17,8 @@
 	repeatAfter = 75 * time.Millisecond
 	// rankDelay is how much later each rank begins than the one before.
 	rankDelay = 50 * time.Millisecond
+	// loadedDelay is how much later a candidate begins that holds the lease of another service.
+	loadedDelay = 2 * rankDelay
 	// roundTimeout bounds the wait for the answers of a campaign.
 	roundTimeout = 150 * time.Millisecond
 	// retryDelay follows a campaign without success.
@@ -76,6 +78,9 @@
 	// renewed is when the last renewal was sent.
 	renewed  time.Time
 	resigned bool
+	// loaded is set while this node holds the lease of another service. Dispatchers cost most of the
+	// traffic of a node, so that candidates without a lease go first.
+	loaded bool
 }
 
 // NewCandidate returns a candidate without groups, which never campaigns.
@@ -190,7 +195,7 @@
 		return nil
 	}
 	if c.next.IsZero() {
-		c.next = now.Add(time.Duration(rank) * rankDelay)
+		c.next = now.Add(c.delay(rank))
 	}
 	if now.Before(c.next) {
 		return nil
@@ -206,6 +211,15 @@
 	return requests
 }
 
+// delay is how long a candidate of the rank waits once nobody holds the lease.
+func (c *Candidate) delay(rank int) time.Duration {
+	delay := time.Duration(rank) * rankDelay
+	if c.loaded {
+		delay += loadedDelay
+	}
+	return delay
+}
+
 // giveUp returns to idle and gives back what was granted, or may have been granted unnoticed.
 func (c *Candidate) giveUp(now time.Time, wait time.Duration) []Request {
 	before := c.phase
--- a/internal/election/served_test.go
+++ b/internal/election/served_test.go
@@ -1,11 +1,14 @@
 package election_test
 
 import (
+	"fmt"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	. "github.com/onsi/gomega"
+
+	"github.com/tarragonmux/tarragonmux/internal/hostset"
 )
 
 // messages counts the messages of a span, in which all nodes but the holder do what is given.
@@ -74,3 +77,42 @@
 		g.Expect(known()).To(BeTrue())
 	})
 }
+
+// A node that takes the leases of many services pays for all their streams, while others pay for none.
+func TestLeasesSpreadOverNodes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		c := newCluster(t, 5, "s0")
+		defer c.stop()
+		// All services have the same five voters, and the same node is first among them.
+		services := []string{"s0"}
+		for i := 1; len(services) < 4; i++ {
+			name := fmt.Sprintf("s%d", i)
+			if c.first(name) == c.first("s0") {
+				services = append(services, name)
+			}
+		}
+		for i := range services {
+			fleet := *c.Fleet()
+			fleet.Services = nil
+			for _, s := range services[:i+1] {
+				fleet.Services = append(fleet.Services, hostset.Service{Name: s})
+			}
+			c.fleet.Store(&fleet)
+			time.Sleep(2 * time.Second)
+		}
+		holders := map[string]int{}
+		for _, s := range services {
+			holder, known := c.holder(s)
+			g.Expect(known).To(BeTrue(), s)
+			holders[holder]++
+		}
+		g.Expect(len(holders)).To(BeNumerically(">=", 3), "holders: %v", holders)
+	})
+}
+
+// first is the node with rank 0 for a service.
+func (c *cluster) first(service string) string {
+	current, _ := c.Fleet().Groups(hostset.Service{Name: service})
+	return current[0].ID
+}
