--- a/internal/election/candidate.go
+++ b/internal/election/candidate.go
@@ -10,10 +10,15 @@
 )
 
 const (
-	// renewEvery is the time between two renewals.
-	renewEvery = 100 * time.Millisecond
+	// renewEvery is the time between two renewals that a majority answers.
+	renewEvery = 150 * time.Millisecond
+	// repeatAfter is the time after which a renewal without majorities is repeated. It leaves three
+	// attempts before a lease ends.
+	repeatAfter = 75 * time.Millisecond
 	// rankDelay is how much later each rank begins than the one before.
 	rankDelay = 50 * time.Millisecond
+	// loadedDelay is how much later a candidate begins that holds the lease of another service.
+	loadedDelay = 2 * rankDelay
 	// roundTimeout bounds the wait for the answers of a campaign.
 	roundTimeout = 150 * time.Millisecond
 	// retryDelay follows a campaign without success.
@@ -21,7 +26,7 @@
 	// maxUnanswered is how many renewals go to a voter that does not answer.
 	maxUnanswered = 2
 	// askEvery is how many renewals pass between two questions to a voter that does not answer.
-	askEvery = 5
+	askEvery = 3
 )
 
 // Request is a message to a voter.
@@ -69,8 +74,13 @@
 	term uint64
 	seen uint64
 	// until is the end of the lease.
-	until    time.Time
+	until time.Time
+	// renewed is when the last renewal was sent.
+	renewed  time.Time
 	resigned bool
+	// loaded is set while this node holds the lease of another service. Dispatchers cost most of the
+	// traffic of a node, so that candidates without a lease go first.
+	loaded bool
 }
 
 // NewCandidate returns a candidate without groups, which never campaigns.
@@ -153,14 +163,20 @@
 	if !now.Before(c.until) {
 		return c.giveUp(now, VoteLease)
 	}
-	if now.Before(c.next) {
+	if now.Before(c.next) && !c.late(now) {
 		return nil
 	}
+	c.renewed = now
 	c.next = now.Add(renewEvery)
 	c.dropFormer(now)
 	return c.requestVotes(now)
 }
 
+// late tells whether the last renewal should have extended the lease by now.
+func (c *Candidate) late(now time.Time) bool {
+	return now.Sub(c.renewed) >= repeatAfter && c.until.Before(c.renewed.Add(HeldLease))
+}
+
 // dropFormer forgets the former groups once the newest ones hold the lease.
 func (c *Candidate) dropFormer(now time.Time) {
 	if newest := c.groups[len(c.groups)-1:]; len(c.groups) > 1 && reach(newest, c.ballots).After(now) {
@@ -179,7 +195,7 @@
 		return nil
 	}
 	if c.next.IsZero() {
-		c.next = now.Add(time.Duration(rank) * rankDelay)
+		c.next = now.Add(c.delay(rank))
 	}
 	if now.Before(c.next) {
 		return nil
@@ -195,6 +211,15 @@
 	return requests
 }
 
+// delay is how long a candidate of the rank waits once nobody holds the lease.
+func (c *Candidate) delay(rank int) time.Duration {
+	delay := time.Duration(rank) * rankDelay
+	if c.loaded {
+		delay += loadedDelay
+	}
+	return delay
+}
+
 // giveUp returns to idle and gives back what was granted, or may have been granted unnoticed.
 func (c *Candidate) giveUp(now time.Time, wait time.Duration) []Request {
 	before := c.phase
--- a/internal/election/runner.go
+++ b/internal/election/runner.go
@@ -23,6 +23,9 @@
 	// pollKnown and pollUnknown are the times between two questions to a voter.
 	pollKnown   = time.Second
 	pollUnknown = 200 * time.Millisecond
+	// pollServed is the time from an answer of the dispatcher on its stream to the next question to
+	// a voter. It exceeds the pause between two answers on a quiet stream.
+	pollServed = 2 * time.Second
 	// confirmedFor is how long word of a dispatcher is believed.
 	confirmedFor = 3 * time.Second
 	// maxCalls bounds the messages under way at once.
@@ -95,7 +98,10 @@
 	confirmed time.Time
 }
 
-var _ leadership.Elections = (*Runner)(nil)
+var (
+	_ leadership.Elections = (*Runner)(nil)
+	_ leadership.Observer  = (*Runner)(nil)
+)
 
 // NewRunner returns a runner. It must be made when the process starts, since voters are silent for
 // one lease from then on. Run makes it campaign and learn.
@@ -129,7 +135,10 @@
 	defer r.mu.Unlock()
 	r.refresh()
 	now := time.Now()
+	leases := r.leases(now)
 	for _, c := range r.services {
+		_, holds := c.candidate.Held(now)
+		c.candidate.loaded = leases > 1 || leases == 1 && !holds
 		holder, _, _, bound := c.voter.Holder(now)
 		occupied := c.votes && bound && holder != r.o.ID
 		r.send(ctx, c, c.candidate.Tick(now, uint64(max(now.UnixMilli(), 0)), occupied))
@@ -138,6 +147,16 @@
 	}
 }
 
+// leases counts the leases of this node.
+func (r *Runner) leases(now time.Time) (count int) {
+	for _, c := range r.services {
+		if _, held := c.candidate.Held(now); held {
+			count++
+		}
+	}
+	return count
+}
+
 // refresh takes in a new configuration revision.
 func (r *Runner) refresh() {
 	fleet := r.o.Source.Fleet()
