Find servers that hang for less than the stall threshold

Cause: with even work of 100 ms, 4 x p95 is about 530 ms, longer than a hang of 500 ms, so a flapping server was found at its second hang only; and late answers of servers out of rotation counted as usual ones when the next server was judged. Ruled out: a lower stall threshold, which a pause of 200 ms would reach. Change: joint evidence at the same false-alarm level (1e-8) once the silence is longer than a pause, weak evidence (1e-3) only ranks a server last, and servers out of rotation or avoided are no comparison. The new flapping test was seen failing in all 4 cases without the change.

--- /dev/null
+++ b/internal/dispatch/delay.go
@@ -0,0 +1,100 @@
+package dispatch
+
+import "time"
+
+const (
+	// delayWindow is how long an unusually late answer counts.
+	delayWindow = time.Second
+	// delaySignificance bounds the probability that a healthy server shows such delays by chance. It
+	// is far weaker than that of an ejection, since a server that is avoided keeps its place in the
+	// healthy capacity and gets work as soon as all others are full.
+	delaySignificance = 1e-3
+	// avoidFor is how long a server is avoided after its last unusual delay.
+	avoidFor = 5 * time.Second
+	// avoidPatience is how long requests wait for another server before an avoided one gets them.
+	avoidPatience = 100 * time.Millisecond
+	// avoidedShare is one over the share of avoided servers from which on the work itself may have changed.
+	avoidedShare = 4
+)
+
+// judgeDelays finds servers that delay work more than chance explains but too briefly for a stall,
+// such as one that hangs and works in turn. They get work only when all other servers are full.
+func (m *Machine) judgeDelays(now time.Time) {
+	if !m.latencies.known || m.serviceBad(now) {
+		return
+	}
+	m.avoided = 0
+	for _, s := range m.servers {
+		if now.Before(s.avoidUntil) {
+			m.avoided++
+		}
+	}
+	for _, s := range m.servers {
+		if s.healthy(now) && m.delays(now, s) {
+			s.avoidUntil = now.Add(avoidFor)
+		}
+	}
+}
+
+// delays tells whether the late requests of the server, answered or not, are no chance and no bad path.
+func (m *Machine) delays(now time.Time, s *server) bool {
+	p := m.delayProof(now, s)
+	if len(p.ages) == 0 || p.chance > delaySignificance {
+		return false
+	}
+	return m.chanceNow(now, s, &p) <= delaySignificance && !m.badPath(s, &p)
+}
+
+// delayProof collects the requests of a server that wait, or waited, longer than the age of doubt.
+// The latency of an answer is measured by the node from the sending on.
+func (m *Machine) delayProof(now time.Time, s *server) proof {
+	limit := m.doubtAge()
+	p := proof{nodes: m.proofNodes[:0], ages: m.proofAges[:0], chance: 1}
+	count := func(n *node, sent time.Time, age time.Duration) {
+		if age < limit {
+			return
+		}
+		p.chance *= m.tail(age)
+		p.ages = append(p.ages, age)
+		p.note(s, n, sent)
+	}
+	for _, r := range s.inflight {
+		if !r.firstByte && r.credible(now) {
+			count(r.node, r.sent, r.age(now))
+		}
+	}
+	for i := len(s.samples) - 1; i >= 0 && now.Sub(s.samples[i].at) <= delayWindow; i-- {
+		x := &s.samples[i]
+		if !x.failed && !now.Before(x.node.isolatedUntil) {
+			count(x.node, x.sent, x.latency)
+		}
+	}
+	m.proofNodes, m.proofAges = p.nodes[:0], p.ages[:0]
+	return p
+}
+
+// comparable tells whether the answers of the server show what is usual. Late answers of servers
+// that are out of rotation or avoided would make the delays of the next bad server look usual; if
+// many servers are avoided, the work itself may have changed, and all count.
+func (m *Machine) comparable(now time.Time, s *server) bool {
+	if !s.healthy(now) {
+		return false
+	}
+	return !now.Before(s.avoidUntil) || m.manyAvoided()
+}
+
+func (m *Machine) manyAvoided() bool {
+	return avoidedShare*m.avoided > len(m.servers)
+}
+
+// withholds tells whether the request should wait for another server than this avoided one. At high
+// load all others are often full for a few milliseconds.
+func (m *Machine) withholds(now time.Time, s *server, r *request) bool {
+	if !now.Before(s.avoidUntil) || s.state != inRotation || m.manyAvoided() {
+		return false
+	}
+	if s.doubted && s.wantsConfirmation(now, r) {
+		return false
+	}
+	return m.backlogAt.IsZero() || now.Sub(m.backlogAt) < avoidPatience
+}
--- /dev/null
+++ b/internal/dispatch/delay_test.go
@@ -0,0 +1,63 @@
+package dispatch_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+)
+
+// evenSizes have work of nearly equal length, whose stall threshold of 4 x p95 is longer than a hang.
+var evenSizes = []size{{"cuefeed", 14, 6, 100 * time.Millisecond}, {"booking", 20, 3, 100 * time.Millisecond}}
+
+// A server that hangs for 500 ms and works for 500 ms must lose its work within 1 s also where half
+// a second is below the stall threshold; else its callers wait again and again.
+func TestFlappingServerIsFoundBelowTheThreshold(t *testing.T) {
+	for _, size := range evenSizes {
+		for _, load := range []float64{0.2, 0.7} {
+			t.Run(fmt.Sprintf("%s/%v", size.name, load), func(t *testing.T) {
+				t.Parallel()
+				g := NewWithT(t)
+				for seed := range uint64(2) {
+					w := newWorld(size, seed)
+					w.sigma = 0.12
+					mixed(w, load)
+					w.run(warmUp)
+					bad, began := w.names[w.random.IntN(len(w.names))], w.now
+					w.servers[bad].stalled = flap(began, 500*time.Millisecond)
+					w.run(3 * time.Second)
+					g.Expect(w.newWorkFor(bad, began)).To(BeNumerically("<", detectionLimit), "seed %d", seed)
+				}
+			})
+		}
+	}
+}
+
+// A pause of 200 ms, as of a garbage collector, delays all requests of a server at once. It must not
+// cost the server its place, however even the work is.
+func TestPausedServersStayWithEvenWork(t *testing.T) {
+	for _, size := range evenSizes {
+		for _, load := range []float64{0.2, 0.7} {
+			t.Run(fmt.Sprintf("%s/%v", size.name, load), func(t *testing.T) {
+				t.Parallel()
+				g := NewWithT(t)
+				w := newWorld(size, 1)
+				w.sigma = 0.12
+				mixed(w, load)
+				w.run(warmUp)
+				for i, name := range w.names {
+					pause := w.now.Add(time.Duration(i) * time.Second)
+					w.servers[name].stalled = func(now time.Time) time.Time {
+						if now.Before(pause) {
+							return now
+						}
+						return pause.Add(200 * time.Millisecond)
+					}
+				}
+				w.run(22 * time.Second)
+				g.Expect(w.ejectedAt).To(BeEmpty())
+			})
+		}
+	}
+}
--- a/internal/dispatch/detect.go
+++ b/internal/dispatch/detect.go
@@ -61,6 +61,7 @@
 	m.judgePaths(now)
 	m.judgeOverload(now)
 	m.judgeServers(now)
+	m.judgeDelays(now)
 	m.enforceMinimum(now)
 	m.pump(now)
 }
@@ -74,14 +75,14 @@
 		s.latency.decay(now)
 	}
 	m.latencies = serviceLatencies(m.servers)
-	m.pool()
+	m.pool(now)
 }
 
 // pool merges the distributions of the servers that answer as usual.
-func (m *Machine) pool() {
+func (m *Machine) pool(now time.Time) {
 	m.pooled = distribution{}
 	for _, s := range m.servers {
-		if s.latency.total < trustedSamples || s.latency.quantile(0.95) > 2*m.latencies.p95 {
+		if s.latency.total < trustedSamples || !m.comparable(now, s) || s.latency.quantile(0.95) > 2*m.latencies.p95 {
 			continue
 		}
 		for i, count := range s.latency.counts {
@@ -154,9 +155,10 @@
 // doubt marks a server whose oldest request waits unusually long with no answer since.
 func (m *Machine) doubt(now time.Time, s *server) {
 	limit := m.doubtAge()
+	s.hanging = false
 	for _, r := range s.inflight {
 		if !r.firstByte && r.age(now) >= limit && !s.lastAnswer.After(r.sent.Add(limit)) {
-			s.doubted = true
+			s.doubted, s.hanging = true, true
 			return
 		}
 	}
@@ -300,25 +302,29 @@
 }
 
 // looksSlow tells whether more answers of the server are slow than chance explains. The slow ones
-// must be spread over some time, since one short pause delays all requests in flight.
+// must be spread over some time, since one short pause delays all requests in flight, unless two of
+// them took longer than a pause explains.
 func (m *Machine) looksSlow(now time.Time, s *server, limit time.Duration, expected float64, p *proof) bool {
 	spread := max(limit, min(m.threshold(), pauseSpan))
-	slow, total := 0, 0
+	slow, total, long := 0, 0, 0
 	sent := span{}
-	count := func(n *node, at time.Time) {
+	count := func(n *node, at time.Time, latency time.Duration) {
 		slow++
+		if latency >= pauseSpan+m.latencies.p95 {
+			long++
+		}
 		p.note(s, n, at)
 		sent.add(at)
 	}
 	for _, r := range s.inflight {
 		if !r.firstByte && r.age(now) >= limit && r.credible(now) {
 			total++
-			count(r.node, r.sent)
+			count(r.node, r.sent, r.age(now))
 		}
 	}
 	convincing := func() bool {
 		return total >= slowSamples && slow >= slowAnswers &&
-			sent.width() >= spread && binomialTail(total, slow, expected) < significance
+			(sent.width() >= spread || long >= 2) && binomialTail(total, slow, expected) < significance
 	}
 	for i := len(s.samples) - 1; i >= 0; i-- {
 		x := &s.samples[i]
@@ -332,7 +338,7 @@
 		if x.latency < limit {
 			continue
 		}
-		count(x.node, x.sent)
+		count(x.node, x.sent, x.latency)
 		if convincing() {
 			return true
 		}
--- a/internal/dispatch/evidence.go
+++ b/internal/dispatch/evidence.go
@@ -221,15 +221,19 @@
 	if m.relapsing(now, s) {
 		return p.overdue >= 1
 	}
-	enough := p.overdue >= 1 && p.late >= 2 || 2*p.overdue+p.ghosts >= 4
-	if !enough || p.chance > significance {
+	if p.late < 2 && 2*p.overdue+p.ghosts < 4 || p.chance > significance {
 		return false
 	}
 	since := s.lastAnswer
 	if p.oldest.After(since) {
 		since = p.oldest
 	}
-	return now.Sub(since) >= m.threshold() && m.chanceNow(now, s, p) <= significance
+	silence := now.Sub(since)
+	overdue := silence >= m.threshold() && (p.overdue >= 1 || p.ghosts >= 4)
+	// Several requests that together are no chance need not wait for the threshold, which is far
+	// above the usual answers of a service with even work; a pause of the server must be ruled out.
+	joint := m.latencies.known && p.late >= 2 && silence >= pauseSpan+m.latencies.p95
+	return (overdue || joint) && m.chanceNow(now, s, p) <= significance
 }
 
 // chanceNow is the chance of the proof by what the other servers answered just now. A sudden change
@@ -237,7 +241,7 @@
 func (m *Machine) chanceNow(now time.Time, s *server, p *proof) float64 {
 	m.values = m.values[:0]
 	for _, other := range m.servers {
-		if other != s {
+		if other != s && m.comparable(now, other) {
 			m.values = other.recent(now, sampleWindow, m.values)
 		}
 	}
--- a/internal/dispatch/machine.go
+++ b/internal/dispatch/machine.go
@@ -47,6 +47,8 @@
 	medians    []time.Duration
 	// pooled is the latency distribution of the servers that answer as usual.
 	pooled distribution
+	// avoided is how many servers are avoided for their delays.
+	avoided int
 }
 
 // Stats counts decisions since the machine started.
--- a/internal/dispatch/placement.go
+++ b/internal/dispatch/placement.go
@@ -149,7 +149,7 @@
 		}
 		possible = true
 		limit := s.limit(now)
-		if len(s.inflight) >= limit || !s.accepts(now, r) {
+		if len(s.inflight) >= limit || !s.accepts(now, r) || m.withholds(now, s, r) {
 			continue
 		}
 		rank := s.rank(now, r, m.latencies.p50)
@@ -196,6 +196,9 @@
 		}
 		return rankDoubted
 	}
+	if now.Before(s.avoidUntil) {
+		return rankDoubted
+	}
 	if s.DataCentre == r.node.dataCentre && !s.slower(now, p50) {
 		return rankLocal
 	}
@@ -209,6 +212,10 @@
 	if !r.Idempotent || r.Purpose != grant.First || s.waits(r.node) || now.Before(s.limitedUntil) {
 		return false
 	}
+	if now.Before(s.avoidUntil) && !s.hanging {
+		// It answers again, and its former delays need no confirmation by more work.
+		return false
+	}
 	return len(s.inflight) < confirmations
 }
 
--- a/internal/dispatch/server.go
+++ b/internal/dispatch/server.go
@@ -59,12 +59,16 @@
 	pathsBlockedUntil time.Time
 	// doubted is set while the server's oldest request waits unusually long; it then gets one
 	// more request, which confirms or clears the doubt.
-	doubted   bool
-	breaks    []breakage
-	holds     int
-	crashedAt time.Time
-	suspects  int
-	lastGrant time.Time
+	doubted bool
+	// hanging is set while a request waits unusually long and the server answers no other.
+	hanging bool
+	// avoidUntil is set while unusual delays count against the server; it then gets work last.
+	avoidUntil time.Time
+	breaks     []breakage
+	holds      int
+	crashedAt  time.Time
+	suspects   int
+	lastGrant  time.Time
 }
 
 // path is what one node, or the nodes of one data centre, experience with a server.
@@ -209,6 +213,7 @@
 	s.breaks = s.breaks[:0]
 	s.latency = distribution{}
 	s.doubted = false
+	s.avoidUntil = time.Time{}
 	s.crashedAt = time.Time{}
 	s.lastAnswer = now
 }
