Show crashed servers as crashed, not as ejected

Cause: a held server had the view state ejected, so that a crash read as an ejection, and a handover turned it into one. Nodes without a dispatcher go on avoiding it. The test was seen failing with the state left out.

--- a/internal/bench/soak/revisions.go
+++ b/internal/bench/soak/revisions.go
@@ -65,7 +65,7 @@
 		switch s.State {
 		case dispatch.ViewReady, dispatch.ViewSuspect:
 			healthy += s.Slots
-		case dispatch.ViewEjected, dispatch.ViewProbation:
+		case dispatch.ViewEjected, dispatch.ViewProbation, dispatch.ViewCrashed:
 			out = s.Instance
 		}
 	}
--- a/internal/dispatch/delay_test.go
+++ b/internal/dispatch/delay_test.go
@@ -6,6 +6,9 @@
 	"time"
 
 	. "github.com/onsi/gomega"
+
+	"github.com/tarragonmux/tarragonmux/internal/dispatch"
+	"github.com/tarragonmux/tarragonmux/internal/priority"
 )
 
 // evenSizes have work of nearly equal length, whose stall threshold of 4 x p95 is longer than a hang.
@@ -61,3 +64,23 @@
 		}
 	}
 }
+
+// A server that crashed must not be reported as ejected: operators would look for a false ejection,
+// and the next dispatcher would eject it for good.
+func TestCrashedServerIsShownAsCrashed(t *testing.T) {
+	g := NewWithT(t)
+	w := newWorld(evenSizes[0], 1)
+	mixed(w, 0.6)
+	w.run(warmUp)
+	w.onCrash = 42
+	w.load(&stream{priority: priority.Normal, team: "crash", rate: 5, deadline: 2 * time.Second, fingerprint: 42, retries: true})
+	seen := map[string]int{}
+	for range 60 {
+		w.run(50 * time.Millisecond)
+		for _, s := range w.machine.View(w.now).Servers {
+			seen[s.State]++
+		}
+	}
+	g.Expect(seen).To(HaveKey(dispatch.ViewCrashed))
+	g.Expect(seen).NotTo(HaveKey(dispatch.ViewEjected))
+}
--- a/internal/dispatch/doc.go
+++ b/internal/dispatch/doc.go
@@ -19,7 +19,9 @@
 //
 // Servers that stall, fail or are slow are ejected for 5 s, twice as long at each repeat, up to
 // 5 min, and return after one successful request, which is idempotent unless none came for 10 s.
-// A server that crashed is held for 1 s, up to 8 s, until it answers a request again. Ejections
+// A server that crashed is held for 1 s, up to 8 s, until it answers a request again; views show it
+// as crashed, since it is not ejected. A server with unusual delays, too few for an ejection, is
+// shown as suspect and gets work only once requests have waited for 100 ms, for 5 s. Ejections
 // never take the healthy capacity below the minimum of the service; a bad server that must stay
 // gets one slot. Nothing is ejected while more than half of the servers look bad (overload), or
 // while the evidence comes from one node or from other data centres only (a bad path, which is
--- a/internal/dispatch/view.go
+++ b/internal/dispatch/view.go
@@ -8,10 +8,12 @@
 
 // State names of servers in a view.
 const (
-	ViewReady     = "ready"
-	ViewStarting  = "starting"
-	ViewDraining  = "draining"
-	ViewEjected   = "ejected"
+	ViewReady    = "ready"
+	ViewStarting = "starting"
+	ViewDraining = "draining"
+	ViewEjected  = "ejected"
+	// ViewCrashed servers crashed a moment ago and get no work until they answer again; they are not ejected.
+	ViewCrashed   = "crashed"
 	ViewProbation = "probation"
 	ViewSuspect   = "suspect"
 )
@@ -64,11 +66,13 @@
 		return ViewDraining
 	case s.Server.State == backend.Starting:
 		return ViewStarting
-	case s.state == ejectedServer || s.state == held:
+	case s.state == ejectedServer:
 		return ViewEjected
+	case s.state == held || s.state == onCanary && s.crashHeld():
+		return ViewCrashed
 	case s.state == onCanary:
 		return ViewProbation
-	case s.doubted || now.Before(s.limitedUntil):
+	case s.doubted || now.Before(s.limitedUntil) || now.Before(s.avoidUntil):
 		return ViewSuspect
 	default:
 		return ViewReady
--- a/internal/dispatchrpc/alone.go
+++ b/internal/dispatchrpc/alone.go
@@ -87,11 +87,11 @@
 }
 
 // placeAlone chooses the server with the most free slots of this node's share. A server is used
-// only while its announcement is fresh in this node's own view and it was not ejected.
+// only while its announcement is fresh in this node's own view and it was not ejected and had not crashed.
 func (c *channel) placeAlone(now time.Time, r *grant.Request) (best grant.Server, ok bool) {
 	most := 0
 	for _, s := range c.client.config.Registry.Servers(c.service) {
-		if !s.Usable(now) || c.ejected[s.Instance] || slices.Contains(r.Exclude, s.Instance) {
+		if !s.Usable(now) || c.ejected[s.Instance] || c.crashed[s.Instance] || slices.Contains(r.Exclude, s.Instance) {
 			continue
 		}
 		free := c.alone.shares[s.Instance] - c.heldAt(s.Instance)
--- a/internal/dispatchrpc/channel.go
+++ b/internal/dispatchrpc/channel.go
@@ -38,9 +38,10 @@
 	opened   time.Time
 	// heard is the time of the last message of a dispatcher.
 	heard time.Time
-	// ejected are the instances that the last view showed as ejected.
-	ejected map[string]bool
-	alone   alone
+	// ejected are the instances that the last view showed as ejected; crashed ones are no ejections,
+	// so that the next dispatcher is not told of them.
+	ejected, crashed map[string]bool
+	alone            alone
 	// closed is set when the node no longer follows the service.
 	closed bool
 }
@@ -228,13 +229,16 @@
 }
 
 func (c *channel) takeView(v *dispatchpb.View) {
-	ejected := map[string]bool{}
+	ejected, crashed := map[string]bool{}, map[string]bool{}
 	for _, s := range v.Servers {
-		if s.State == dispatch.ViewEjected || s.State == dispatch.ViewProbation {
+		switch s.State {
+		case dispatch.ViewEjected, dispatch.ViewProbation:
 			ejected[s.Instance] = true
+		case dispatch.ViewCrashed:
+			crashed[s.Instance] = true
 		}
 	}
-	c.ejected = ejected
+	c.ejected, c.crashed = ejected, crashed
 	delay := time.Duration(0)
 	if !v.Overload && v.P95Ms > 0 {
 		delay = max(time.Duration(v.P95Ms)*time.Millisecond, HedgeFloor)
