--- /dev/null
+++ b/internal/dispatchmetrics/collector.go
@@ -0,0 +1,105 @@
+package dispatchmetrics
+
+import (
+	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/tarragonmux/tarragonmux/internal/dispatch"
+)
+
+// Viewer shows the dispatchers of this node; *dispatchrpc.Server is one.
+type Viewer interface {
+	// View returns what the dispatcher of the service sees; ok is false if this node is not it.
+	View(service string) (v dispatch.View, stats dispatch.Stats, ok bool)
+}
+
+const (
+	// MaxServices bounds the values of the service label, above the 480 services of the target size.
+	MaxServices = 1024
+
+	prefix       = "tarragonmux_dispatch_"
+	labelService = "service"
+)
+
+// metric is one series per service.
+type metric struct {
+	desc *prometheus.Desc
+	kind prometheus.ValueType
+	read func(v *dispatch.View, s *dispatch.Stats) float64
+}
+
+// collector reads the dispatchers when it is scraped.
+type collector struct {
+	server   Viewer
+	services func() []string
+	metrics  []metric
+}
+
+var _ prometheus.Collector = (*collector)(nil)
+
+// NewCollector returns a collector of the dispatchers that this node holds for the services. Both
+// arguments are called on each scrape and must be safe for concurrent use.
+func NewCollector(server Viewer, services func() []string) prometheus.Collector {
+	return &collector{server: server, services: services, metrics: append(counters(), gauges()...)}
+}
+
+func counter(name, help string, read func(s *dispatch.Stats) uint64) metric {
+	return metric{
+		desc: prometheus.NewDesc(prefix+name+"_total", help, []string{labelService}, nil),
+		kind: prometheus.CounterValue,
+		read: func(_ *dispatch.View, s *dispatch.Stats) float64 { return float64(read(s)) },
+	}
+}
+
+func gauge(name, help string, read func(v *dispatch.View, s *dispatch.Stats) float64) metric {
+	return metric{desc: prometheus.NewDesc(prefix+name, help, []string{labelService}, nil), kind: prometheus.GaugeValue, read: read}
+}
+
+func counters() []metric {
+	return []metric{
+		counter("granted", "Requests granted.", func(s *dispatch.Stats) uint64 { return s.Granted }),
+		counter("refused", "Requests refused before they ran.", func(s *dispatch.Stats) uint64 { return s.Refused }),
+		counter("retries", "Granted requests that were retries.", func(s *dispatch.Stats) uint64 { return s.Retries }),
+		counter("hedges", "Granted requests that were hedges.", func(s *dispatch.Stats) uint64 { return s.Hedges }),
+		counter("ejections", "Ejections of backend servers.", func(s *dispatch.Stats) uint64 { return s.Ejections }),
+		counter("ejections_denied", "Ejections denied by the minimum healthy capacity.", func(s *dispatch.Stats) uint64 { return s.EjectionsDenied }),
+		counter("returns", "Returns of backend servers to rotation.", func(s *dispatch.Stats) uint64 { return s.Returns }),
+		counter("bad_paths", "Bad paths that were routed around.", func(s *dispatch.Stats) uint64 { return s.PathBlocks }),
+		counter("crashes", "Crashes of backend servers.", func(s *dispatch.Stats) uint64 { return s.Crashes }),
+		counter("poison_requests", "Requests found to crash backend servers.", func(s *dispatch.Stats) uint64 { return s.PoisonRequests }),
+	}
+}
+
+func gauges() []metric {
+	return []metric{
+		gauge("queued", "Requests that wait for a grant.", func(_ *dispatch.View, s *dispatch.Stats) float64 { return float64(s.Queued) }),
+		gauge("healthy_slots", "Healthy capacity in slots.", func(v *dispatch.View, _ *dispatch.Stats) float64 { return float64(v.Healthy) }),
+		gauge("minimum_slots", "Minimum healthy capacity in slots.", func(v *dispatch.View, _ *dispatch.Stats) float64 { return float64(v.Minimum) }),
+		gauge("overload", "1 while the service is in overload.", func(_ *dispatch.View, s *dispatch.Stats) float64 {
+			if s.Overload {
+				return 1
+			}
+			return 0
+		}),
+	}
+}
+
+// Describe implements prometheus.Collector.
+func (c *collector) Describe(out chan<- *prometheus.Desc) {
+	for _, m := range c.metrics {
+		out <- m.desc
+	}
+}
+
+// Collect implements prometheus.Collector.
+func (c *collector) Collect(out chan<- prometheus.Metric) {
+	names := c.services()
+	for _, service := range names[:min(len(names), MaxServices)] {
+		view, stats, ok := c.server.View(service)
+		if !ok {
+			continue
+		}
+		for _, m := range c.metrics {
+			out <- prometheus.MustNewConstMetric(m.desc, m.kind, m.read(&view, &stats), service)
+		}
+	}
+}
