--- a/internal/app/node.go
+++ b/internal/app/node.go
@@ -17,6 +17,7 @@
 	"github.com/tarragonmux/tarragonmux/internal/configuration"
 	"github.com/tarragonmux/tarragonmux/internal/configuration/feed"
 	"github.com/tarragonmux/tarragonmux/internal/configuration/store"
+	"github.com/tarragonmux/tarragonmux/internal/dispatchmetrics"
 	"github.com/tarragonmux/tarragonmux/internal/dispatchrpc"
 	"github.com/tarragonmux/tarragonmux/internal/election"
 	"github.com/tarragonmux/tarragonmux/internal/entry"
@@ -141,7 +142,7 @@
 	return &dispatchSettings{self: s.ID, snapshot: func() *configuration.Snapshot { return st.Snapshot() }, source: source, members: m.Member}
 }
 
-func newDispatcher(lc fx.Lifecycle, b *background, s *settings.Settings, ds dispatchrpc.Settings, m *membership.Runner, e *election.Runner, logger *log.Logger) *dispatchrpc.Server {
+func newDispatcher(lc fx.Lifecycle, b *background, s *settings.Settings, ds dispatchrpc.Settings, m *membership.Runner, e *election.Runner, registry *prometheus.Registry, logger *log.Logger) *dispatchrpc.Server {
 	server := dispatchrpc.NewServer(dispatchrpc.ServerConfig{
 		Node:      s.ID,
 		Settings:  ds,
@@ -149,6 +150,7 @@
 		Elections: e,
 		Logger:    logger.WithPrefix("dispatch"),
 	})
+	registry.MustRegister(dispatchmetrics.NewCollector(server, ds.Services))
 	start(lc, b, "dispatcher", server.Run)
 	return server
 }
--- /dev/null
+++ b/internal/dispatch/delay_test.go
@@ -0,0 +1,86 @@
+package dispatch_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/tarragonmux/tarragonmux/internal/dispatch"
+	"github.com/tarragonmux/tarragonmux/internal/priority"
+)
+
+// evenSizes have work of nearly equal length, whose stall threshold of 4 x p95 is longer than a hang.
+var evenSizes = []size{{"cuefeed", 14, 6, 100 * time.Millisecond}, {"booking", 20, 3, 100 * time.Millisecond}}
+
+// A server that hangs for 500 ms and works for 500 ms must lose its work within 1 s also where half
+// a second is below the stall threshold; else its callers wait again and again.
+func TestFlappingServerIsFoundBelowTheThreshold(t *testing.T) {
+	for _, size := range evenSizes {
+		for _, load := range []float64{0.2, 0.7} {
+			t.Run(fmt.Sprintf("%s/%v", size.name, load), func(t *testing.T) {
+				t.Parallel()
+				g := NewWithT(t)
+				for seed := range uint64(2) {
+					w := newWorld(size, seed)
+					w.sigma = 0.12
+					mixed(w, load)
+					w.run(warmUp)
+					bad, began := w.names[w.random.IntN(len(w.names))], w.now
+					w.servers[bad].stalled = flap(began, 500*time.Millisecond)
+					w.run(3 * time.Second)
+					g.Expect(w.newWorkFor(bad, began)).To(BeNumerically("<", detectionLimit), "seed %d", seed)
+				}
+			})
+		}
+	}
+}
+
+// A pause of 200 ms, as of a garbage collector, delays all requests of a server at once. It must not
+// cost the server its place, however even the work is.
+func TestPausedServersStayWithEvenWork(t *testing.T) {
+	for _, size := range evenSizes {
+		for _, load := range []float64{0.2, 0.7} {
+			t.Run(fmt.Sprintf("%s/%v", size.name, load), func(t *testing.T) {
+				t.Parallel()
+				g := NewWithT(t)
+				w := newWorld(size, 1)
+				w.sigma = 0.12
+				mixed(w, load)
+				w.run(warmUp)
+				for i, name := range w.names {
+					pause := w.now.Add(time.Duration(i) * time.Second)
+					w.servers[name].stalled = func(now time.Time) time.Time {
+						if now.Before(pause) {
+							return now
+						}
+						return pause.Add(200 * time.Millisecond)
+					}
+				}
+				w.run(22 * time.Second)
+				g.Expect(w.ejectedAt).To(BeEmpty())
+			})
+		}
+	}
+}
+
+// A server that crashed must not be reported as ejected: operators would look for a false ejection,
+// and the next dispatcher would eject it for good.
+func TestCrashedServerIsShownAsCrashed(t *testing.T) {
+	g := NewWithT(t)
+	w := newWorld(evenSizes[0], 1)
+	mixed(w, 0.6)
+	w.run(warmUp)
+	w.onCrash = 42
+	w.load(&stream{priority: priority.Normal, team: "crash", rate: 5, deadline: 2 * time.Second, fingerprint: 42, retries: true})
+	seen := map[string]int{}
+	for range 60 {
+		w.run(50 * time.Millisecond)
+		for _, s := range w.machine.View(w.now).Servers {
+			seen[s.State]++
+		}
+	}
+	g.Expect(seen).To(HaveKey(dispatch.ViewCrashed))
+	g.Expect(seen).NotTo(HaveKey(dispatch.ViewEjected))
+}
