Tell held announcements from renewals by a token

Cause, found by the soak run: an announcement that a frozen host or a cut held back was counted as a renewal when it arrived, and the server that had vanished meanwhile got new work for 5.0 s; the bound is 3 s. Now the answer to an announcement has a token, and the next announcement to the same host carries it back; it counts as made at most one renewal interval after that answer. Ruled out: wall times of the backend server, whose clock is not ours; detecting the host's own freeze, since a held network looks the same.

--- a/internal/bench/soak/schedule.go
+++ b/internal/bench/soak/schedule.go
@@ -173,8 +173,8 @@
 func quiet(k Kind) bool { return k == Drain || k == Vanish }
 
 // holdsServers tells whether the fault holds bytes under way to and from stand-ins. Held work arrives after the
-// fault and would be taken for new work of a server that drains; a held announcement renews a server
-// that vanished, a known fault of the fleet (TestLateAnnouncement).
+// fault and would be taken for new work of a server that drains or vanished. Held announcements have
+// a test of their own (TestLateAnnouncement).
 func holdsServers(k Kind) bool { return k == FreezeNode || k == CutDataCentre }
 
 // admissible tells whether the fault keeps the run within the promises of the design.
--- a/internal/entry/announcement.go
+++ b/internal/entry/announcement.go
@@ -53,6 +53,9 @@
 	WarmUpMS *int64 `json:"warm_up_ms,omitempty"`
 	// Load is 0 to 1; a hint.
 	Load float64 `json:"load,omitempty"`
+	// Token is the one of the last answer of the same host. It keeps an announcement that was held
+	// back from counting as a renewal.
+	Token string `json:"token,omitempty"`
 }
 
 // Lease is the answer to an announcement.
@@ -61,21 +64,28 @@
 	LeaseMS int64 `json:"lease_ms"`
 	// RenewMS is how often to renew it, in milliseconds.
 	RenewMS int64 `json:"renew_ms"`
+	// Token is to be sent with the next announcement to this host.
+	Token string `json:"token"`
 }
 
 // ParseAnnouncement checks the body of an announcement. The problem names the field and what to send.
 func ParseAnnouncement(service, instance string, body []byte) (backend.Server, *problem.Problem) {
+	server, _, refusal := parseAnnouncement(service, instance, body)
+	return server, refusal
+}
+
+func parseAnnouncement(service, instance string, body []byte) (server backend.Server, token string, refusal *problem.Problem) {
 	var a Announcement
 	decoder := json.NewDecoder(bytes.NewReader(body))
 	decoder.DisallowUnknownFields()
 	if err := decoder.Decode(&a); err != nil {
-		return backend.Server{}, malformed("the announcement is not a JSON object of the known fields")
+		return backend.Server{}, "", malformed("the announcement is not a JSON object of the known fields")
 	}
 	if _, err := decoder.Token(); err != io.EOF {
-		return backend.Server{}, malformed("the announcement has content after the object")
+		return backend.Server{}, "", malformed("the announcement has content after the object")
 	}
 	if err := a.check(service, instance); err != "" {
-		return backend.Server{}, malformed(err)
+		return backend.Server{}, "", malformed(err)
 	}
 	state, _ := backend.ParseState(a.State)
 	warmUp := defaultWarmUp
@@ -85,7 +95,7 @@
 	return backend.Server{
 		Service: service, Instance: instance, Incarnation: a.Incarnation, Address: a.Address, DataCentre: a.DataCentre,
 		State: state, Slots: a.Slots, Connections: a.Connections, WarmUp: warmUp, Load: a.Load,
-	}, nil
+	}, a.Token, nil
 }
 
 func malformed(detail string) *problem.Problem {
@@ -140,7 +150,7 @@
 		refuseAnnouncement(w, refusal)
 		return
 	}
-	writeJSON(w, Lease{LeaseMS: backend.Lease.Milliseconds(), RenewMS: backend.RenewEvery.Milliseconds()})
+	writeJSON(w, Lease{LeaseMS: backend.Lease.Milliseconds(), RenewMS: backend.RenewEvery.Milliseconds(), Token: s.tokens.issue(time.Now())})
 }
 
 // withdraw removes a backend server. The incarnation keeps a late withdrawal from removing a newer start.
@@ -184,7 +194,9 @@
 	if len(body) > MaxAnnouncementBytes {
 		return backend.Server{}, problem.New(problem.BodyTooLarge, problem.NotRun, fmt.Sprintf("the limit is %d bytes", MaxAnnouncementBytes))
 	}
-	return ParseAnnouncement(vars["service"], vars["instance"], body)
+	server, token, refusal := parseAnnouncement(vars["service"], vars["instance"], body)
+	server.Renewed = s.tokens.made(token, time.Now())
+	return server, refusal
 }
 
 func (s *Server) record(ctx context.Context, server backend.Server) *problem.Problem {
--- a/internal/entry/announcement_test.go
+++ b/internal/entry/announcement_test.go
@@ -1,8 +1,10 @@
 package entry_test
 
 import (
+	"encoding/json"
 	"strings"
 	"testing"
+	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
@@ -17,8 +19,16 @@
 	It("is recorded as sent and grants a lease", func() {
 		f := start(nil)
 		a := f.do("PUT", "/v1/backends/cuefeed/i-1", announced)
-		Expect(a.body).To(MatchJSON(`{"lease_ms":2000,"renew_ms":500}`))
-		Expect(f.backends.all()).To(Equal([]backend.Server{{
+		var lease entry.Lease
+		Expect(json.Unmarshal([]byte(a.body), &lease)).To(Succeed())
+		Expect(lease.Token).NotTo(BeEmpty())
+		lease.Token = ""
+		Expect(lease).To(Equal(entry.Lease{LeaseMS: 2000, RenewMS: 500}))
+		recorded := f.backends.all()
+		Expect(recorded).To(HaveLen(1))
+		Expect(recorded[0].Renewed).To(BeTemporally("~", time.Now(), time.Second))
+		recorded[0].Renewed = time.Time{}
+		Expect(recorded).To(Equal([]backend.Server{{
 			Service: "cuefeed", Instance: "i-1", Incarnation: 7, Address: "127.0.0.1:80", DataCentre: "a",
 			State: backend.Ready, Slots: 6, Connections: 330, Load: 0.5,
 		}}))
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -22,6 +22,8 @@
 
 // Server serves callers and announcements.
 type Server struct {
+	// tokens tells announcements that were held back from renewals.
+	tokens  *tokenClock
 	cfg     *Config
 	http    *http.Server
 	fixed   *mux.Router
@@ -43,7 +45,7 @@
 		cancel()
 		return nil, err
 	}
-	s := &Server{cfg: &cfg, chain: chain, close: cancel}
+	s := &Server{cfg: &cfg, chain: chain, close: cancel, tokens: newTokenClock(time.Now())}
 	s.fixed = s.fixedPaths()
 	s.http = &http.Server{
 		Handler:           s,
--- /dev/null
+++ b/internal/entry/token_test.go
@@ -0,0 +1,26 @@
+package entry
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/tarragonmux/tarragonmux/internal/backend"
+)
+
+// A held announcement that counts as a renewal keeps a vanished server in use beyond 3 s.
+func TestHeldAnnouncementIsOld(t *testing.T) {
+	g := NewWithT(t)
+	start := time.Now()
+	c := newTokenClock(start)
+	token := c.issue(start.Add(10 * time.Second))
+	g.Expect(c.made(token, start.Add(10*time.Second+backend.RenewEvery))).To(Equal(start.Add(10*time.Second + backend.RenewEvery)))
+	late := start.Add(15 * time.Second)
+	g.Expect(c.made(token, late)).To(Equal(start.Add(10*time.Second + backend.RenewEvery)))
+	g.Expect(backend.Server{State: backend.Ready, Renewed: c.made(token, late)}.Usable(late)).To(BeFalse())
+
+	for _, foreign := range []string{"", "x", newTokenClock(start).issue(start), c.nonce + "-", c.nonce + "--5", c.nonce + "-zzzzzzzzzzzzzz"} {
+		g.Expect(c.made(foreign, late)).To(Equal(late), foreign)
+	}
+}
--- a/internal/membership/serve.go
+++ b/internal/membership/serve.go
@@ -87,14 +87,22 @@
 }
 
 func (r *Runner) announceHere(server backend.Server) (err error) {
-	r.locked(func(s *State, now time.Time) { err = s.Announce(now, server) })
+	r.locked(func(s *State, now time.Time) { err = s.Announce(madeAt(server, now), server) })
 	return err
 }
 
+// madeAt is when the announcement was made; it may have been held back on its way.
+func madeAt(server backend.Server, now time.Time) time.Time {
+	if server.Renewed.IsZero() || server.Renewed.After(now) {
+		return now
+	}
+	return server.Renewed
+}
+
 // forward passes an announcement to a member of the host set. The member's clock is read first,
 // so that it can tell the age of the announcement without understating it.
 func (r *Runner) forward(ctx context.Context, server backend.Server, set []hostset.Host) error {
-	heard := time.Now()
+	heard := madeAt(server, time.Now())
 	attempts := 0
 	for _, h := range set {
 		if r.Verdict(h.ID, server.Service) == hostset.Out {
--- a/internal/standin/announce.go
+++ b/internal/standin/announce.go
@@ -30,6 +30,7 @@
 	Incarnation uint64  `json:"incarnation"`
 	WarmUpMS    int64   `json:"warm_up_ms"`
 	Load        float64 `json:"load"`
+	Token       string  `json:"token,omitempty"`
 }
 
 // announceUntilClosed renews the announcement at one entry host, and goes to the next on a failure.
@@ -53,45 +54,56 @@
 func (s *Server) announceTo(host string, b backend.Server) error {
 	body, err := json.Marshal(announcement{
 		Address: b.Address, DataCentre: b.DataCentre, Slots: b.Slots, Connections: b.Connections, State: b.State.String(),
-		Incarnation: b.Incarnation, WarmUpMS: b.WarmUp.Milliseconds(), Load: min(b.Load, 1),
+		Incarnation: b.Incarnation, WarmUpMS: b.WarmUp.Milliseconds(), Load: min(b.Load, 1), Token: s.token,
 	})
 	if err != nil {
 		return errors.WithStack(err)
 	}
-	return s.call(http.MethodPut, s.announcementURL(host), body)
+	reply, err := s.call(http.MethodPut, s.announcementURL(host), body)
+	if err != nil {
+		return err
+	}
+	var lease struct {
+		Token string `json:"token"`
+	}
+	if err := json.Unmarshal(reply, &lease); err != nil {
+		return errors.Wrap(err, "read the lease")
+	}
+	s.token = lease.Token
+	return nil
 }
 
 func (s *Server) announcementURL(host string) string {
 	return fmt.Sprintf("http://%s/v1/backends/%s/%s", host, s.cfg.Service, s.cfg.Instance)
 }
 
-func (s *Server) call(method, url string, body []byte) error {
+func (s *Server) call(method, url string, body []byte) ([]byte, error) {
 	ctx, cancel := context.WithTimeout(s.ctx, announceTimeout)
 	defer cancel()
 	request, err := http.NewRequestWithContext(ctx, method, url, bytes.NewReader(body))
 	if err != nil {
-		return errors.WithStack(err)
+		return nil, errors.WithStack(err)
 	}
 	response, err := s.cfg.Client.Do(request)
 	if err != nil {
-		return errors.WithStack(err)
+		return nil, errors.WithStack(err)
 	}
 	defer response.Body.Close()
 	reply, err := io.ReadAll(io.LimitReader(response.Body, maxReplyBytes))
 	if err != nil {
-		return errors.WithStack(err)
+		return nil, errors.WithStack(err)
 	}
 	if response.StatusCode >= http.StatusMultipleChoices {
-		return errors.Errorf("the host answered %d: %s", response.StatusCode, reply)
+		return nil, errors.Errorf("the host answered %d: %s", response.StatusCode, reply)
 	}
-	return nil
+	return reply, nil
 }
 
 // withdraw removes the announcement at the first host that takes the withdrawal.
 func (s *Server) withdraw() {
 	for _, host := range s.cfg.Entries {
 		url := fmt.Sprintf("%s?incarnation=%d", s.announcementURL(host), s.Incarnation())
-		if err := s.call(http.MethodDelete, url, nil); err == nil {
+		if _, err := s.call(http.MethodDelete, url, nil); err == nil {
 			return
 		}
 	}
--- a/internal/standin/server.go
+++ b/internal/standin/server.go
@@ -34,6 +34,8 @@
 	ctx    context.Context
 	cancel context.CancelFunc
 	tasks  sync.WaitGroup
+	// token is that of the last answer to an announcement; only the announcing goroutine uses it.
+	token string
 	// arrived counts the requests for work that reached the server.
 	arrived atomic.Int64
 
