--- a/internal/bench/soak/judge.go
+++ b/internal/bench/soak/judge.go
@@ -33,6 +33,8 @@
 	CheckRace Check = "one-winner"
 	// CheckQuiet: a server that drains or vanished gets no new work after 3 s.
 	CheckQuiet Check = "no-new-work"
+	// CheckShutdown: a graceful shutdown cuts no request in flight.
+	CheckShutdown Check = "graceful-shutdown"
 	// CheckRecovery: the fleet serves everything again within 10 s after the last fault.
 	CheckRecovery Check = "recovery"
 	// CheckProof: the run has what its other checks need, such as complete logs of the stand-ins.
@@ -41,7 +43,7 @@
 
 // Event is an entry of the timeline.
 type Event struct {
-	At   time.Duration `json:"at"`
+	At   time.Duration `json:"at_ns"`
 	What string        `json:"what"`
 }
 
@@ -53,7 +55,7 @@
 // Violation is a broken promise.
 type Violation struct {
 	Check  Check         `json:"check"`
-	At     time.Duration `json:"at"`
+	At     time.Duration `json:"at_ns"`
 	Detail string        `json:"detail"`
 	// Before are the last events before the violation.
 	Before []Event `json:"before"`
--- a/internal/configuration/control/log.go
+++ b/internal/configuration/control/log.go
@@ -88,9 +88,10 @@
 	// proposing serialises the proposals of this replica, so that they do not compete.
 	proposing chan struct{}
 
-	mu     sync.Mutex
-	ledger *ledger
-	floor  uint64
+	mu      sync.Mutex
+	ledger  *ledger
+	floor   uint64
+	settled settlement
 	// bytes of the values that were applied since the last compaction.
 	bytes int
 }
@@ -120,9 +121,10 @@
 	defer ticker.Stop()
 	for {
 		if err := l.catchUp(ctx); err != nil && ctx.Err() == nil {
-			l.options.Logger.Debug("Could not read the configuration log from a majority.", "err", err)
+			l.options.Logger.Debug("could not read the configuration log from a majority", "err", logging.Err(err))
 		}
 		l.compact()
+		l.watchHosts()
 		select {
 		case <-ticker.C:
 		case <-l.wake:
@@ -177,7 +179,7 @@
 			return false, errors.WithMessage(err, "read the configuration log")
 		}
 		if err := l.absorb(chain); err != nil {
-			l.options.Logger.Error("Cannot apply the configuration log.", "err", err)
+			l.options.Logger.Error("cannot apply the configuration log", "err", logging.Err(err))
 			return false, err
 		}
 		// A proposer may answer with a part of a long chain; the read that adds nothing is the last.
@@ -250,7 +252,7 @@
 		err = l.options.Compactor.Compact(Prefix, floor, snapshot)
 	}
 	if err != nil {
-		l.options.Logger.Warn("Could not compact the configuration log.", "err", err)
+		l.options.Logger.Warn("could not compact the configuration log", "err", logging.Err(err))
 		return
 	}
 	l.mu.Lock()
--- a/internal/dispatch/placement.go
+++ b/internal/dispatch/placement.go
@@ -50,12 +50,16 @@
 	m.parked = m.parked[:0]
 }
 
-// dispatch grants, refuses or parks the request, and returns false if it parked it.
+// dispatch grants, refuses, demotes or parks the request, and returns false if it parked it.
 func (m *Machine) dispatch(now time.Time, r *request) bool {
 	if kind := m.refusal(now, r); kind != "" {
 		m.refuseQueued(r, kind)
 		return true
 	}
+	if !r.late && r.due.Sub(now) < m.needed() {
+		m.queue.demote(r)
+		return true
+	}
 	s, possible := m.place(now, r)
 	if !possible {
 		m.refuseQueued(r, problem.NoCapacity)
@@ -149,7 +153,7 @@
 		}
 		possible = true
 		limit := s.limit(now)
-		if len(s.inflight) >= limit || !s.accepts(now, r) {
+		if len(s.inflight) >= limit || !s.accepts(now, r) || m.withholds(now, s, r) {
 			continue
 		}
 		rank := s.rank(now, r, m.latencies.p50)
@@ -196,6 +200,9 @@
 		}
 		return rankDoubted
 	}
+	if now.Before(s.avoidUntil) {
+		return rankDoubted
+	}
 	if s.DataCentre == r.node.dataCentre && !s.slower(now, p50) {
 		return rankLocal
 	}
@@ -209,6 +216,10 @@
 	if !r.Idempotent || r.Purpose != grant.First || s.waits(r.node) || now.Before(s.limitedUntil) {
 		return false
 	}
+	if now.Before(s.avoidUntil) && !s.hanging {
+		// It answers again, and its former delays need no confirmation by more work.
+		return false
+	}
 	return len(s.inflight) < confirmations
 }
 
--- a/internal/dispatchrpc/channel.go
+++ b/internal/dispatchrpc/channel.go
@@ -39,8 +39,9 @@
 	// heard is the time of the last message of a dispatcher.
 	heard time.Time
 	pace  pace
-	// ejected are the instances that the last view showed as ejected.
-	ejected map[string]bool
+	// ejected are the instances that the last view showed as ejected; crashed ones are no ejections,
+	// so that the next dispatcher is not told of them.
+	ejected, crashed map[string]bool
 	// term is that of the last view.
 	term  uint64
 	alone alone
@@ -232,13 +233,16 @@
 }
 
 func (c *channel) takeView(v *dispatchpb.View) {
-	ejected := map[string]bool{}
+	ejected, crashed := map[string]bool{}, map[string]bool{}
 	for _, s := range v.Servers {
-		if outOfRotation(s.State) {
+		switch s.State {
+		case dispatch.ViewEjected, dispatch.ViewProbation:
 			ejected[s.Instance] = true
+		case dispatch.ViewCrashed:
+			crashed[s.Instance] = true
 		}
 	}
-	c.ejected = ejected
+	c.ejected, c.crashed = ejected, crashed
 	c.term = v.Term
 	delay := time.Duration(0)
 	if !v.Overload && v.P95Ms > 0 {
--- a/internal/dispatchrpc/runner.go
+++ b/internal/dispatchrpc/runner.go
@@ -326,7 +326,7 @@
 
 // outOfRotation tells whether nodes without a dispatcher must not use a server in the state.
 func outOfRotation(state string) bool {
-	return state == dispatch.ViewEjected || state == dispatch.ViewProbation
+	return state == dispatch.ViewEjected || state == dispatch.ViewProbation || state == dispatch.ViewCrashed
 }
 
 // sameRouting tells whether two views differ in the latency at most.
