Weigh unusual delays by the number of requests looked at

Cause: at 20% load a server of booking gets six requests a second, so one delayed request is all that a hang of 500 ms leaves; the fixed level of 1e-3 and the comparison with 240 answers of the others hid it. The doubt came at 2 x p95 = 270 ms, too late for even work. Change: the level is 0.03 per second and server whatever the rate, the doubt comes at p99 + 50 ms if that is earlier, and joint evidence ejects nothing while more than a quarter of the servers are avoided: after a change of the work 11 of 14 looked late and one was ejected. Ruled out: leaving avoided servers out of the comparison, which hides a change of the work.

--- a/internal/dispatch/delay.go
+++ b/internal/dispatch/delay.go
@@ -5,10 +5,12 @@
 const (
 	// delayWindow is how long an unusually late answer counts.
 	delayWindow = time.Second
-	// delaySignificance bounds the probability that a healthy server shows such delays by chance. It
+	// delaySignificance bounds the expected number of such delays of a healthy server per window. It
 	// is far weaker than that of an ejection, since a server that is avoided keeps its place in the
 	// healthy capacity and gets work as soon as all others are full.
-	delaySignificance = 1e-3
+	delaySignificance = 3e-2
+	// delayedOthers is the share of equally late answers of other servers from which on the delay is theirs, too.
+	delayedOthers = 0.02
 	// avoidFor is how long a server is avoided after its last unusual delay.
 	avoidFor = 5 * time.Second
 	// avoidPatience is how long requests wait for another server before an avoided one gets them.
@@ -38,19 +40,20 @@
 
 // delays tells whether the late requests of the server, answered or not, are no chance and no bad path.
 func (m *Machine) delays(now time.Time, s *server) bool {
-	p := m.delayProof(now, s)
-	if len(p.ages) == 0 || p.chance > delaySignificance {
+	p, requests := m.delayProof(now, s)
+	if len(p.ages) == 0 || p.chance*float64(requests) > delaySignificance {
 		return false
 	}
-	return m.chanceNow(now, s, &p) <= delaySignificance && !m.badPath(s, &p)
+	return m.chanceNow(now, s, &p) <= delayedOthers && !m.badPath(s, &p)
 }
 
-// delayProof collects the requests of a server that wait, or waited, longer than the age of doubt.
-// The latency of an answer is measured by the node from the sending on.
-func (m *Machine) delayProof(now time.Time, s *server) proof {
+// delayProof collects the requests of a server that wait, or waited, longer than the age of doubt,
+// and counts the requests among which it found them. The latency of an answer is measured by the node from the sending on.
+func (m *Machine) delayProof(now time.Time, s *server) (p proof, requests int) {
 	limit := m.doubtAge()
-	p := proof{nodes: m.proofNodes[:0], ages: m.proofAges[:0], chance: 1}
+	p = proof{nodes: m.proofNodes[:0], ages: m.proofAges[:0], chance: 1}
 	count := func(n *node, sent time.Time, age time.Duration) {
+		requests++
 		if age < limit {
 			return
 		}
@@ -70,19 +73,10 @@
 		}
 	}
 	m.proofNodes, m.proofAges = p.nodes[:0], p.ages[:0]
-	return p
-}
-
-// comparable tells whether the answers of the server show what is usual. Late answers of servers
-// that are out of rotation or avoided would make the delays of the next bad server look usual; if
-// many servers are avoided, the work itself may have changed, and all count.
-func (m *Machine) comparable(now time.Time, s *server) bool {
-	if !s.healthy(now) {
-		return false
-	}
-	return !now.Before(s.avoidUntil) || m.manyAvoided()
+	return p, requests
 }
 
+// manyAvoided tells whether so many servers look late that the work itself may have changed.
 func (m *Machine) manyAvoided() bool {
 	return avoidedShare*m.avoided > len(m.servers)
 }
--- a/internal/dispatch/detect.go
+++ b/internal/dispatch/detect.go
@@ -82,7 +82,7 @@
 func (m *Machine) pool(now time.Time) {
 	m.pooled = distribution{}
 	for _, s := range m.servers {
-		if s.latency.total < trustedSamples || !m.comparable(now, s) || s.latency.quantile(0.95) > 2*m.latencies.p95 {
+		if s.latency.total < trustedSamples || !s.healthy(now) || s.latency.quantile(0.95) > 2*m.latencies.p95 {
 			continue
 		}
 		for i, count := range s.latency.counts {
--- a/internal/dispatch/evidence.go
+++ b/internal/dispatch/evidence.go
@@ -14,7 +14,7 @@
 	stallCap    = 700 * time.Millisecond
 	stallMargin = 50 * time.Millisecond
 	stallFactor = 4
-	// doubtFactor times p95, but at least doubtFloor, is the age at which a server is doubted.
+	// doubtFactor times p95, or stallMargin above p99 if that is less, but at least doubtFloor, is the age at which a server is doubted.
 	doubtFactor = 2
 	doubtFloor  = 75 * time.Millisecond
 	// witnessAge is how long ago a node may have been heard. It is longer than the heartbeat of
@@ -42,7 +42,8 @@
 	if !m.latencies.known {
 		return threshold / 2
 	}
-	return min(max(doubtFactor*m.latencies.p95, doubtFloor), threshold/2)
+	unusual := min(doubtFactor*m.latencies.p95, m.latencies.p99+stallMargin)
+	return min(max(unusual, doubtFloor), threshold/2)
 }
 
 // age is how long a request in flight has waited for its first byte. Non-idempotent work may be
@@ -232,16 +233,17 @@
 	overdue := silence >= m.threshold() && (p.overdue >= 1 || p.ghosts >= 4)
 	// Several requests that together are no chance need not wait for the threshold, which is far
 	// above the usual answers of a service with even work; a pause of the server must be ruled out.
-	joint := m.latencies.known && p.late >= 2 && silence >= pauseSpan+m.latencies.p95
+	joint := m.latencies.known && !m.manyAvoided() && p.late >= 2 && silence >= pauseSpan+m.latencies.p95
 	return (overdue || joint) && m.chanceNow(now, s, p) <= significance
 }
 
 // chanceNow is the chance of the proof by what the other servers answered just now. A sudden change
-// of the work shows there before it shows in the usual latencies.
+// of the work shows there before it shows in the usual latencies. Avoided servers count, since
+// leaving out who answers late would hide the change; servers out of rotation don't.
 func (m *Machine) chanceNow(now time.Time, s *server, p *proof) float64 {
 	m.values = m.values[:0]
 	for _, other := range m.servers {
-		if other != s && m.comparable(now, other) {
+		if other != s && other.healthy(now) {
 			m.values = other.recent(now, sampleWindow, m.values)
 		}
 	}
