Recognise a crash at a low rate

Cause: the refusals of a crashed server come later than 500 ms after the break at a low rate, and an answer from before the crash may be reported after it; the server was then ejected for refused connections instead of held as crashed. Now refusals count for the whole sample window, and only an answer to work sent after the break speaks against a crash. Before: TestCrashAtALowRateIsNoEjection showed an ejection; after: a crash and none.

--- a/internal/dispatch/crash.go
+++ b/internal/dispatch/crash.go
@@ -159,27 +159,33 @@
 	m.judgeRefusals(now, s)
 }
 
-// crashed tells whether a connection broke with other connections broken or refused soon after, and
-// no answer in between: a server that goes on answering has not crashed.
+// crashed tells whether a connection broke with others broken within the crash window, or with a
+// connection refused later, and no answer to work sent in between: a server that answers what was
+// sent after the break has not crashed. Refusals count for the whole sample window, since at a low
+// rate the next request may come late.
 func (m *Machine) crashed(now time.Time, s *server) bool {
-	recent, broken := 0, 0
+	broken, recentlyBroken, refused := 0, 0, 0
 	for _, b := range s.breaks {
-		if now.Sub(b.at) > crashWindow || b.at.Before(s.lastAnswer) {
+		switch {
+		case b.at.Before(s.answeredSent):
 			continue
-		}
-		recent++
-		if !b.refused {
+		case b.refused:
+			refused++
+		default:
 			broken++
+			if now.Sub(b.at) <= crashWindow {
+				recentlyBroken++
+			}
 		}
 	}
-	return broken >= 1 && recent >= 2
+	return recentlyBroken >= 2 || broken >= 1 && refused >= 1
 }
 
 // noteCrash counts the crash against the requests that ran, and holds the server.
 func (m *Machine) noteCrash(now time.Time, s *server) {
 	for i := range s.breaks {
 		b := &s.breaks[i]
-		if b.refused || b.crashed || now.Sub(b.at) > crashWindow {
+		if b.refused || b.crashed || b.at.Before(s.answeredSent) {
 			continue
 		}
 		b.crashed = true
--- a/internal/dispatch/delay_test.go
+++ b/internal/dispatch/delay_test.go
@@ -7,7 +7,9 @@
 
 	. "github.com/onsi/gomega"
 
+	"github.com/tarragonmux/tarragonmux/internal/backend"
 	"github.com/tarragonmux/tarragonmux/internal/dispatch"
+	"github.com/tarragonmux/tarragonmux/internal/grant"
 	"github.com/tarragonmux/tarragonmux/internal/priority"
 )
 
@@ -84,3 +86,40 @@
 	g.Expect(seen).To(HaveKey(dispatch.ViewCrashed))
 	g.Expect(seen).NotTo(HaveKey(dispatch.ViewEjected))
 }
+
+// At a low rate the refusals of a crashed server come later than 500 ms after the break, and an answer
+// from before the crash may be reported after it. Ejecting the server then punishes it for the request.
+func TestCrashAtALowRateIsNoEjection(t *testing.T) {
+	g := NewWithT(t)
+	now := time.Unix(1000, 0)
+	m := dispatch.New(now, dispatch.Config{Service: "x", MinimumHealthyPercent: 50})
+	var servers []backend.Server
+	for _, name := range []string{"a", "b", "c", "d"} {
+		servers = append(servers, backend.Server{Instance: name, State: backend.Ready, Slots: 4, Renewed: now})
+	}
+	m.SetServers(now, servers)
+	m.Connect(now, "n", "dc", 1, nil, nil)
+	now = now.Add(dispatch.CollectFor)
+	others := []string{"b", "c", "d"}
+	send := func(id uint64) {
+		a := ask(m, now, id, func(q *dispatch.Request) { q.Exclude, q.Fingerprint = others, id })
+		g.Expect(a).To(HaveLen(1))
+		g.Expect(a[0].Instance).To(Equal("a"))
+	}
+	send(1)
+	send(2)
+	m.Complete(now, "n", 1, grant.Completion{Result: grant.Broken, Total: time.Millisecond})
+	m.Complete(now.Add(time.Millisecond), "n", 2, grant.Completion{Result: grant.OK, FirstByte: time.Millisecond, Total: time.Millisecond})
+	for id := uint64(3); id <= 4; id++ {
+		now = now.Add(700 * time.Millisecond)
+		for i := range servers {
+			servers[i].Renewed = now
+		}
+		m.SetServers(now, servers)
+		if a := ask(m, now, id, func(q *dispatch.Request) { q.Exclude = others }); len(a) == 1 && a[0].Kind == dispatch.Granted {
+			m.Complete(now, "n", id, grant.Completion{Result: grant.ConnectFailed, Total: time.Millisecond})
+		}
+	}
+	g.Expect(m.Stats().Ejections).To(BeZero())
+	g.Expect(m.Stats().Crashes).To(BeEquivalentTo(1))
+}
--- a/internal/dispatch/evidence.go
+++ b/internal/dispatch/evidence.go
@@ -111,6 +111,9 @@
 func (m *Machine) answered(now time.Time, r *request) {
 	s := r.server
 	s.lastAnswer = now
+	if r.sent.After(s.answeredSent) {
+		s.answeredSent = r.sent
+	}
 	r.node.lastAnswer = now
 	s.path(r.node.nodeKey).lastAnswer = now
 	s.path(r.node.centreKey).lastAnswer = now
--- a/internal/dispatch/server.go
+++ b/internal/dispatch/server.go
@@ -65,10 +65,12 @@
 	// avoidUntil is set while unusual delays count against the server; it then gets work last.
 	avoidUntil time.Time
 	breaks     []breakage
-	holds      int
-	crashedAt  time.Time
-	suspects   int
-	lastGrant  time.Time
+	// answeredSent is when the latest sent of the answered requests was sent.
+	answeredSent time.Time
+	holds        int
+	crashedAt    time.Time
+	suspects     int
+	lastGrant    time.Time
 }
 
 // path is what one node, or the nodes of one data centre, experience with a server.
