--- a/internal/dispatch/evidence.go
+++ b/internal/dispatch/evidence.go
@@ -125,15 +125,15 @@
 	if r.firstByte || c.FirstByte > 0 || c.Total < max(m.latencies.p95, 1) {
 		return
 	}
-	r.server.addGhost(ghost{at: now, sent: r.sent, node: r.node, idempotent: r.Idempotent})
+	r.server.addUnanswered(unansweredRequest{at: now, sent: r.sent, node: r.node, idempotent: r.Idempotent})
 }
 
 // proof is the evidence of a stall at one server.
 type proof struct {
 	// overdue requests are past the threshold, late ones past half of it.
 	overdue, late int
-	// ghosts ended without an answer after more than p95.
-	ghosts int
+	// unanswered ended without an answer after more than p95.
+	unanswered int
 	// chance is the probability that a healthy server leaves all these requests unanswered.
 	chance float64
 	ages   []time.Duration
@@ -185,7 +185,7 @@
 		}
 		p.note(s, r.node, r.sent)
 	}
-	for _, g := range s.ghosts {
+	for _, g := range s.unanswered {
 		if g.sent.Before(s.lastAnswer) || now.Sub(g.at) > sampleWindow || now.Before(g.node.isolatedUntil) {
 			continue
 		}
@@ -198,7 +198,7 @@
 			p.overdue++
 			p.late++
 		case age >= m.latencies.p95:
-			p.ghosts++
+			p.unanswered++
 		default:
 			continue
 		}
@@ -225,7 +225,7 @@
 	if m.relapsing(now, s) {
 		return p.overdue >= 1
 	}
-	if p.late < 2 && 2*p.overdue+p.ghosts < 4 || p.chance > significance {
+	if p.late < 2 && 2*p.overdue+p.unanswered < 4 || p.chance > significance {
 		return false
 	}
 	since := s.lastAnswer
@@ -233,7 +233,7 @@
 		since = p.oldest
 	}
 	silence := now.Sub(since)
-	overdue := silence >= m.threshold() && (p.overdue >= 1 || p.ghosts >= 4)
+	overdue := silence >= m.threshold() && (p.overdue >= 1 || p.unanswered >= 4)
 	// Several requests that together are no chance need not wait for the threshold, which is far
 	// above the usual answers of a service with even work; a pause of the server must be ruled out.
 	joint := m.latencies.known && !m.manyAvoided() && p.late >= 2 && silence >= pauseSpan+m.latencies.p95
--- a/internal/dispatch/machine.go
+++ b/internal/dispatch/machine.go
@@ -33,7 +33,7 @@
 	suspected     map[string]bool
 	dead          map[string]memberState
 	actions       []Action
-	parked        []*request
+	deferred      []*request
 	free          []*request
 	stats         Stats
 	lastSweep     time.Time
@@ -137,7 +137,7 @@
 	case s == nil:
 		s = newServer(b)
 		m.add(s)
-		m.welcome(now, s)
+		m.beginWarmUp(now, s)
 	case s.Incarnation != b.Incarnation:
 		m.restart(now, s, b)
 	}
@@ -146,7 +146,7 @@
 	s.present = true
 	if becameReady {
 		s.draining = false
-		m.welcome(now, s)
+		m.beginWarmUp(now, s)
 	}
 }
 
@@ -161,8 +161,8 @@
 	})
 }
 
-// welcome starts the slow start of a server that became ready a moment ago.
-func (m *Machine) welcome(now time.Time, s *server) {
+// beginWarmUp starts the slow start of a server that became ready a moment ago.
+func (m *Machine) beginWarmUp(now time.Time, s *server) {
 	s.lastAnswer = now
 	if s.ReadySince.IsZero() || s.WarmUp <= 0 {
 		// The announcement has filled in the default already, so 0 means that the server needs no warm-up.
@@ -182,7 +182,7 @@
 		s.state = inRotation
 	}
 	s.forget(now)
-	m.welcome(now, s)
+	m.beginWarmUp(now, s)
 }
 
 // Connect starts a node's stream and takes the requests that it has in flight and the servers
--- a/internal/dispatch/node.go
+++ b/internal/dispatch/node.go
@@ -83,9 +83,9 @@
 
 // sweepQueue refuses queued requests that can no longer meet their deadline.
 func (m *Machine) sweepQueue(now time.Time) {
-	m.parked = m.queue.expired(now, m.latencies.p50, m.parked[:0])
-	for _, r := range m.parked {
+	m.deferred = m.queue.expired(now, m.latencies.p50, m.deferred[:0])
+	for _, r := range m.deferred {
 		m.refuseQueued(r, problem.DeadlineUnmeetable)
 	}
-	m.parked = m.parked[:0]
+	m.deferred = m.deferred[:0]
 }
--- a/internal/dispatch/placement.go
+++ b/internal/dispatch/placement.go
@@ -10,8 +10,8 @@
 )
 
 const (
-	// parkLimit bounds how many requests that no free server may serve are passed over at a time.
-	parkLimit = 16
+	// deferLimit bounds how many requests that no free server may serve are passed over at a time.
+	deferLimit = 16
 	// slowerFactor is how much slower a local server may be before another data centre is preferred.
 	slowerFactor = 2
 	// canaryPatience is how long a server waits for an idempotent canary. A service whose work is
@@ -40,17 +40,17 @@
 		if r == nil {
 			break
 		}
-		if !m.dispatch(now, r) && len(m.parked) >= parkLimit {
+		if !m.dispatch(now, r) && len(m.deferred) >= deferLimit {
 			break
 		}
 	}
-	for _, r := range m.parked {
+	for _, r := range m.deferred {
 		m.queue.push(r)
 	}
-	m.parked = m.parked[:0]
+	m.deferred = m.deferred[:0]
 }
 
-// dispatch grants, refuses, demotes or parks the request, and returns false if it parked it.
+// dispatch grants, refuses, demotes or defers the request, and returns false if it deferred it.
 func (m *Machine) dispatch(now time.Time, r *request) bool {
 	if kind := m.refusal(now, r); kind != "" {
 		m.refuseQueued(r, kind)
@@ -67,7 +67,7 @@
 	}
 	if s == nil {
 		m.queue.remove(r)
-		m.parked = append(m.parked, r)
+		m.deferred = append(m.deferred, r)
 		return false
 	}
 	m.grant(now, r, s)
--- a/internal/dispatch/server.go
+++ b/internal/dispatch/server.go
@@ -52,7 +52,7 @@
 
 	latency    distribution
 	samples    []sample
-	ghosts     []ghost
+	unanswered []unansweredRequest
 	lastAnswer time.Time
 	paths      map[string]*path
 	// pathsBlockedUntil is the latest end of a block, so that the usual case needs no look-up.
@@ -91,8 +91,8 @@
 	fingerprint uint64
 }
 
-// ghost is a request that ended without an answer by cancellation or deadline.
-type ghost struct {
+// unansweredRequest is a request that ended without an answer by cancellation or deadline.
+type unansweredRequest struct {
 	at   time.Time
 	sent time.Time
 	node *node
@@ -103,8 +103,8 @@
 const (
 	// samplesKept bounds the samples of one server.
 	samplesKept = 64
-	// ghostsKept bounds the unanswered, ended requests of one server.
-	ghostsKept = 16
+	// unansweredKept bounds the unanswered, ended requests of one server.
+	unansweredKept = 16
 )
 
 func newServer(b backend.Server) *server {
@@ -128,12 +128,12 @@
 	s.samples = append(s.samples, x)
 }
 
-func (s *server) addGhost(x ghost) {
-	if len(s.ghosts) == ghostsKept {
-		copy(s.ghosts, s.ghosts[1:])
-		s.ghosts = s.ghosts[:ghostsKept-1]
+func (s *server) addUnanswered(x unansweredRequest) {
+	if len(s.unanswered) == unansweredKept {
+		copy(s.unanswered, s.unanswered[1:])
+		s.unanswered = s.unanswered[:unansweredKept-1]
 	}
-	s.ghosts = append(s.ghosts, x)
+	s.unanswered = append(s.unanswered, x)
 }
 
 // attach adds a granted request.
@@ -211,7 +211,7 @@
 // forget drops all evidence.
 func (s *server) forget(now time.Time) {
 	s.samples = s.samples[:0]
-	s.ghosts = s.ghosts[:0]
+	s.unanswered = s.unanswered[:0]
 	s.breaks = s.breaks[:0]
 	s.latency = distribution{}
 	s.doubted = false
--- a/internal/dispatchrpc/connect.go
+++ b/internal/dispatchrpc/connect.go
@@ -8,6 +8,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/tarragonmux/tarragonmux/internal/leadership"
+	"github.com/tarragonmux/tarragonmux/internal/logging"
 	"github.com/tarragonmux/tarragonmux/proto/dispatchpb"
 )
 
@@ -23,7 +24,7 @@
 	for ctx.Err() == nil {
 		if holder, ok := c.client.config.Elections.Dispatcher(c.service); ok {
 			if err := c.converse(ctx, holder); err != nil && ctx.Err() == nil {
-				c.client.log.Debug("stream ended", "service", c.service, "dispatcher", holder.Node, "err", err)
+				c.client.log.Debug("stream ended", "service", c.service, "dispatcher", holder.Node, "err", logging.Err(err))
 			}
 		}
 		pause(ctx, reconnectAfter/2+rand.N(reconnectAfter))
--- a/internal/dispatchrpc/fleet_test.go
+++ b/internal/dispatchrpc/fleet_test.go
@@ -190,8 +190,8 @@
 	net.Listener
 	mu    sync.Mutex
 	conns []net.Conn
-	// deaf drops what arrives, mute drops what is sent.
-	deaf, mute atomic.Bool
+	// dropsInput drops what arrives, dropsOutput drops what is sent.
+	dropsInput, dropsOutput atomic.Bool
 }
 
 func (l *gate) Accept() (net.Conn, error) {
@@ -222,14 +222,14 @@
 func (c *gatedConn) Read(p []byte) (int, error) {
 	for {
 		n, err := c.Conn.Read(p)
-		if err != nil || !c.gate.deaf.Load() {
+		if err != nil || !c.gate.dropsInput.Load() {
 			return n, err
 		}
 	}
 }
 
 func (c *gatedConn) Write(p []byte) (int, error) {
-	if c.gate.mute.Load() {
+	if c.gate.dropsOutput.Load() {
 		return len(p), nil
 	}
 	return c.Conn.Write(p)
--- a/internal/dispatchrpc/server.go
+++ b/internal/dispatchrpc/server.go
@@ -11,6 +11,7 @@
 	"github.com/tarragonmux/tarragonmux/internal/backend"
 	"github.com/tarragonmux/tarragonmux/internal/dispatch"
 	"github.com/tarragonmux/tarragonmux/internal/leadership"
+	"github.com/tarragonmux/tarragonmux/internal/logging"
 	"github.com/tarragonmux/tarragonmux/proto/dispatchpb"
 )
 
@@ -110,7 +111,7 @@
 	go func() {
 		defer p.cancel()
 		if err := s.serve(pipeDispatcher{p}); err != nil {
-			s.log.Debug("local stream ended", "err", err)
+			s.log.Debug("local stream ended", "err", logging.Err(err))
 		}
 	}()
 	return pipeNode{p}
--- a/internal/dispatchrpc/stream_test.go
+++ b/internal/dispatchrpc/stream_test.go
@@ -71,11 +71,11 @@
 	faults := map[string]func(*member){
 		"killed": func(n *member) { n.stop() },
 		"frozen": func(n *member) {
-			n.listener.deaf.Store(true)
-			n.listener.mute.Store(true)
+			n.listener.dropsInput.Store(true)
+			n.listener.dropsOutput.Store(true)
 		},
-		"mute": func(n *member) { n.listener.mute.Store(true) },
-		"deaf": func(n *member) { n.listener.deaf.Store(true) },
+		"sends nothing": func(n *member) { n.listener.dropsOutput.Store(true) },
+		"hears nothing": func(n *member) { n.listener.dropsInput.Store(true) },
 	}
 	for name, fault := range faults {
 		t.Run(name, func(t *testing.T) {
@@ -109,8 +109,8 @@
 	for _, n := range f.nodes[1:] {
 		f.g.Expect(n.client.Autonomous(service)).To(BeFalse())
 	}
-	f.nodes[0].listener.deaf.Store(true)
-	f.nodes[0].listener.mute.Store(true)
+	f.nodes[0].listener.dropsInput.Store(true)
+	f.nodes[0].listener.dropsOutput.Store(true)
 	f.lose(f.nodes[1])
 	for i, gap := range f.measureGaps(func() {}) {
 		f.g.Expect(gap).To(BeNumerically("<", time.Second), "node %d", i+1)
@@ -216,11 +216,11 @@
 	f := newFleet(t, 3, 4, 6)
 	f.elect(f.nodes[0])
 	f.ready()
-	f.nodes[0].listener.mute.Store(true)
+	f.nodes[0].listener.dropsOutput.Store(true)
 	gaps := f.measureGaps(func() {})
 	f.g.Expect(gaps[0]).To(BeNumerically("<", time.Second))
 	f.g.Expect(f.nodes[1].client.Autonomous(service)).To(BeTrue())
-	f.nodes[0].listener.mute.Store(false)
+	f.nodes[0].listener.dropsOutput.Store(false)
 	f.g.Eventually(func() bool { return f.nodes[1].client.Autonomous(service) }, time.Second).Should(BeFalse())
 }
 
--- a/internal/election/runner.go
+++ b/internal/election/runner.go
@@ -11,6 +11,7 @@
 
 	"github.com/tarragonmux/tarragonmux/internal/hostset"
 	"github.com/tarragonmux/tarragonmux/internal/leadership"
+	"github.com/tarragonmux/tarragonmux/internal/logging"
 	"github.com/tarragonmux/tarragonmux/internal/transport"
 	"github.com/tarragonmux/tarragonmux/proto/fleetpb"
 )
@@ -241,7 +242,7 @@
 		defer cancel()
 		reply, err := r.o.Caller.Vote(ctx, address, message)
 		if err != nil {
-			r.o.Logger.Debug("no answer to a vote request", "service", message.GetService(), "node", node, "err", err)
+			r.o.Logger.Debug("no answer to a vote request", "service", message.GetService(), "node", node, "err", logging.Err(err))
 			return
 		}
 		r.mu.Lock()
--- a/internal/election/runner_test.go
+++ b/internal/election/runner_test.go
@@ -23,24 +23,24 @@
 
 // cluster runs election runners in virtual time, with 1 ms one way between nodes.
 type cluster struct {
-	fleet   atomic.Pointer[hostset.Fleet]
-	mu      sync.Mutex
-	runners map[string]*election.Runner
-	cancel  map[string]context.CancelFunc
-	done    sync.WaitGroup
-	deaf    bool
-	calls   int
+	fleet             atomic.Pointer[hostset.Fleet]
+	mu                sync.Mutex
+	runners           map[string]*election.Runner
+	cancel            map[string]context.CancelFunc
+	done              sync.WaitGroup
+	loseAnnouncements bool
+	calls             int
 }
 
 func (c *cluster) Fleet() *hostset.Fleet { return c.fleet.Load() }
 
-// Vote delivers a message; the address of a node is its id. Announcements are lost while deaf is set.
+// Vote delivers a message; the address of a node is its id. Announcements are lost while loseAnnouncements is set.
 func (c *cluster) Vote(ctx context.Context, address string, r *fleetpb.VoteRequest) (*fleetpb.VoteReply, error) {
 	c.mu.Lock()
 	c.calls++
 	runner, ok := c.runners[address]
 	_, sends := c.runners[r.Candidate]
-	lost := !ok || !sends || c.deaf && r.Announce
+	lost := !ok || !sends || c.loseAnnouncements && r.Announce
 	c.mu.Unlock()
 	if lost {
 		<-ctx.Done()
@@ -113,12 +113,12 @@
 // Guards against nodes that go on with a dead dispatcher: after a kill and after a resignation every
 // node must know the new one within 1 s, and within 1.5 s more if all announcements are lost.
 func TestEveryNodeLearnsTheDispatcher(t *testing.T) {
-	for _, deaf := range []bool{false, true} {
-		t.Run(fmt.Sprintf("announcements lost %v", deaf), func(t *testing.T) {
+	for _, loseAnnouncements := range []bool{false, true} {
+		t.Run(fmt.Sprintf("announcements lost %v", loseAnnouncements), func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				g := NewWithT(t)
 				limit := time.Second
-				if deaf {
+				if loseAnnouncements {
 					limit += 1500 * time.Millisecond
 				}
 				c := newCluster(t, 48, "booking", "catalogue")
@@ -128,7 +128,7 @@
 				}
 				g.Expect(c.until(known(""))).To(BeNumerically("<", 2*time.Second))
 				c.mu.Lock()
-				c.deaf = deaf
+				c.loseAnnouncements = loseAnnouncements
 				c.mu.Unlock()
 				time.Sleep(2 * time.Second)
 				first, _ := c.holder("booking")
--- a/internal/membership/runner.go
+++ b/internal/membership/runner.go
@@ -12,6 +12,7 @@
 
 	"github.com/tarragonmux/tarragonmux/internal/backend"
 	"github.com/tarragonmux/tarragonmux/internal/hostset"
+	"github.com/tarragonmux/tarragonmux/internal/logging"
 	"github.com/tarragonmux/tarragonmux/internal/transport"
 	"github.com/tarragonmux/tarragonmux/proto/fleetpb"
 )
@@ -32,8 +33,8 @@
 	indirectTimeout = 350 * time.Millisecond
 	// forwardAttempts is how many members of a host set are tried with an announcement.
 	forwardAttempts = 3
-	// farewells bounds the farewell messages under way at once.
-	farewells = 16
+	// leaveCallsAtOnce bounds the calls under way at once that tell members of the departure.
+	leaveCallsAtOnce = 16
 )
 
 // Caller sends messages to other processes. Tests replace it to delay and cut messages.
@@ -176,7 +177,7 @@
 	for i := 0; request != nil && i < maxChain; i++ {
 		reply, sent, err := r.call(ctx, address, request)
 		if err != nil {
-			r.o.Logger.Debug("exchange failed", "member", id, "address", address, "err", err)
+			r.o.Logger.Debug("exchange failed", "member", id, "address", address, "err", logging.Err(err))
 			return i > 0
 		}
 		if id != "" && reply.GetFrom().GetId() != id {
@@ -212,7 +213,7 @@
 	var err error
 	r.locked(func(s *State, now time.Time) { out, err = s.HandleReply(now, sent, reply) })
 	if err != nil {
-		r.o.Logger.Warn("refused a reply", "member", reply.GetFrom().GetId(), "err", err)
+		r.o.Logger.Warn("refused a reply", "member", reply.GetFrom().GetId(), "err", logging.Err(err))
 		return nil
 	}
 	r.signal(out.Newer)
@@ -284,7 +285,7 @@
 		message = s.Farewell(now)
 	})
 	var group errgroup.Group
-	group.SetLimit(farewells)
+	group.SetLimit(leaveCallsAtOnce)
 	for _, m := range r.Members() {
 		if m.ID == r.o.Identity.ID || m.State == fleetpb.NodeState_NODE_STATE_DEAD {
 			continue
--- a/internal/membership/serve.go
+++ b/internal/membership/serve.go
@@ -7,6 +7,7 @@
 
 	"github.com/tarragonmux/tarragonmux/internal/backend"
 	"github.com/tarragonmux/tarragonmux/internal/hostset"
+	"github.com/tarragonmux/tarragonmux/internal/logging"
 	"github.com/tarragonmux/tarragonmux/proto/fleetpb"
 )
 
@@ -17,7 +18,7 @@
 	var err error
 	r.locked(func(s *State, now time.Time) { reply, out, err = s.HandleRequest(now, request) })
 	if err != nil {
-		r.o.Logger.Warn("refused a request", "member", request.GetFrom().GetId(), "err", err)
+		r.o.Logger.Warn("refused a request", "member", request.GetFrom().GetId(), "err", logging.Err(err))
 		return nil, err
 	}
 	r.signal(out.Newer)
