--- a/internal/bench/decisions/environment.go
+++ b/internal/bench/decisions/environment.go
@@ -16,6 +16,7 @@
 	"github.com/tarragonmux/tarragonmux/internal/dispatch"
 	"github.com/tarragonmux/tarragonmux/internal/dispatch/baseline"
 	"github.com/tarragonmux/tarragonmux/internal/grant"
+	"github.com/tarragonmux/tarragonmux/internal/priority"
 	"github.com/tarragonmux/tarragonmux/internal/standin"
 )
 
@@ -140,12 +141,12 @@
 			continue
 		}
 		for _, t := range s.GetPriorities() {
-			targets[priorityName(t.GetPriority())] = time.Duration(t.GetTargetLatencyMs()) * time.Millisecond
+			targets[priority.FromProto(t.GetPriority()).String()] = time.Duration(t.GetTargetLatencyMs()) * time.Millisecond
 		}
 	}
 	for _, r := range e.user.Routes {
 		if r.GetService() == e.service && r.GetIdempotent() {
-			paths[priorityName(r.GetPriority())] = r.GetPathPrefix()
+			paths[priority.FromProto(r.GetPriority()).String()] = r.GetPathPrefix()
 		}
 	}
 	return load.Class{
--- a/internal/bench/decisions/floods.go
+++ b/internal/bench/decisions/floods.go
@@ -9,7 +9,7 @@
 	"github.com/tarragonmux/tarragonmux/internal/bench/load"
 	"github.com/tarragonmux/tarragonmux/internal/bench/scenario"
 	"github.com/tarragonmux/tarragonmux/internal/bench/table"
-	"github.com/tarragonmux/tarragonmux/proto/configpb"
+	"github.com/tarragonmux/tarragonmux/internal/priority"
 )
 
 const (
@@ -90,7 +90,7 @@
 			continue
 		}
 		for _, t := range s.GetPriorities() {
-			if priorityName(t.GetPriority()) == class {
+			if priority.FromProto(t.GetPriority()).String() == class {
 				return t.GetMinimumShare()
 			}
 		}
@@ -98,17 +98,6 @@
 	return 0
 }
 
-func priorityName(p configpb.Priority) string {
-	switch p {
-	case configpb.Priority_PRIORITY_URGENT:
-		return urgent
-	case configpb.Priority_PRIORITY_NORMAL:
-		return normal
-	default:
-		return background
-	}
-}
-
 // teamFlood measures what other teams keep while one team floods at the same priority.
 func teamFlood(ctx context.Context, e *environment) ([]table.Row, error) {
 	e.slowWork()
