--- a/internal/agreement/identity.go
+++ b/internal/agreement/identity.go
@@ -45,7 +45,9 @@
 	group           *agreementpb.Group
 	first           []Member
 	seenAny         bool
-	answers         map[string]*agreementpb.PeerReply
+	// join is set if the first group was formed before.
+	join    bool
+	answers map[string]*agreementpb.PeerReply
 }
 
 // judge decides by itself, from the arguments only.
@@ -122,7 +124,7 @@
 			return wait
 		}
 	}
-	if !listed || s.seenAny {
+	if !listed || s.seenAny || s.join {
 		return wait
 	}
 	return form
@@ -162,6 +164,14 @@
 	for _, m := range r.store.group.GetMembers() {
 		peers[m.GetId()] = Member{ID: m.GetId(), Address: m.GetAddress()}
 	}
+	for _, m := range r.newestGroup().GetMembers() {
+		peers[m.GetId()] = Member{ID: m.GetId(), Address: m.GetAddress()}
+	}
+	if r.cfg.Discover != nil && r.store.group == nil {
+		for _, m := range r.cfg.Discover() {
+			peers[m.ID] = m
+		}
+	}
 	delete(peers, r.cfg.ID)
 	return peers
 }
@@ -213,7 +223,7 @@
 func (r *Replica) situation() situation {
 	s := situation{
 		id: r.cfg.ID, disk: r.disk, opened: r.opened, durable: r.log.Durable(),
-		group: r.store.group, first: r.cfg.FirstGroup, seenAny: len(r.store.seen) > 0,
+		group: r.store.group, first: r.cfg.FirstGroup, seenAny: len(r.store.seen) > 0, join: r.cfg.Join,
 		answers: map[string]*agreementpb.PeerReply{},
 	}
 	for id, a := range r.answers {
--- a/internal/agreement/replica.go
+++ b/internal/agreement/replica.go
@@ -71,6 +71,11 @@
 	// FirstGroup lists the members that form the first group, or any members of a later one.
 	FirstGroup []Member
 	Client     Client
+	// Join is set if the first group was formed before: an empty folder then never forms it again.
+	Join bool
+	// Discover lists further processes that may know the group, as fleets without a list of hosts
+	// find them; nil means none.
+	Discover func() []Member
 	// Logger may be nil.
 	Logger *log.Logger
 	// Now returns the time for intervals; nil means time.Now.
@@ -286,6 +291,25 @@
 	return s
 }
 
+// Group returns the newest group that this replica or one of its peers knows; nil if none does. It must
+// not be modified.
+func (r *Replica) Group() *agreementpb.Group {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.newestGroup()
+}
+
+// newestGroup is called with the lock held.
+func (r *Replica) newestGroup() *agreementpb.Group {
+	newest := r.store.group
+	for _, a := range r.answers {
+		if a.reply.GetGroup().GetEpoch() > newest.GetEpoch() {
+			newest = a.reply.GetGroup()
+		}
+	}
+	return newest
+}
+
 // Run exchanges state with the peers, learns and compacts until the context ends. Then it closes
 // the files; the replica cannot be used any more.
 func (r *Replica) Run(ctx context.Context) error {
--- a/internal/agreement/serve.go
+++ b/internal/agreement/serve.go
@@ -47,6 +47,8 @@
 		p.header.Refusal = refusalStopped
 	default:
 		p.header.Refusal = refusalNotVoting
+		// A proposer that began at hosts outside the group finds it through them.
+		p.header.Group = r.newestGroup()
 	}
 	return p, p.header.Refusal == ""
 }
@@ -280,7 +282,7 @@
 	p := r.newReply()
 	self := in.GetSelf()
 	out := &agreementpb.PeerReply{
-		Group:        r.store.group,
+		Group:        r.newestGroup(),
 		SeenSequence: r.store.seen[diskKey{self.GetId(), self.GetDiskId()}],
 		State:        string(r.state),
 		Self:         r.self(),
--- a/internal/app/common.go
+++ b/internal/app/common.go
@@ -102,16 +102,25 @@
 			Role:         role(s),
 			Incarnation:  uint64(i),
 		},
-		Peers:      joinAddresses(s),
-		Source:     source,
-		Caller:     membership.NewCaller(pool),
-		Logger:     logger.WithPrefix("membership"),
-		OnRevision: func(p membership.PeerRevision) { hints(p.Address, p.Revision) },
+		Peers:        joinAddresses(s),
+		Source:       source,
+		Caller:       membership.NewCaller(pool),
+		Logger:       logger.WithPrefix("membership"),
+		ServerCutoff: serverCutoff(s),
+		OnRevision:   func(p membership.PeerRevision) { hints(p.Address, p.Revision) },
 	})
 	start(lc, b, "membership", runner.Run)
 	return runner
 }
 
+// serverCutoff returns 0, which is the default, unless the fleet discovers its hosts.
+func serverCutoff(s *settings.Settings) time.Duration {
+	if s.Discovery == nil {
+		return 0
+	}
+	return s.Discovery.ServerCutoff.D()
+}
+
 func entryAddress(s *settings.Settings) string {
 	if s.Entry == nil {
 		return ""
--- a/internal/app/control.go
+++ b/internal/app/control.go
@@ -73,6 +73,7 @@
 		FS:           storage.NewFS(),
 		Folder:       filepath.Join(s.DataFolder, "replica"),
 		FirstGroup:   groupMembers(s),
+		Join:         s.Discovery != nil && s.Discovery.Join,
 		Client:       agreement.NewTransportClient(pool),
 		Logger:       logger.WithPrefix("agreement"),
 		SegmentBytes: s.Control.SegmentBytes,
--- /dev/null
+++ b/internal/app/discovery.go
@@ -0,0 +1,225 @@
+package app
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/pkg/errors"
+	"github.com/prometheus/client_golang/prometheus"
+	"go.uber.org/fx"
+
+	"github.com/tarragonmux/tarragonmux/internal/agreement"
+	"github.com/tarragonmux/tarragonmux/internal/attach"
+	"github.com/tarragonmux/tarragonmux/internal/configuration/control"
+	"github.com/tarragonmux/tarragonmux/internal/dispatchrpc"
+	"github.com/tarragonmux/tarragonmux/internal/election"
+	"github.com/tarragonmux/tarragonmux/internal/hostset"
+	"github.com/tarragonmux/tarragonmux/internal/membership"
+	"github.com/tarragonmux/tarragonmux/internal/settings"
+	"github.com/tarragonmux/tarragonmux/internal/transport"
+	"github.com/tarragonmux/tarragonmux/proto/configpb"
+	"github.com/tarragonmux/tarragonmux/proto/dispatchpb"
+	"github.com/tarragonmux/tarragonmux/proto/fleetpb"
+)
+
+const (
+	// surfaceHeaderTimeout bounds how long a client of an adapter's listener may take to send its headers.
+	surfaceHeaderTimeout = 5 * time.Second
+	// surfaceIdleTimeout closes idle connections to an adapter's listeners.
+	surfaceIdleTimeout = 30 * time.Second
+	// previousGroupFor is how long a former control group takes part in elections. It exceeds the lease
+	// of a vote and the time in which the members learn the new group.
+	previousGroupFor = 3 * time.Second
+)
+
+// discoveryRoles composes a process of a fleet that discovers its hosts.
+func discoveryRoles(s *settings.Settings) fx.Option {
+	if s.Entry != nil {
+		return attachedModule()
+	}
+	return controlHostModule()
+}
+
+// controlHostModule composes a control host, which keeps the configuration, knows all hosts and
+// backend servers, and dispatches.
+func controlHostModule() fx.Option {
+	return fx.Options(
+		controlModule(),
+		fx.Provide(
+			func(l *logHolder, r *agreement.Replica) hostset.Source {
+				return &groupSource{document: l.document, replica: r}
+			},
+			func() *logHolder { return &logHolder{} },
+			func() revisionHints { return func(string, uint64) {} },
+			newElections,
+			newControlDispatcher,
+			newAttachServer,
+		),
+		fx.Invoke(registerControlHost, serveFleet, serveControlSurface),
+	)
+}
+
+// groupSource derives the dispatchers' hosts from the control group, and the services from the
+// document in force.
+type groupSource struct {
+	document func() *configpb.Document
+	replica  *agreement.Replica
+
+	mu    sync.Mutex
+	from  *configpb.Document
+	epoch uint64
+	// since is when the epoch became known, and formed whether the former group still counts.
+	since  time.Time
+	former bool
+	fleet  *hostset.Fleet
+}
+
+// Fleet implements hostset.Source.
+func (g *groupSource) Fleet() *hostset.Fleet {
+	d, group := g.document(), g.replica.Group()
+	if d == nil || group == nil {
+		return nil
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := time.Now()
+	if group.GetEpoch() != g.epoch {
+		g.since = now
+	}
+	former := group.GetEpoch() > 1 && now.Sub(g.since) < previousGroupFor
+	if g.fleet != nil && g.from == d && g.epoch == group.GetEpoch() && g.former == former {
+		return g.fleet
+	}
+	g.from, g.epoch, g.former = d, group.GetEpoch(), former
+	g.fleet = &hostset.Fleet{HostsRevision: group.GetEpoch()}
+	for _, m := range group.GetMembers() {
+		g.fleet.Hosts = append(g.fleet.Hosts, hostset.Host{ID: m.GetId(), FleetAddress: m.GetAddress()})
+	}
+	if former {
+		for _, m := range group.GetPrevious() {
+			g.fleet.PreviousHosts = append(g.fleet.PreviousHosts, hostset.Host{ID: m.GetId(), FleetAddress: m.GetAddress()})
+		}
+	}
+	for _, s := range d.GetServices() {
+		g.fleet.Services = append(g.fleet.Services, hostset.Service{Name: s.GetName()})
+	}
+	return g.fleet
+}
+
+// documentSettings derives the dispatchers' settings from a document. The entry hosts are not known
+// in advance, so no shares are reserved for them.
+type documentSettings struct {
+	document func() *configpb.Document
+}
+
+// Services lists all services.
+func (d documentSettings) Services() []string {
+	var names []string
+	for _, s := range d.document().GetServices() {
+		names = append(names, s.GetName())
+	}
+	return names
+}
+
+// Service returns the settings of one service.
+func (d documentSettings) Service(name string) (dispatchrpc.ServiceSettings, bool) {
+	for _, s := range d.document().GetServices() {
+		if s.GetName() == name {
+			return serviceSettings(s), true
+		}
+	}
+	return dispatchrpc.ServiceSettings{}, false
+}
+
+func newControlDispatcher(lc fx.Lifecycle, b *background, s *settings.Settings, holder *logHolder, m *membership.Runner, e *election.Runner, registry *prometheus.Registry, logger *log.Logger) *dispatchrpc.Server {
+	return newDispatcher(lc, b, s, documentSettings{holder.document}, m, e, registry, logger)
+}
+
+func newAttachServer(s *settings.Settings, m *membership.Runner, e *election.Runner, source hostset.Source, holder *logHolder, pool *transport.Pool, logger *log.Logger) *attach.Server {
+	return attach.NewServer(attach.ServerOptions{
+		ID:        s.ID,
+		Address:   s.Fleet.Advertise,
+		Registry:  m,
+		Elections: e,
+		Source:    source,
+		Revision:  func() uint64 { return holder.document().GetRevision() },
+		Marker:    attach.NewMarker(pool),
+		Logger:    logger,
+	})
+}
+
+func registerControlHost(lc fx.Lifecycle, mux *transport.Mux, s *settings.Settings, m *membership.Runner, e *election.Runner, d *dispatchrpc.Server, a *attach.Server, source hostset.Source, holder *logHolder, parts *controlParts, b *background) error {
+	holder.log = parts.Log
+	lc.Append(fx.StopHook(func(ctx context.Context) {
+		m.Leave(ctx)
+		e.Resign(ctx)
+	}))
+	service := &fleetService{id: s.ID, membership: m, elections: e, dispatcher: d, attach: a, source: source, drain: b.requestDrain}
+	if err := mux.Register(service, fleetpb.DRPCFleetDescription{}); err != nil {
+		return err
+	}
+	return mux.Register(d, dispatchpb.DRPCDispatcherDescription{})
+}
+
+// controlSurface implements adapter.Control and adapter.Directory.
+type controlSurface struct {
+	*attach.Server
+	log *control.Log
+	ttl time.Duration
+}
+
+// Supersede implements adapter.Control.
+func (c controlSurface) Supersede(ctx context.Context, d *configpb.Document, author string) error {
+	return c.log.Supersede(ctx, d, author)
+}
+
+// Document implements adapter.Control.
+func (c controlSurface) Document(ctx context.Context) (*configpb.Document, error) {
+	reply, err := c.log.Get(ctx, &configpb.GetRequest{})
+	return reply.GetDocument(), err
+}
+
+// TTL implements adapter.Directory.
+func (c controlSurface) TTL() time.Duration { return c.ttl }
+
+func serveControlSurface(lc fx.Lifecycle, o Options, s *settings.Settings, b *background, a *attach.Server, parts *controlParts, logger *log.Logger) {
+	if o.Adapter == nil || s.Adapter == nil {
+		return
+	}
+	surface := controlSurface{Server: a, log: parts.Log, ttl: DirectoryTTL}
+	serveSurface(lc, o, b, logger, "adapter.control", s.Adapter.Control, o.Adapter.ControlHandler(surface))
+	serveSurface(lc, o, b, logger, "adapter.directory", s.Adapter.Directory, o.Adapter.DirectoryHandler(surface))
+}
+
+// serveSurface serves a handler of the adapter; without an address it does nothing.
+func serveSurface(lc fx.Lifecycle, o Options, b *background, logger *log.Logger, field, address string, handler http.Handler) {
+	if address == "" {
+		return
+	}
+	server := &http.Server{
+		Handler:           handler,
+		ReadHeaderTimeout: surfaceHeaderTimeout,
+		IdleTimeout:       surfaceIdleTimeout,
+		ErrorLog:          logger.WithPrefix("adapter").StandardLog(),
+	}
+	lc.Append(fx.StartStopHook(
+		func() error {
+			l, err := o.Listen(address)
+			if err != nil {
+				return listenError(field, err)
+			}
+			b.run(field, func(ctx context.Context) error {
+				if err := server.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+					return errors.Wrapf(err, "serve %s", field)
+				}
+				<-ctx.Done()
+				return nil
+			})
+			return nil
+		},
+		func(ctx context.Context) error { return errors.WithStack(server.Shutdown(ctx)) },
+	))
+}
--- a/internal/app/fleet.go
+++ b/internal/app/fleet.go
@@ -6,6 +6,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/tarragonmux/tarragonmux/internal/attach"
 	"github.com/tarragonmux/tarragonmux/internal/backend"
 	"github.com/tarragonmux/tarragonmux/internal/burn"
 	"github.com/tarragonmux/tarragonmux/internal/dispatch"
@@ -30,9 +31,14 @@
 	claimer    *records.Claimer
 	recorder   *burn.Recorder
 	source     hostset.Source
-	drain      func()
+	// attach is set on control hosts of a fleet that discovers its hosts.
+	attach *attach.Server
+	drain  func()
 }
 
+// errNoControl answers calls that only a control host can serve.
+var errNoControl = errors.New("this process runs no control host of a fleet that discovers its hosts; send the call to a control host")
+
 var _ fleetpb.DRPCFleetServer = (*fleetService)(nil)
 
 // Gossip exchanges membership.
@@ -61,6 +67,22 @@
 	return f.claimer.Attempts().Attempt(ctx, r)
 }
 
+// Attach answers the heartbeat of an entry host that is not a member of the gossip.
+func (f *fleetService) Attach(ctx context.Context, r *fleetpb.AttachRequest) (*fleetpb.AttachReply, error) {
+	if f.attach == nil {
+		return nil, errNoControl
+	}
+	return f.attach.Attach(ctx, r)
+}
+
+// Mark records that a backend server drains or has left.
+func (f *fleetService) Mark(ctx context.Context, r *fleetpb.MarkRequest) (*fleetpb.MarkReply, error) {
+	if f.attach == nil {
+		return nil, errNoControl
+	}
+	return f.attach.Mark(ctx, r)
+}
+
 // Burn returns the service-level counts.
 func (f *fleetService) Burn(context.Context, *fleetpb.BurnRequest) (*fleetpb.BurnReply, error) {
 	if f.recorder == nil {
--- a/internal/app/process.go
+++ b/internal/app/process.go
@@ -12,6 +12,7 @@
 	"go.uber.org/fx"
 	"go.uber.org/fx/fxevent"
 
+	"github.com/tarragonmux/tarragonmux/internal/adapter"
 	"github.com/tarragonmux/tarragonmux/internal/logging"
 	"github.com/tarragonmux/tarragonmux/internal/settings"
 	"github.com/tarragonmux/tarragonmux/internal/transport"
@@ -36,6 +37,8 @@
 	Listen func(address string) (net.Listener, error)
 	// Grants replaces the source of grants, for comparisons with the baselines; nil means the dispatchers.
 	Grants GrantsFactory
+	// Adapter speaks the conventions of another platform; nil means the product's own.
+	Adapter adapter.Adapter
 }
 
 func (o Options) withDefaults(s *settings.Settings) Options {
@@ -94,6 +97,9 @@
 }
 
 func roles(s *settings.Settings) fx.Option {
+	if s.Discovery != nil {
+		return discoveryRoles(s)
+	}
 	var options []fx.Option
 	if s.Control != nil {
 		options = append(options, controlModule())
@@ -142,9 +148,9 @@
 }
 
 // Run starts a process, waits until the context ends or a part fails, and stops it gracefully.
-func Run(ctx context.Context, s *settings.Settings, out io.Writer) error {
+func Run(ctx context.Context, s *settings.Settings, out io.Writer, a adapter.Adapter) error {
 	logger := logging.New(out, s.Log.Level, s.Log.JSON)
-	p, err := New(s, Options{Logger: logger})
+	p, err := New(s, Options{Logger: logger, Adapter: a})
 	if err != nil {
 		return err
 	}
@@ -157,7 +163,7 @@
 	main.Info("started", "id", s.ID, "data_centre", s.DataCentre)
 	failed := p.await(ctx)
 	main.Info("stopping")
-	stopCtx, cancelStop := context.WithTimeout(context.WithoutCancel(ctx), stopTimeout)
+	stopCtx, cancelStop := context.WithTimeout(context.WithoutCancel(ctx), stopTime(s))
 	defer cancelStop()
 	if err := p.Stop(stopCtx); err != nil {
 		return err
@@ -166,6 +172,14 @@
 	return failed
 }
 
+// stopTime is how long a graceful stop may take.
+func stopTime(s *settings.Settings) time.Duration {
+	if s.Discovery != nil {
+		return s.Discovery.StopAfter.D()
+	}
+	return stopTimeout
+}
+
 // await returns nil when a stop is asked for, or else what failed.
 func (p *Process) await(ctx context.Context) error {
 	select {
--- a/internal/app/source.go
+++ b/internal/app/source.go
@@ -99,6 +99,21 @@
 	if !ok {
 		return dispatchrpc.ServiceSettings{}, false
 	}
+	result := serviceSettings(s)
+	for _, h := range d.set(name) {
+		member, known := d.members(h.ID)
+		result.Members = append(result.Members, dispatch.Member{
+			Node:       h.ID,
+			DataCentre: h.DataCentre,
+			// A host that was never heard keeps no share reserved.
+			Dead: !known || member.State == fleetpb.NodeState_NODE_STATE_DEAD,
+		})
+	}
+	return result, true
+}
+
+// serviceSettings returns what a service's configuration says, without the members of its host set.
+func serviceSettings(s *configpb.Service) dispatchrpc.ServiceSettings {
 	result := dispatchrpc.ServiceSettings{
 		MinimumHealthySlots:   int(s.GetMinimumHealthySlots()),
 		MinimumHealthyPercent: int(s.GetMinimumHealthyPercent()),
@@ -110,14 +125,5 @@
 		result.Shares[rank] = t.GetMinimumShare()
 		result.Targets[rank] = time.Duration(t.GetTargetLatencyMs()) * time.Millisecond
 	}
-	for _, h := range d.set(name) {
-		member, known := d.members(h.ID)
-		result.Members = append(result.Members, dispatch.Member{
-			Node:       h.ID,
-			DataCentre: h.DataCentre,
-			// A host that was never heard keeps no share reserved.
-			Dead: !known || member.State == fleetpb.NodeState_NODE_STATE_DEAD,
-		})
-	}
-	return result, true
+	return result
 }
--- /dev/null
+++ b/internal/attach/client.go
@@ -0,0 +1,285 @@
+package attach
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/charmbracelet/log"
+
+	"github.com/tarragonmux/tarragonmux/internal/leadership"
+	"github.com/tarragonmux/tarragonmux/internal/logging"
+	"github.com/tarragonmux/tarragonmux/proto/fleetpb"
+)
+
+const (
+	// HeartbeatEvery is the time between two heartbeats of an entry host.
+	HeartbeatEvery = 500 * time.Millisecond
+	// callTimeout bounds a heartbeat, so that a silent control host is passed over within a second.
+	callTimeout = 400 * time.Millisecond
+	// retryEvery is the pause before the next control host is tried.
+	retryEvery = 50 * time.Millisecond
+	// seekEvery is the pause between heartbeats while a service has no known dispatcher.
+	seekEvery = 100 * time.Millisecond
+)
+
+// Caller sends heartbeats. Tests replace it.
+type Caller interface {
+	Attach(ctx context.Context, address string, r *fleetpb.AttachRequest) (*fleetpb.AttachReply, error)
+}
+
+// ClientOptions configure a Client.
+type ClientOptions struct {
+	ID           string
+	Incarnation  uint64
+	DataCentre   string
+	EntryAddress string
+	FleetAddress string
+	// Seeds returns fleet addresses of control hosts to begin with.
+	Seeds  func() []string
+	Caller Caller
+	// OnRevision is told the newest revision that a control host knows, and its address.
+	OnRevision func(address string, revision uint64)
+	Logger     *log.Logger
+}
+
+// Client keeps an entry host attached. It implements leadership.Elections for a host that holds no
+// lease. It is safe for concurrent use.
+type Client struct {
+	o    ClientOptions
+	wake chan struct{}
+
+	mu          sync.Mutex
+	ready       bool
+	leaving     bool
+	version     uint64
+	address     string
+	control     []string
+	dispatchers map[string]leadership.Holder
+	// broken holds the terms of dispatchers whose stream ended, by service.
+	broken   map[string]uint64
+	attached bool
+}
+
+var (
+	_ leadership.Elections = (*Client)(nil)
+	_ leadership.Observer  = (*Client)(nil)
+)
+
+// NewClient returns a client that knows nothing until Run.
+func NewClient(o ClientOptions) *Client {
+	o.Logger = o.Logger.WithPrefix("attach")
+	return &Client{
+		o:           o,
+		wake:        make(chan struct{}, 1),
+		dispatchers: map[string]leadership.Holder{},
+		broken:      map[string]uint64{},
+	}
+}
+
+// Run sends heartbeats until the context ends.
+func (c *Client) Run(ctx context.Context) error {
+	for ctx.Err() == nil {
+		pause := HeartbeatEvery
+		if !c.heartbeat(ctx) {
+			pause = retryEvery
+		} else if c.seeking() {
+			pause = seekEvery
+		}
+		timer := time.NewTimer(pause)
+		select {
+		case <-ctx.Done():
+		case <-timer.C:
+		case <-c.wake:
+		}
+		timer.Stop()
+	}
+	return nil
+}
+
+// heartbeat sends one heartbeat and turns to another control host if it fails.
+func (c *Client) heartbeat(ctx context.Context) bool {
+	address, request := c.request()
+	if address == "" {
+		return false
+	}
+	bounded, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	reply, err := c.o.Caller.Attach(bounded, address, request)
+	if err != nil {
+		c.lost(address, err)
+		return false
+	}
+	c.learn(address, reply)
+	return true
+}
+
+func (c *Client) request() (string, *fleetpb.AttachRequest) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.address == "" {
+		c.address = c.next("")
+	}
+	state := fleetpb.NodeState_NODE_STATE_ALIVE
+	if c.leaving {
+		state = fleetpb.NodeState_NODE_STATE_LEAVING
+	}
+	return c.address, &fleetpb.AttachRequest{Host: &fleetpb.Node{
+		Id: c.o.ID, Incarnation: c.o.Incarnation, DataCentre: c.o.DataCentre, State: state,
+		EntryAddress: c.o.EntryAddress, FleetAddress: c.o.FleetAddress, Ready: c.ready && !c.leaving,
+	}}
+}
+
+// next returns the control host after the given one. The caller holds the mutex.
+func (c *Client) next(after string) string {
+	addresses := c.addresses()
+	if len(addresses) == 0 {
+		return ""
+	}
+	if after == "" {
+		// Hosts begin at different control hosts, so that the heartbeats are spread.
+		return addresses[c.o.Incarnation%uint64(len(addresses))]
+	}
+	at := slices.Index(addresses, after)
+	return addresses[(at+1)%len(addresses)]
+}
+
+// addresses lists the control hosts that are known, and the seeds. The caller holds the mutex.
+func (c *Client) addresses() []string {
+	list := slices.Clone(c.control)
+	for _, seed := range c.o.Seeds() {
+		if !slices.Contains(list, seed) {
+			list = append(list, seed)
+		}
+	}
+	return list
+}
+
+func (c *Client) lost(address string, err error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.attached {
+		c.attached = false
+		c.o.Logger.Warn("lost the control host", "address", address, "err", logging.Err(err))
+	}
+	c.address = c.next(address)
+}
+
+func (c *Client) learn(address string, reply *fleetpb.AttachReply) {
+	c.mu.Lock()
+	if !c.attached {
+		c.attached = true
+		c.o.Logger.Info("attached to a control host", "address", address, "control_hosts", len(reply.GetControl()))
+	}
+	if known := reply.GetKnownIncarnation(); known >= c.o.Incarnation && known > 0 {
+		c.o.Incarnation = known + 1
+		c.poke()
+	}
+	if len(reply.GetControl()) > 0 {
+		c.control = reply.GetControl()
+	}
+	for _, d := range reply.GetDispatchers() {
+		c.hear(d)
+	}
+	c.mu.Unlock()
+	if c.o.OnRevision != nil {
+		c.o.OnRevision(address, reply.GetRevision())
+	}
+}
+
+// hear takes word of a dispatcher unless its term is over. The caller holds the mutex.
+func (c *Client) hear(d *fleetpb.Dispatcher) {
+	known, ok := c.dispatchers[d.GetService()]
+	if ok && d.GetTerm() < known.Term || d.GetTerm() < c.broken[d.GetService()] {
+		return
+	}
+	if known.Node != d.GetNode() || known.Term != d.GetTerm() {
+		c.o.Logger.Info("learned a dispatcher", "service", d.GetService(), "dispatcher", d.GetNode(), "term", d.GetTerm())
+	}
+	c.dispatchers[d.GetService()] = leadership.Holder{Node: d.GetNode(), Address: d.GetAddress(), Term: d.GetTerm()}
+}
+
+// seeking tells whether a dispatcher was lost and its successor is not known.
+func (c *Client) seeking() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for service, term := range c.broken {
+		if c.dispatchers[service].Term <= term {
+			return true
+		}
+	}
+	return len(c.dispatchers) == 0
+}
+
+// Held implements leadership.Elections; an attached host holds no lease.
+func (c *Client) Held(string) (leadership.Lease, bool) { return leadership.Lease{}, false }
+
+// Dispatcher implements leadership.Elections.
+func (c *Client) Dispatcher(service string) (leadership.Holder, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	h, ok := c.dispatchers[service]
+	return h, ok
+}
+
+// Serves implements leadership.Observer.
+func (c *Client) Serves(service, _ string, term uint64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if term >= c.broken[service] {
+		delete(c.broken, service)
+	}
+}
+
+// Lost implements leadership.Observer: the client asks for the successor at once.
+func (c *Client) Lost(service string) {
+	c.mu.Lock()
+	c.broken[service] = c.dispatchers[service].Term
+	c.mu.Unlock()
+	c.poke()
+}
+
+// Control returns the fleet addresses of the control hosts that are known, and the seeds.
+func (c *Client) Control() []string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.addresses()
+}
+
+// SetReady records whether this host serves callers; a change is told at once.
+func (c *Client) SetReady(ready bool) {
+	c.mu.Lock()
+	changed := c.ready != ready
+	c.ready = ready
+	c.mu.Unlock()
+	if changed {
+		c.poke()
+	}
+}
+
+func (c *Client) poke() {
+	select {
+	case c.wake <- struct{}{}:
+	default:
+	}
+}
+
+// Leave tells every control host that this host leaves. It returns when all were told or the context ends.
+func (c *Client) Leave(ctx context.Context) {
+	c.mu.Lock()
+	c.leaving = true
+	addresses := c.addresses()
+	c.mu.Unlock()
+	_, request := c.request()
+	var group sync.WaitGroup
+	for _, address := range addresses {
+		group.Go(func() {
+			bounded, cancel := context.WithTimeout(ctx, callTimeout)
+			defer cancel()
+			// A control host that cannot be told now learns it from the others.
+			_, _ = c.o.Caller.Attach(bounded, address, request)
+		})
+	}
+	group.Wait()
+}
--- /dev/null
+++ b/internal/attach/doc.go
@@ -0,0 +1,16 @@
+// Package attach connects entry hosts that are not members of the gossip to the control hosts.
+//
+// In a fleet that discovers its hosts, only the control hosts gossip with each other, vote and
+// dispatch. An entry host attaches to them: every HeartbeatEvery it tells one control host its address
+// and readiness, and learns the control hosts, the dispatchers and the newest configuration revision.
+// When that host does not answer, it turns to the next one. So an idle entry host costs two small
+// messages per second, however many hosts and backend servers there are, and the control hosts know of
+// a lost entry host after DirectoryAge.
+//
+// The backend servers that an entry host may use while no dispatcher answers come with the stream of
+// the dispatcher, as changes only.
+//
+// A backend server that drains or leaves tells a control host, which answers once the dispatcher of
+// the service and a majority of the control group have taken it out. So the answer binds also if the
+// host that gave it fails a moment later.
+package attach
--- /dev/null
+++ b/internal/attach/server.go
@@ -0,0 +1,267 @@
+package attach
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/pkg/errors"
+
+	"github.com/tarragonmux/tarragonmux/internal/backend"
+	"github.com/tarragonmux/tarragonmux/internal/hostset"
+	"github.com/tarragonmux/tarragonmux/internal/leadership"
+	"github.com/tarragonmux/tarragonmux/internal/logging"
+	"github.com/tarragonmux/tarragonmux/internal/membership"
+	"github.com/tarragonmux/tarragonmux/proto/fleetpb"
+)
+
+const (
+	// entryHosts is the service under which the control hosts gossip the entry hosts. No configured
+	// service can have the name, since it is not a valid one.
+	entryHosts = "entry hosts"
+	// DirectoryAge is the age of the last heartbeat at which an entry host is no longer listed.
+	DirectoryAge = 2 * time.Second
+	// markEvery is the pause between two rounds of marks to control hosts that have not answered.
+	markEvery = 50 * time.Millisecond
+	// markTimeout bounds one mark.
+	markTimeout = 300 * time.Millisecond
+)
+
+// ErrNotBinding means that the dispatcher or a majority of the control group could not be told.
+var ErrNotBinding = errors.New("the control hosts could not be told; send it again, best to another control host")
+
+// Registry is the membership of the control hosts.
+type Registry interface {
+	AnnounceHere(s backend.Server) error
+	Servers(service string) []backend.Server
+	Members() []membership.Member
+	Mark(instance string, incarnation uint64, state backend.State) []string
+}
+
+// Marker sends marks to control hosts.
+type Marker interface {
+	Mark(ctx context.Context, address string, r *fleetpb.MarkRequest) error
+}
+
+// ServerOptions configure a Server.
+type ServerOptions struct {
+	ID        string
+	Address   string
+	Registry  Registry
+	Elections leadership.Elections
+	// Source has the members of the control group as its hosts.
+	Source   hostset.Source
+	Revision func() uint64
+	Marker   Marker
+	Logger   *log.Logger
+}
+
+// Server is the control hosts' side: it knows the entry hosts and takes backend servers out. It is
+// safe for concurrent use.
+type Server struct {
+	o ServerOptions
+}
+
+// NewServer returns a server.
+func NewServer(o ServerOptions) *Server {
+	o.Logger = o.Logger.WithPrefix("attach")
+	return &Server{o: o}
+}
+
+// Attach records the heartbeat of an entry host and tells it what it needs.
+func (s *Server) Attach(_ context.Context, r *fleetpb.AttachRequest) (*fleetpb.AttachReply, error) {
+	host := r.GetHost()
+	if host == nil {
+		return nil, errors.New("the heartbeat names no host; upgrade the sender")
+	}
+	state := backend.Starting
+	switch {
+	case host.GetState() >= fleetpb.NodeState_NODE_STATE_LEAVING:
+		state = backend.Draining
+	case host.GetReady():
+		state = backend.Ready
+	}
+	if err := s.o.Registry.AnnounceHere(backend.Server{
+		Service: entryHosts, Instance: host.GetId(), Incarnation: host.GetIncarnation(),
+		Address: host.GetEntryAddress(), DataCentre: host.GetDataCentre(), State: state,
+	}); err != nil {
+		var superseded *membership.SupersededError
+		if !errors.As(err, &superseded) {
+			return nil, err
+		}
+		// The host's clock was set back before it started.
+		reply := s.reply()
+		reply.KnownIncarnation = superseded.Known
+		return reply, nil
+	}
+	return s.reply(), nil
+}
+
+func (s *Server) reply() *fleetpb.AttachReply {
+	reply := &fleetpb.AttachReply{Revision: s.o.Revision(), Control: []string{s.o.Address}}
+	for _, m := range s.o.Registry.Members() {
+		if m.State == fleetpb.NodeState_NODE_STATE_ALIVE && m.FleetAddress != s.o.Address {
+			reply.Control = append(reply.Control, m.FleetAddress)
+		}
+	}
+	fleet := s.o.Source.Fleet()
+	if fleet == nil {
+		return reply
+	}
+	for _, service := range fleet.Services {
+		if h, ok := s.o.Elections.Dispatcher(service.Name); ok {
+			reply.Dispatchers = append(reply.Dispatchers, &fleetpb.Dispatcher{
+				Service: service.Name, Node: h.Node, Address: h.Address, Term: h.Term,
+			})
+		}
+	}
+	return reply
+}
+
+// Endpoints lists the entry hosts that serve callers at present.
+func (s *Server) Endpoints(now time.Time) []hostset.Endpoint {
+	var list []hostset.Endpoint
+	for _, h := range s.o.Registry.Servers(entryHosts) {
+		if h.State == backend.Ready && now.Sub(h.Renewed) < DirectoryAge {
+			list = append(list, hostset.Endpoint{Node: h.Instance, Address: h.Address, DataCentre: h.DataCentre})
+		}
+	}
+	return list
+}
+
+// Mark records the mark of another control host.
+func (s *Server) Mark(_ context.Context, r *fleetpb.MarkRequest) (*fleetpb.MarkReply, error) {
+	s.o.Registry.Mark(r.GetInstance(), r.GetIncarnation(), backend.State(r.GetState()))
+	return &fleetpb.MarkReply{}, nil
+}
+
+// TakeOut marks a backend server as draining or gone and returns nil once every host that may place
+// work on it knows: the dispatchers of its services, and a majority of the control group, from which
+// a next dispatcher would learn it. Errors: ErrNotBinding.
+func (s *Server) TakeOut(ctx context.Context, instance string, incarnation uint64, state backend.State) error {
+	services := s.o.Registry.Mark(instance, incarnation, state)
+	request := &fleetpb.MarkRequest{Instance: instance, Incarnation: incarnation, State: fleetpb.ServerState(state)}
+	t := &takeOut{server: s, request: request, services: services, told: map[string]bool{s.o.Address: true}}
+	for {
+		if t.binding() {
+			return nil
+		}
+		t.round(ctx)
+		if t.binding() {
+			return nil
+		}
+		timer := time.NewTimer(markEvery)
+		select {
+		case <-ctx.Done():
+			timer.Stop()
+			s.o.Logger.Warn("could not take a backend server out", "instance", instance, "told", len(t.told))
+			return ErrNotBinding
+		case <-timer.C:
+		}
+	}
+}
+
+// takeOut is the state of one TakeOut.
+type takeOut struct {
+	server   *Server
+	request  *fleetpb.MarkRequest
+	services []string
+	// told holds the fleet addresses that have answered.
+	told map[string]bool
+}
+
+// binding tells whether the hosts that have answered are enough.
+func (t *takeOut) binding() bool {
+	fleet := t.server.o.Source.Fleet()
+	if fleet == nil || len(fleet.Hosts) == 0 {
+		return false
+	}
+	count := 0
+	for _, h := range fleet.Hosts {
+		if t.told[h.FleetAddress] {
+			count++
+		}
+	}
+	if 2*count <= len(fleet.Hosts) {
+		return false
+	}
+	for _, service := range t.services {
+		if h, ok := t.server.o.Elections.Dispatcher(service); ok && !t.told[h.Address] {
+			return false
+		}
+	}
+	return true
+}
+
+// round marks the server at every control host that has not answered. It returns as soon as the marks
+// are enough, or when all calls have ended.
+func (t *takeOut) round(ctx context.Context) {
+	addresses := t.open()
+	done := make(chan string, len(addresses))
+	for _, address := range addresses {
+		go func() {
+			// A mark goes on when the answer was given, so that the other control hosts know soon.
+			bounded, cancel := context.WithTimeout(context.WithoutCancel(ctx), markTimeout)
+			defer cancel()
+			if err := t.server.o.Marker.Mark(bounded, address, t.request); err != nil {
+				t.server.o.Logger.Debug("a control host could not be told of a backend server", "address", address, "err", logging.Err(err))
+				address = ""
+			}
+			done <- address
+		}()
+	}
+	for range addresses {
+		select {
+		case address := <-done:
+			if address != "" {
+				t.told[address] = true
+			}
+		case <-ctx.Done():
+			return
+		}
+		if t.binding() {
+			return
+		}
+	}
+}
+
+// open lists the control hosts that have not answered.
+func (t *takeOut) open() []string {
+	var list []string
+	add := func(address string) {
+		if address != "" && !t.told[address] && !slices.Contains(list, address) {
+			list = append(list, address)
+		}
+	}
+	if fleet := t.server.o.Source.Fleet(); fleet != nil {
+		for _, h := range fleet.Hosts {
+			add(h.FleetAddress)
+		}
+	}
+	for _, m := range t.server.o.Registry.Members() {
+		if m.State <= fleetpb.NodeState_NODE_STATE_SUSPECT {
+			add(m.FleetAddress)
+		}
+	}
+	return list
+}
+
+// Announce records what a backend server says about itself. That of a draining server returns nil once
+// it binds, as TakeOut does. Announcements of a process that has ended are taken without effect.
+// Errors: MalformedError, ErrNotBinding.
+func (s *Server) Announce(ctx context.Context, b backend.Server) error {
+	err := s.o.Registry.AnnounceHere(b)
+	var superseded *membership.SupersededError
+	switch {
+	case errors.As(err, &superseded):
+		s.o.Logger.Debug("ignored an announcement of an ended process", "service", b.Service, "instance", b.Instance, "known", superseded.Known)
+		return nil
+	case err != nil:
+		return err
+	case b.State == backend.Draining:
+		return s.TakeOut(ctx, b.Instance, b.Incarnation, backend.Draining)
+	default:
+		return nil
+	}
+}
--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -75,11 +75,17 @@
 	Renewed time.Time
 	// ReadySince is this node's monotonic time at which the server became ready.
 	ReadySince time.Time
+	// Cutoff is the age of the last renewal at which the server gets no new work; 0 means the default.
+	Cutoff time.Duration
 }
 
 // Usable tells whether the server may get new work.
 func (s Server) Usable(now time.Time) bool {
-	return s.State == Ready && now.Sub(s.Renewed) < Cutoff
+	cutoff := s.Cutoff
+	if cutoff == 0 {
+		cutoff = Cutoff
+	}
+	return s.State == Ready && now.Sub(s.Renewed) < cutoff
 }
 
 // Registry holds this node's view of the backend servers. It is safe for concurrent use.
--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -28,6 +28,7 @@
 type commands struct {
 	Node          nodeCommand          `cmd:"" help:"Run an entry host, with a control replica if its settings have a control section."`
 	Control       controlCommand       `cmd:"" help:"Run a control replica."`
+	Platform      platformCommand      `cmd:"" help:"Run the process that the settings of the users' platform describe."`
 	Backend       backendCommand       `cmd:"" help:"Run a stand-in backend server."`
 	Demo          demoCommand          `cmd:"" help:"Run an embedded fleet with a load, all in one process."`
 	Config        configCommands       `cmd:"" help:"Read and change the replicated configuration."`
--- a/internal/cli/process.go
+++ b/internal/cli/process.go
@@ -13,6 +13,7 @@
 	"github.com/tarragonmux/tarragonmux/internal/logging"
 	"github.com/tarragonmux/tarragonmux/internal/settings"
 	"github.com/tarragonmux/tarragonmux/internal/standin"
+	"github.com/tarragonmux/tarragonmux/platform"
 )
 
 const (
@@ -28,6 +29,24 @@
 	Settings string `arg:"" help:"Settings file." type:"path"`
 }
 
+type platformCommand struct {
+	Settings string `arg:"" optional:"" help:"Settings file in the platform's format." type:"path"`
+}
+
+// Run runs the process that the platform's settings describe until it is told to stop. Log lines go to
+// the standard output.
+func (c *platformCommand) Run(ctx context.Context, out *output) error {
+	path := c.Settings
+	if path == "" {
+		path = platform.SettingsPath
+	}
+	s, err := platform.LoadSettings(path)
+	if err != nil {
+		return err
+	}
+	return app.Run(ctx, s, out.out, platform.New(logging.New(out.out, s.Log.Level, s.Log.JSON)))
+}
+
 // Run runs an entry host until it is told to stop.
 func (c *nodeCommand) Run(ctx context.Context, out *output) error {
 	s, err := settings.Load(c.Settings)
@@ -37,7 +56,7 @@
 	if s.Entry == nil {
 		return errors.New("the settings have no entry section; add one, or run: tarragonmux control")
 	}
-	return app.Run(ctx, s, out.errs)
+	return app.Run(ctx, s, out.errs, nil)
 }
 
 type controlCommand struct {
@@ -53,7 +72,7 @@
 	if s.Control == nil {
 		return errors.New("the settings have no control section; add one, or run: tarragonmux node")
 	}
-	return app.Run(ctx, s, out.errs)
+	return app.Run(ctx, s, out.errs, nil)
 }
 
 type backendCommand struct {
--- a/internal/configuration/apply.go
+++ b/internal/configuration/apply.go
@@ -70,12 +70,27 @@
 		next.Revision = d.GetRevision()
 		next.PreviousHosts = d.GetPreviousHosts()
 		next.HostsRevision = d.GetHostsRevision()
+	case *configpb.Change_Supersede:
+		return superseded(d, k.Supersede.GetDocument()), true
 	default:
 		return nil, false
 	}
 	return next, true
 }
 
+// superseded returns the document with the higher version, at the same revision. A document that was
+// overtaken while it was proposed changes nothing.
+func superseded(d, asked *configpb.Document) *configpb.Document {
+	if asked.GetVersion() <= d.GetVersion() {
+		return shallow(d)
+	}
+	next := Canonical(asked)
+	next.Revision = d.GetRevision()
+	next.PreviousHosts = d.GetPreviousHosts()
+	next.HostsRevision = d.GetHostsRevision()
+	return next
+}
+
 func hostsDiffer(a, b []*configpb.Host) bool {
 	return !slices.EqualFunc(a, b, func(x, y *configpb.Host) bool { return proto.Equal(x, y) })
 }
--- /dev/null
+++ b/internal/configuration/control/supersede.go
@@ -0,0 +1,63 @@
+package control
+
+import (
+	"context"
+
+	"github.com/google/uuid"
+	"github.com/pkg/errors"
+
+	"github.com/tarragonmux/tarragonmux/internal/configuration"
+	"github.com/tarragonmux/tarragonmux/proto/configpb"
+)
+
+// Errors of Supersede. A rejected document is returned as *configuration.Rejection.
+var (
+	// ErrUndecided means that the document may or may not come into force.
+	ErrUndecided = errors.New("no majority of the control replicas answered in time, so the document may or may not come into force; send it again")
+	// ErrUnavailable means that the document was not proposed.
+	ErrUnavailable = errors.New("no majority of the control replicas answers and the document was not proposed; send it again later")
+)
+
+// Supersede puts a whole document in force if its version is above that of the one in force. It
+// returns nil once a majority of the control replicas holds the document or one of a higher version,
+// so a resend, and a document that was overtaken, are accepted without effect.
+// Errors: *configuration.Rejection, ErrUndecided, ErrUnavailable.
+func (l *Log) Supersede(ctx context.Context, d *configpb.Document, author string) error {
+	change := &configpb.Change{Kind: &configpb.Change_Supersede{Supersede: &configpb.Supersede{Document: d}}}
+	if fault := configuration.Validate(configuration.Empty(), change); fault != nil {
+		return fault
+	}
+	select {
+	case l.proposing <- struct{}{}:
+		defer func() { <-l.proposing }()
+	case <-ctx.Done():
+		return ErrUnavailable
+	}
+	// One id for all revisions that are tried: the log applies it once.
+	id := uuid.NewString()
+	for {
+		if _, err := l.readOn(ctx); err != nil {
+			return errors.WithMessage(ErrUnavailable, err.Error())
+		}
+		document := l.Document()
+		if document.GetVersion() >= d.GetVersion() {
+			return nil
+		}
+		reply := l.propose(ctx, &configpb.ApplyRequest{
+			ExpectedRevision: document.GetRevision(), RequestId: id, Author: author, Change: change,
+		})
+		switch reply.GetVerdict() {
+		case configpb.Verdict_VERDICT_ACCEPTED:
+			return nil
+		case configpb.Verdict_VERDICT_CONFLICT:
+			// Another document holds the revision; it may have a lower version.
+		case configpb.Verdict_VERDICT_UNAVAILABLE:
+			return ErrUnavailable
+		default:
+			return ErrUndecided
+		}
+		if ctx.Err() != nil {
+			return ErrUndecided
+		}
+	}
+}
--- a/internal/configuration/document.go
+++ b/internal/configuration/document.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"slices"
 	"strings"
+	"time"
 
 	"google.golang.org/protobuf/proto"
 
@@ -45,6 +46,8 @@
 		Teams:         d.GetTeams(),
 		PreviousHosts: d.GetPreviousHosts(),
 		HostsRevision: d.GetHostsRevision(),
+		Version:       d.GetVersion(),
+		Source:        d.GetSource(),
 	}
 }
 
@@ -107,3 +110,29 @@
 	c = append(c, items[:i]...)
 	return append(c, items[i+1:]...)
 }
+
+// DefaultService returns a service with the settings that hold where an operator's format has none.
+func DefaultService(name string) *configpb.Service {
+	s := &configpb.Service{Name: name, MinimumHealthyPercent: defaultMinimumHealthy, SlotLimit: 1, ConnectionLimit: 1}
+	for i, share := range defaultShares {
+		s.Priorities = append(s.Priorities, &configpb.PriorityTarget{
+			Priority:        configpb.Priority_PRIORITY_URGENT + configpb.Priority(i),
+			TargetLatencyMs: defaultTarget.Milliseconds(),
+			TargetShare:     defaultTargetShare,
+			MinimumShare:    share,
+		})
+	}
+	return s
+}
+
+const (
+	// defaultMinimumHealthy is the percentage of the announced slots below which nothing is ejected.
+	defaultMinimumHealthy = 70
+	// defaultTarget holds for routes without a target latency of their own.
+	defaultTarget = time.Second
+	// defaultTargetShare is the share of requests that must be good.
+	defaultTargetShare = 0.99
+)
+
+// defaultShares are the shares of slot time kept for urgent, normal and background work.
+var defaultShares = [...]float64{0, 0.2, 0.1}
--- a/internal/configuration/routes.go
+++ b/internal/configuration/routes.go
@@ -105,6 +105,10 @@
 		Idempotent:      r.GetIdempotent(),
 		BodyLimit:       bodyLimit(r),
 		DefaultDeadline: time.Duration(r.GetDefaultDeadlineMs()) * time.Millisecond,
+		Timeout:         time.Duration(r.GetTimeoutMs()) * time.Millisecond,
+		Attempts:        int(r.GetMaxAttempts()),
+		Keyless:         r.GetKeyless(),
+		Split:           compileSplit(r.GetWeightedServices()),
 	}
 	if m.DefaultDeadline == 0 {
 		m.DefaultDeadline = DefaultDeadline
@@ -115,9 +119,29 @@
 			m.TargetShare = t.GetTargetShare()
 		}
 	}
+	if target := r.GetTargetLatencyMs(); target > 0 {
+		m.TargetLatency = time.Duration(target) * time.Millisecond
+	}
 	return m
 }
 
+func compileSplit(weighted []*configpb.WeightedService) []route.Part {
+	total := 0.0
+	for _, w := range weighted {
+		total += float64(w.GetWeight())
+	}
+	var parts []route.Part
+	sum := 0.0
+	for _, w := range weighted {
+		if w.GetWeight() == 0 {
+			continue
+		}
+		sum += float64(w.GetWeight())
+		parts = append(parts, route.Part{Service: w.GetService(), Upto: sum / total})
+	}
+	return parts
+}
+
 func bodyLimit(r *configpb.Route) int64 {
 	switch {
 	case r.GetBodyLimitBytes() > 0:
--- a/internal/configuration/store/poll.go
+++ b/internal/configuration/store/poll.go
@@ -75,7 +75,7 @@
 func (s *Store) poll(ctx context.Context) error {
 	turns := newRotation()
 	for ctx.Err() == nil {
-		address, wait := turns.choose(controlAddresses(s.options.Control, s.document()), time.Now())
+		address, wait := turns.choose(s.controlAddresses(s.document()), time.Now())
 		if wait > 0 {
 			pause(ctx, wait)
 		}
@@ -128,10 +128,14 @@
 	}
 }
 
-// controlAddresses lists the control replicas of the settings, then those of the document.
-func controlAddresses(configured []string, d *configpb.Document) []string {
+// controlAddresses lists the control replicas of the settings, then those that were discovered and those
+// of the document.
+func (s *Store) controlAddresses(d *configpb.Document) []string {
 	addresses := newAddressSet("")
-	addresses.add(configured...)
+	addresses.add(s.options.Control...)
+	if s.options.Discover != nil {
+		addresses.add(s.options.Discover()...)
+	}
 	for _, h := range d.GetHosts() {
 		if configuration.RunsControl(h) {
 			addresses.add(h.GetFleetAddress())
--- a/internal/configuration/store/start.go
+++ b/internal/configuration/store/start.go
@@ -82,7 +82,7 @@
 	s.writing.Lock()
 	defer s.writing.Unlock()
 	addresses := newAddressSet(s.options.Address)
-	addresses.add(controlAddresses(s.options.Control, s.starting.newest)...)
+	addresses.add(s.controlAddresses(s.starting.newest)...)
 	if !s.starting.asksPeers(now) {
 		return addresses.list
 	}
--- a/internal/configuration/store/store.go
+++ b/internal/configuration/store/store.go
@@ -30,6 +30,8 @@
 	// Control lists the fleet addresses of the control replicas in the settings. Hosts of
 	// the document with a control role are asked as well.
 	Control []string
+	// Discover lists further control replicas that became known since the start; nil means none.
+	Discover func() []string
 	// Peers lists fleet addresses of nodes to ask while no document is known.
 	Peers []string
 	// Client fetches from other processes.
--- a/internal/configuration/validate.go
+++ b/internal/configuration/validate.go
@@ -31,6 +31,8 @@
 		return mustExist(d.GetTeams(), teamKey, k.DeleteTeam, "delete_team", "team")
 	case *configpb.Change_ReplaceAll:
 		return validateReplaceAll(d, k.ReplaceAll.GetDocument())
+	case *configpb.Change_Supersede:
+		return validateSupersede(k.Supersede.GetDocument())
 	default:
 		return reject("change", "set one of the kinds of change", "it has no known kind")
 	}
@@ -135,6 +137,13 @@
 	return nil
 }
 
+func validateSupersede(asked *configpb.Document) *Rejection {
+	if asked.GetVersion() == 0 {
+		return reject("supersede.document.version", "give each document a version above that of the one before", "it is missing")
+	}
+	return validateWhole(Canonical(asked))
+}
+
 // validateWhole checks a document in canonical order.
 func validateWhole(d *configpb.Document) *Rejection {
 	return firstRejection(
--- a/internal/configuration/validate_parts.go
+++ b/internal/configuration/validate_parts.go
@@ -156,6 +156,10 @@
 }
 
 func validateServiceDataCentres(field string, s *configpb.Service, d *configpb.Document) *Rejection {
+	if len(s.GetDataCentres()) == 0 && d.GetVersion() > 0 {
+		// The data centres are discovered with the hosts.
+		return nil
+	}
 	if len(s.GetDataCentres()) == 0 {
 		return reject(field, "list the data centres of its backend servers", "it is empty")
 	}
@@ -249,6 +253,10 @@
 
 // validateServed checks that every service has a node.
 func validateServed(d *configpb.Document) *Rejection {
+	if d.GetVersion() > 0 {
+		// The hosts are discovered.
+		return nil
+	}
 	nodes := map[string]bool{}
 	for _, h := range d.GetHosts() {
 		if RunsNode(h) {
--- a/internal/configuration/validate_routes.go
+++ b/internal/configuration/validate_routes.go
@@ -1,12 +1,16 @@
 package configuration
 
 import (
+	"fmt"
 	"slices"
 	"strings"
 
 	"github.com/tarragonmux/tarragonmux/proto/configpb"
 )
 
+// maxRouteAttempts bounds the backend servers that one request may be sent to.
+const maxRouteAttempts = 100
+
 func validateRoute(field string, r *configpb.Route, d *configpb.Document) *Rejection {
 	return firstRejection(
 		func() *Rejection { return validateName(field+".id", r.GetId(), maxNameBytes) },
@@ -19,8 +23,8 @@
 }
 
 func validateRouteTarget(field string, r *configpb.Route, d *configpb.Document) *Rejection {
-	if _, ok := find(d.GetServices(), serviceKey, r.GetService()); !ok {
-		return reject(field+".service", "put the service first", "service %q does not exist", r.GetService())
+	if fault := validateRouteServices(field, r, d); fault != nil {
+		return fault
 	}
 	if r.GetPriority() < configpb.Priority_PRIORITY_URGENT || r.GetPriority() > configpb.Priority_PRIORITY_BACKGROUND {
 		return reject(field+".priority", "use urgent, normal or background", "it is missing or unknown")
@@ -28,16 +32,58 @@
 	return nil
 }
 
+// validateRouteServices checks the one service of a route, or the services among which it is split.
+func validateRouteServices(field string, r *configpb.Route, d *configpb.Document) *Rejection {
+	parts := r.GetWeightedServices()
+	if len(parts) == 0 {
+		return validateRouteService(field+".service", r.GetService(), d)
+	}
+	if r.GetService() != "" {
+		return reject(field+".service", "set either service or weighted_services", "both are set")
+	}
+	total := uint64(0)
+	for i, part := range parts {
+		at := fmt.Sprintf("%s.weighted_services[%d]", field, i)
+		if fault := validateRouteService(at+".service", part.GetService(), d); fault != nil {
+			return fault
+		}
+		total += uint64(part.GetWeight())
+	}
+	if total == 0 {
+		return reject(field+".weighted_services", "give one part a weight above 0", "no part has a weight")
+	}
+	return nil
+}
+
+func validateRouteService(field, name string, d *configpb.Document) *Rejection {
+	if _, ok := find(d.GetServices(), serviceKey, name); !ok {
+		return reject(field, "put the service first", "service %q does not exist", name)
+	}
+	return nil
+}
+
 func validateRouteLimits(field string, r *configpb.Route) *Rejection {
 	most := int64(maxBodyBytes)
-	if !r.GetIdempotent() {
+	if !r.GetIdempotent() && !r.GetKeyless() {
 		// Bodies of requests that must not repeat are held in memory for their fingerprint.
 		most = maxBufferedBytes
 	}
 	if fault := validateRange(field+".body_limit_bytes", r.GetBodyLimitBytes(), 0, most); fault != nil {
 		return fault
 	}
-	return validateRange(field+".default_deadline_ms", r.GetDefaultDeadlineMs(), 0, maxDeadlineMS)
+	for _, limit := range []struct {
+		name string
+		ms   int64
+	}{
+		{".default_deadline_ms", r.GetDefaultDeadlineMs()},
+		{".timeout_ms", r.GetTimeoutMs()},
+		{".target_latency_ms", r.GetTargetLatencyMs()},
+	} {
+		if fault := validateRange(field+limit.name, limit.ms, 0, maxDeadlineMS); fault != nil {
+			return fault
+		}
+	}
+	return validateRange(field+".max_attempts", int64(r.GetMaxAttempts()), 0, maxRouteAttempts)
 }
 
 func validateHostName(field, name string) *Rejection {
--- a/internal/dispatch/machine.go
+++ b/internal/dispatch/machine.go
@@ -303,7 +303,10 @@
 
 // due returns the time by which the answer meets the target, or the deadline if that is earlier.
 func (m *Machine) due(now time.Time, q *Request) time.Time {
-	target := m.config.Targets[q.Priority]
+	target := q.Target
+	if target == 0 {
+		target = m.config.Targets[q.Priority]
+	}
 	if at := now.Add(target); target > 0 && at.Before(q.Deadline) {
 		return at
 	}
--- a/internal/dispatch/request.go
+++ b/internal/dispatch/request.go
@@ -15,8 +15,10 @@
 	Priority priority.Priority
 	Team     string
 	// Weight of the team; 0 means 1.
-	Weight      uint32
-	Deadline    time.Time
+	Weight   uint32
+	Deadline time.Time
+	// Target is the latency within which the answer counts as good; 0 means that of the priority.
+	Target      time.Duration
 	Fingerprint uint64
 	Idempotent  bool
 	// Exclude lists instances already tried.
--- a/internal/dispatchrpc/alone.go
+++ b/internal/dispatchrpc/alone.go
@@ -1,6 +1,7 @@
 package dispatchrpc
 
 import (
+	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -15,6 +16,9 @@
 	sharesEvery = 500 * time.Millisecond
 	// waitLimit bounds the calls that wait at this node while there is no dispatcher.
 	waitLimit = 4096
+	// attachedShare is how many slots of a server a host may use alone if it does not know the other
+	// hosts. Requests beyond the slots of a server wait in its own queue.
+	attachedShare = 1
 )
 
 // alone is the state of the autonomous mode.
@@ -89,14 +93,21 @@
 // placeAlone chooses the server with the most free slots of this node's share. A server is used
 // only while its announcement is fresh in this node's own view and it was not ejected and had not crashed.
 func (c *channel) placeAlone(now time.Time, r *grant.Request) (best grant.Server, ok bool) {
-	most := 0
+	most, ties := 0, 0
 	for _, s := range c.client.config.Registry.Servers(c.service) {
 		if !s.Usable(now) || c.ejected[s.Instance] || c.crashed[s.Instance] || slices.Contains(r.Exclude, s.Instance) {
 			continue
 		}
 		free := c.alone.shares[s.Instance] - c.heldAt(s.Instance)
+		if free <= 0 || free < most {
+			continue
+		}
+		ties++
 		if free > most {
-			most = free
+			most, ties = free, 1
+		}
+		// Hosts that choose the same server among equals would fill it first.
+		if rand.IntN(ties) == 0 {
 			best = grant.Server{Service: c.service, Instance: s.Instance, Address: s.Address, DataCentre: s.DataCentre}
 		}
 	}
@@ -131,6 +142,10 @@
 		if s.Connections > 0 {
 			slots = min(slots, s.Connections)
 		}
+		if len(settings.Members) == 0 {
+			c.alone.shares[s.Instance] = min(slots, attachedShare)
+			continue
+		}
 		c.alone.shares[s.Instance] = dispatch.AutonomousSlots(c.service, s.Instance, c.client.config.Node, settings.Members, slots)
 	}
 }
--- a/internal/dispatchrpc/channel.go
+++ b/internal/dispatchrpc/channel.go
@@ -189,6 +189,9 @@
 	if b.View != nil {
 		c.takeView(b.View)
 	}
+	if b.Servers != nil && c.client.config.Sink != nil {
+		c.client.config.Sink.TakeNews(c.service, b.Servers)
+	}
 	return true
 }
 
@@ -281,6 +284,7 @@
 	cfg := &c.client.config
 	hello := &dispatchpb.Hello{
 		Node: cfg.Node, Incarnation: cfg.Incarnation, DataCentre: cfg.DataCentre, Service: c.service,
+		WantsServers: cfg.Sink != nil,
 	}
 	for _, l := range c.held {
 		hello.Outstanding = append(hello.Outstanding, l.outstanding(now))
--- a/internal/dispatchrpc/client.go
+++ b/internal/dispatchrpc/client.go
@@ -25,7 +25,9 @@
 	Elections   leadership.Elections
 	Pool        *transport.Pool
 	// Local is the dispatcher of this process; streams to this node itself skip the network. May be nil.
-	Local  *Server
+	Local *Server
+	// Sink takes the dispatchers' lists of backend servers; nil if the node has a registry of its own.
+	Sink   ServerSink
 	Logger *log.Logger
 }
 
--- a/internal/dispatchrpc/runner.go
+++ b/internal/dispatchrpc/runner.go
@@ -26,6 +26,8 @@
 	servedAt  time.Time
 	viewAt    time.Time
 	lastStats dispatch.Stats
+	// entries is the list of usable servers as the sessions have it.
+	entries []*dispatchpb.ServerEntry
 }
 
 // session is one node's stream. Its fields are guarded by the runner's mutex.
@@ -39,6 +41,8 @@
 	heard  time.Time
 	// quiet is set if the node's last message said that the stream is quiet.
 	quiet bool
+	// wantsServers is set if the node has no registry of its own.
+	wantsServers bool
 	// view is the last view for the node, and viewAt when it was added to a message.
 	view   *dispatchpb.View
 	viewAt time.Time
@@ -106,7 +110,9 @@
 func (r *runner) refreshServers(now time.Time, settings ServiceSettings) {
 	r.servedAt = now
 	r.machine.Configure(now, settings.config(r.service, r.term))
-	r.machine.SetServers(now, r.server.config.Registry.Servers(r.service))
+	servers := r.server.config.Registry.Servers(r.service)
+	r.machine.SetServers(now, servers)
+	r.refreshEntries(now, servers)
 }
 
 // tick moves time forward.
@@ -156,6 +162,10 @@
 	r.machine.Connect(now, hello.Node, hello.DataCentre, hello.Incarnation, outstanding(now, hello), hello.Ejected)
 	// The first message ends the node's autonomous mode, so it must not wait for a heartbeat.
 	x.show(now, r.reduce(r.machine.View(now)))
+	if hello.WantsServers {
+		x.wantsServers = true
+		x.pending().Servers = &dispatchpb.ServerNews{Reset_: true, Changed: r.entries}
+	}
 	x.signal()
 	r.apply(now, x, first)
 	return x
--- a/internal/entry/atmostonce.go
+++ b/internal/entry/atmostonce.go
@@ -42,7 +42,7 @@
 		return problem.New(problem.BadRequest, problem.NotRun, "Idempotency-Key must be one value of at most 255 printable ASCII characters")
 	}
 	x.key = key
-	if x.match.Idempotent {
+	if x.match.Idempotent || x.match.Keyless {
 		return f.next.Handle(x)
 	}
 	if key == "" {
--- a/internal/entry/config.go
+++ b/internal/entry/config.go
@@ -59,6 +59,8 @@
 // Config has the settings and the collaborators of the entry server.
 type Config struct {
 	Settings settings.Entry
+	// Dialect of callers and backend servers; nil means the product's own.
+	Dialect  *Dialect
 	Routes   route.Source
 	Grants   grant.Source
 	Claims   attempt.Claimer
@@ -67,6 +69,8 @@
 	Endpoints Endpoints
 	// Ready tells whether requests may be served; nil means always.
 	Ready func() bool
+	// LeaveFor is how long a leaving host goes on accepting; 0 means the life of an endpoint answer and a margin.
+	LeaveFor time.Duration
 	// Observer hears of each finished request; nil means none.
 	Observer Observer
 	// Log receives the log lines; nil discards them.
@@ -83,6 +87,10 @@
 	e.MaxHeaderBytes = orDefault(e.MaxHeaderBytes, settings.DefaultMaxHeaderBytes)
 	e.MaxRequests = orDefault(e.MaxRequests, settings.DefaultMaxRequests)
 	e.EndpointTTL = orDefault(e.EndpointTTL, settings.Duration(settings.DefaultEndpointTTL))
+	c.LeaveFor = orDefault(c.LeaveFor, c.Settings.EndpointTTL.D()+leaveMargin)
+	if c.Dialect == nil {
+		c.Dialect = Native()
+	}
 	if c.Ready == nil {
 		c.Ready = func() bool { return true }
 	}
--- a/internal/entry/deadline.go
+++ b/internal/entry/deadline.go
@@ -17,22 +17,26 @@
 
 // deadlines bounds the time that a request may take.
 type deadlines struct {
-	next Filter
+	next    Filter
+	dialect *Dialect
 }
 
-func newDeadline(_ context.Context, next Filter, _ *Config, _ string) (Filter, error) {
-	return &deadlines{next: next}, nil
+func newDeadline(_ context.Context, next Filter, cfg *Config, _ string) (Filter, error) {
+	return &deadlines{next: next, dialect: cfg.Dialect}, nil
 }
 
-// Handle takes the deadline from the caller, else from the route.
+// Handle takes the deadline from the caller, else from the route, and never exceeds the route's timeout.
 func (f *deadlines) Handle(x *Exchange) error {
 	timeout := orDefault(x.match.DefaultDeadline, DefaultDeadline)
-	stated, ok := single(x.r.Header, headerTimeout)
+	stated, ok := single(x.r.Header, f.dialect.Deadline)
 	if ok && stated != "" {
-		timeout, ok = parseTimeout(stated)
+		timeout, ok = f.dialect.ParseDeadline(stated)
 	}
 	if !ok {
-		return problem.New(problem.BadRequest, problem.NotRun, "Grpc-Timeout must be 1 to 8 digits and a unit of H, M, S, m, u or n")
+		return problem.New(problem.BadRequest, problem.NotRun, f.dialect.Deadline+" is malformed; see the reference of headers")
+	}
+	if x.match.Timeout > 0 {
+		timeout = min(timeout, x.match.Timeout)
 	}
 	x.deadline = x.arrived.Add(min(timeout, MaxDeadline))
 	if !time.Now().Before(x.deadline) {
--- a/internal/entry/dispatch.go
+++ b/internal/entry/dispatch.go
@@ -4,7 +4,6 @@
 	"context"
 	"math/rand/v2"
 	"net/http"
-	"strings"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -76,7 +75,8 @@
 func (f *dispatch) request(x *Exchange) grant.Request {
 	return grant.Request{
 		Service: x.match.Service, Priority: x.match.Priority, Team: x.team.ID, Weight: max(x.team.Weight, 1),
-		Deadline: x.deadline, Fingerprint: workFingerprint(x), Idempotent: x.match.Idempotent,
+		Deadline: x.deadline, Target: x.match.TargetLatency,
+		Fingerprint: workFingerprint(x), Idempotent: x.match.Idempotent,
 	}
 }
 
@@ -105,7 +105,7 @@
 }
 
 func (t *trial) run() (*Exchange, error) {
-	for t.x.attempts < maxAttempts {
+	for t.x.attempts < orDefault(t.x.match.Attempts, maxAttempts) {
 		g, err := t.acquire()
 		if err != nil {
 			return nil, err
@@ -291,7 +291,3 @@
 func (t *trial) excluded() []string {
 	return append([]string(nil), t.request.Exclude...)
 }
-
-func isDrain(value string) bool {
-	return strings.EqualFold(value, stateDrain)
-}
--- a/internal/entry/exchange.go
+++ b/internal/entry/exchange.go
@@ -20,6 +20,7 @@
 	w        http.ResponseWriter
 	r        *http.Request
 	arrived  time.Time
+	dialect  *Dialect
 	id       string
 	idHeader [1]string
 	snapshot route.Snapshot
--- a/internal/entry/forward.go
+++ b/internal/entry/forward.go
@@ -34,27 +34,43 @@
 		return f.failed(x, err)
 	}
 	x.answer = answer
-	if isDrain(answer.Header.Get(headerState)) {
+	dialect := f.cfg.Dialect
+	if dialect.Draining(answer.Header) {
 		x.draining = true
 		f.cfg.Backends.MarkDraining(server.Service, server.Instance)
 	}
-	if answer.Status == http.StatusServiceUnavailable && answer.Header.Get(headerOutcome) == outcomeNot {
-		return f.rejected(x)
+	if dialect.Elsewhere(answer.Status, answer.Header) {
+		return f.rejected(x, grant.ConnectFailed, "another backend server has the address")
+	}
+	if dialect.NotRun(answer.Status, answer.Header) {
+		return f.rejected(x, grant.Shed, "the backend server rejected the request before running it")
+	}
+	if dialect.Genuine != nil && answer.Status < http.StatusMultipleChoices && !dialect.Genuine(answer.Header) {
+		return f.broken(x, errForeign)
 	}
 	return f.prefetch(x)
 }
 
+// errForeign means that a success does not bear the mark of a backend server.
+var errForeign = errors.New("the answer does not come from a backend server")
+
 func (f *forward) outgoing(x *Exchange) *roundtrip.Request {
 	r := &x.request
+	dialect := f.cfg.Dialect
 	*r = roundtrip.Request{
 		Method: x.r.Method, Target: target(x.r), Host: x.r.Host,
-		Header: x.r.Header, Skip: skipped, Dropped: connectionNames(x.r.Header),
+		Header: x.r.Header, Skip: f.skipped, Dropped: connectionNames(x.r.Header),
 		MaxIdle: roundtrip.DefaultIdleTimeout, Until: x.grant.Expires(), Events: (*events)(x), Abort: x.abort,
 		Extra: [roundtrip.ExtraFields]roundtrip.Field{
-			{Name: headerRequestID, Value: x.id},
-			{Name: headerTimeout, Value: formatTimeout(time.Until(x.deadline))},
+			{Name: dialect.RequestID, Value: x.id},
+			{Name: dialect.Deadline, Value: dialect.FormatDeadline(time.Until(x.deadline))},
 			{Name: "Via", Value: viaValue},
+			{Name: dialect.ExpectInstance, Value: x.grant.Server().Instance},
 		},
+		EndsWithConnection: dialect.EndsWithConnection,
+	}
+	if dialect.Echoes {
+		r.EchoName, r.EchoValue = dialect.RequestID, x.id
 	}
 	if !x.match.Idempotent {
 		r.MaxIdle = staleForOnce
@@ -70,8 +86,9 @@
 }
 
 // skipped tells which of the caller's headers end at the proxy or are set by it.
-func skipped(name string) bool {
-	return name == headerRequestID || name == headerTimeout || hopByHop(name) || hasInternalPrefix(name)
+func (f *forward) skipped(name string) bool {
+	d := f.cfg.Dialect
+	return name == d.RequestID || name == d.Deadline || name == d.ExpectInstance || hopByHop(name) || d.Private(name)
 }
 
 func hasInternalPrefix(name string) bool {
@@ -112,6 +129,9 @@
 // prefetch reads a short answer whole, so that a break in it can still be told or retried.
 func (f *forward) prefetch(x *Exchange) error {
 	a := x.answer
+	if x.r.Method != http.MethodHead && a.Length < 0 && f.cfg.Dialect.HoldAnswer > 0 {
+		return f.hold(x)
+	}
 	if x.r.Method != http.MethodHead && (a.Length < 0 || a.Length > copyBytes) {
 		return nil
 	}
@@ -129,6 +149,22 @@
 	return nil
 }
 
+// hold reads an answer of unknown length up to the limit of the dialect. A longer one is passed on as
+// it comes.
+func (f *forward) hold(x *Exchange) error {
+	limit := f.cfg.Dialect.HoldAnswer
+	read, err := io.ReadAll(io.LimitReader(x.answer, int64(limit)+1))
+	if err != nil {
+		return f.broken(x, err)
+	}
+	x.whole = read
+	if len(read) <= limit {
+		x.fetched = true
+		x.complete(resultOf(x.answer.Status))
+	}
+	return nil
+}
+
 func readWhole(a *roundtrip.Answer) ([]byte, error) {
 	read := make([]byte, a.Length)
 	if _, err := io.ReadFull(a, read); err != nil {
@@ -148,18 +184,18 @@
 }
 
 // rejected handles a server that refused the request before running it.
-func (f *forward) rejected(x *Exchange) error {
+func (f *forward) rejected(x *Exchange, result grant.Result, detail string) error {
 	wait := retryAfter(x.answer.Header)
 	if x.answer.Buffered() {
 		// Reading a short refusal to its end lets the connection be reused. A refusal that has not
 		// arrived whole is not waited for.
 		_, _ = io.Copy(io.Discard, x.answer)
 	}
-	x.complete(grant.Shed)
+	x.complete(result)
 	if claim := x.claimOf(); claim != nil {
 		claim.Rejected()
 	}
-	return &failure{kind: problem.NoCapacity, detail: "the backend server rejected the request before running it", wait: wait}
+	return &failure{kind: problem.NoCapacity, detail: detail, wait: wait}
 }
 
 // failed classifies a round trip without an answer.
--- a/internal/entry/recovery.go
+++ b/internal/entry/recovery.go
@@ -54,14 +54,14 @@
 	h := x.w.Header()
 	clear(h)
 	if x.id != "" {
-		h.Set(headerRequestID, x.id)
+		h.Set(x.dialect.RequestID, x.id)
 	}
 	if x.leaving || x.unread() {
 		// The rest of an unread body must not be taken for the next request.
 		h.Set("Connection", "close")
 	}
 	x.status = p.Status()
-	p.Write(x.w, x.id)
+	x.dialect.WriteProblem(x.w, p, x.id)
 }
 
 func (f *recovery) observe(x *Exchange, err error, refusal *problem.Problem) {
--- a/internal/entry/relay.go
+++ b/internal/entry/relay.go
@@ -58,6 +58,13 @@
 	buffer := copyBuffers.Get().(*[copyBytes]byte)
 	defer copyBuffers.Put(buffer)
 	flusher := http.NewResponseController(x.w)
+	if len(winner.whole) > 0 {
+		x.keep(winner.whole)
+		if _, err := x.w.Write(winner.whole); err != nil {
+			winner.complete(grant.Cancelled)
+			return errCallerGone
+		}
+	}
 	for {
 		n, readErr := winner.answer.Read(buffer[:])
 		if n > 0 {
@@ -101,7 +108,7 @@
 	to := x.w.Header()
 	listed := connectionNames(from)
 	for name, values := range from {
-		if hopByHop(name) || hasInternalPrefix(name) || name == headerRequestID || slices.Contains(listed, name) {
+		if hopByHop(name) || x.dialect.Private(name) || name == x.dialect.RequestID || slices.Contains(listed, name) {
 			continue
 		}
 		to[name] = values
@@ -110,7 +117,7 @@
 		to["Connection"] = []string{"close"}
 	}
 	x.idHeader[0] = x.id
-	to[headerRequestID] = x.idHeader[:]
+	to[x.dialect.RequestID] = x.idHeader[:]
 	if via := to["Via"]; len(via) > 0 {
 		to["Via"] = append(slices.Clip(via), viaValue)
 		return
--- a/internal/entry/requestid.go
+++ b/internal/entry/requestid.go
@@ -10,19 +10,20 @@
 
 // requestID gives each request an id that is echoed and passed on.
 type requestID struct {
-	next Filter
+	next    Filter
+	dialect *Dialect
 }
 
-func newRequestID(_ context.Context, next Filter, _ *Config, _ string) (Filter, error) {
-	return &requestID{next: next}, nil
+func newRequestID(_ context.Context, next Filter, cfg *Config, _ string) (Filter, error) {
+	return &requestID{next: next, dialect: cfg.Dialect}, nil
 }
 
 // Handle keeps the caller's id if it is well formed.
 func (f *requestID) Handle(x *Exchange) error {
-	id, ok := single(x.r.Header, headerRequestID)
-	if !ok || id != "" && !printable(id, MaxIDBytes) {
+	id, ok := single(x.r.Header, f.dialect.RequestID)
+	if !ok || id != "" && !printable(id, MaxIDBytes) || id == "" && f.dialect.RequireID {
 		x.id = newID()
-		return problem.New(problem.BadRequest, problem.NotRun, "Request-Id must be one value of at most 128 printable ASCII characters")
+		return problem.New(problem.BadRequest, problem.NotRun, f.dialect.RequestID+" must be one value of at most 128 printable ASCII characters")
 	}
 	if id == "" {
 		id = newID()
--- a/internal/entry/roundtrip/errors.go
+++ b/internal/entry/roundtrip/errors.go
@@ -65,6 +65,8 @@
 	ErrHeadTooLarge = errors.New("the answer's headers are too large; the backend server must send fewer or shorter headers")
 	// ErrStatus means that an answer has a status that ends no request.
 	ErrStatus = errors.New("the answer has an unexpected informational status; the backend server must send a final status")
+	// ErrStray means that the answer belongs to another request and ends the connection.
+	ErrStray = errors.New("the connection ends with an answer to another request; the backend server must answer in order")
 	// ErrClosed means that the pool was closed.
 	ErrClosed = errors.New("the connection pool is closed; use another host")
 )
--- a/internal/entry/roundtrip/roundtrip.go
+++ b/internal/entry/roundtrip/roundtrip.go
@@ -20,6 +20,8 @@
 	settleTime = 20 * time.Millisecond
 	// maxInformational bounds the 1xx answers before the final one.
 	maxInformational = 8
+	// maxStrayBytes bounds the body of an answer to another request that is read and dropped.
+	maxStrayBytes = 1 << 20
 )
 
 // Field is one header that Send adds.
@@ -29,7 +31,7 @@
 }
 
 // ExtraFields is the number of headers that Send can add.
-const ExtraFields = 3
+const ExtraFields = 4
 
 // Events hears of the progress of one round trip. An interface costs no allocation per request,
 // as two functions would.
@@ -62,6 +64,11 @@
 	Interrupt func()
 	// MaxIdle bounds how long a reused connection may have been idle.
 	MaxIdle time.Duration
+	// EchoName and EchoValue, if set, are a header and the value that the answer must have in it. Stray
+	// answers with another value are read to their end and dropped.
+	EchoName, EchoValue string
+	// EndsWithConnection accepts answers whose body has no stated length and ends with the connection.
+	EndsWithConnection bool
 	// Until bounds the wait for a free connection.
 	Until time.Time
 	// Events, if set, hears of the progress.
@@ -311,8 +318,14 @@
 		if err != nil {
 			return &Error{Stage: Head, Err: err}
 		}
+		if r.stray(response) {
+			if err := skip(response); err != nil {
+				return &Error{Stage: Head, Err: err}
+			}
+			continue
+		}
 		if response.StatusCode >= http.StatusOK {
-			return a.accept(response, r.Method)
+			return a.accept(response, r)
 		}
 		if response.StatusCode == http.StatusSwitchingProtocols {
 			break
@@ -321,14 +334,32 @@
 	return &Error{Stage: Head, Err: ErrStatus}
 }
 
-func (a *Answer) accept(response *http.Response, method string) *Error {
+// stray tells whether a final answer belongs to another request.
+func (r *Request) stray(response *http.Response) bool {
+	if r.EchoName == "" || response.StatusCode < http.StatusOK {
+		return false
+	}
+	values := response.Header[r.EchoName]
+	return len(values) > 0 && values[0] != r.EchoValue
+}
+
+// skip reads a stray answer to its end, so that the answer behind it can be read.
+func skip(response *http.Response) error {
+	if response.Close {
+		return ErrStray
+	}
+	_, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxStrayBytes+1))
+	return err
+}
+
+func (a *Answer) accept(response *http.Response, r *Request) *Error {
 	a.Status = response.StatusCode
 	a.Header = response.Header
 	a.Length = response.ContentLength
 	a.body = response.Body
 	a.last = response.Close
-	bodiless := method == http.MethodHead || a.Status == http.StatusNoContent || a.Status == http.StatusNotModified
-	if a.Length < 0 && len(response.TransferEncoding) == 0 && !bodiless {
+	bodiless := r.Method == http.MethodHead || a.Status == http.StatusNoContent || a.Status == http.StatusNotModified
+	if a.Length < 0 && len(response.TransferEncoding) == 0 && !bodiless && !r.EndsWithConnection {
 		return &Error{Stage: Head, Err: ErrNoLength}
 	}
 	return nil
--- a/internal/entry/routing.go
+++ b/internal/entry/routing.go
@@ -12,11 +12,13 @@
 
 // routing finds route and team in the snapshot that the request keeps to its end.
 type routing struct {
-	next Filter
+	next    Filter
+	dialect *Dialect
+	turns   turns
 }
 
-func newRouting(_ context.Context, next Filter, _ *Config, _ string) (Filter, error) {
-	return &routing{next: next}, nil
+func newRouting(_ context.Context, next Filter, cfg *Config, _ string) (Filter, error) {
+	return &routing{next: next, dialect: cfg.Dialect}, nil
 }
 
 // Handle refuses requests without a route and bodies that are known to be too large.
@@ -28,11 +30,14 @@
 	if match.BodyLimit <= 0 {
 		match.BodyLimit = DefaultBodyLimit
 	}
+	if len(match.Split) > 0 {
+		match.Service = match.Choose(f.turns.next(match.Route))
+	}
 	x.match = match
 	x.matched = true
-	name, ok := single(x.r.Header, headerTeam)
-	if !ok || name != "" && !printable(name, MaxIDBytes) {
-		return problem.New(problem.BadRequest, problem.NotRun, "Tarragon-Team must be one value of at most 128 printable ASCII characters")
+	name, err := f.team(x)
+	if err != nil {
+		return err
 	}
 	x.teamName = name
 	x.team = x.snapshot.Team(name)
@@ -45,6 +50,18 @@
 	return f.next.Handle(x)
 }
 
+// team returns the name of the caller's team, or "" if it names none.
+func (f *routing) team(x *Exchange) (string, error) {
+	if f.dialect.Team == "" {
+		return "", nil
+	}
+	name, ok := single(x.r.Header, f.dialect.Team)
+	if !ok || name != "" && !printable(name, MaxIDBytes) {
+		return "", problem.New(problem.BadRequest, problem.NotRun, f.dialect.Team+" must be one value of at most 128 printable ASCII characters")
+	}
+	return name, nil
+}
+
 // hostName cuts the port off. SplitHostPort allocates an error if there is none.
 func hostName(host string) string {
 	if !strings.Contains(host, ":") {
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -83,7 +83,7 @@
 	if s.leaving.Load() {
 		w.Header().Set("Connection", "close")
 	}
-	if strings.HasPrefix(r.URL.Path, fixedPrefix) {
+	if s.cfg.Dialect.FixedPaths && strings.HasPrefix(r.URL.Path, fixedPrefix) {
 		s.fixed.ServeHTTP(w, r)
 		return
 	}
@@ -91,7 +91,7 @@
 }
 
 func (s *Server) serveRoute(w http.ResponseWriter, r *http.Request) {
-	x := &Exchange{ctx: r.Context(), w: w, r: r, arrived: time.Now(), leaving: s.leaving.Load()}
+	x := &Exchange{ctx: r.Context(), w: w, r: r, dialect: s.cfg.Dialect, arrived: time.Now(), leaving: s.leaving.Load()}
 	// The recovery filter, which is the first, returns no error.
 	_ = s.chain.Handle(x)
 }
@@ -111,8 +111,8 @@
 // for callers to go away, but still finishes the requests in flight.
 func (s *Server) Shutdown(ctx context.Context) error {
 	s.Leave()
-	s.cfg.Log.Info("leaving; still accepting requests", "for", s.cfg.Settings.EndpointTTL.D()+leaveMargin)
-	timer := time.NewTimer(s.cfg.Settings.EndpointTTL.D() + leaveMargin)
+	s.cfg.Log.Info("leaving; still accepting requests", "for", s.cfg.LeaveFor)
+	timer := time.NewTimer(s.cfg.LeaveFor)
 	defer timer.Stop()
 	select {
 	case <-timer.C:
--- a/internal/grant/grant.go
+++ b/internal/grant/grant.go
@@ -29,6 +29,8 @@
 	// Weight of the team in fair queueing; 0 means 1.
 	Weight   uint32
 	Deadline time.Time
+	// Target is the latency within which the answer counts as good; 0 means that of the priority.
+	Target time.Duration
 	// Fingerprint identifies requests that are the same work: route and key, or route, path and body hash.
 	Fingerprint uint64
 	Idempotent  bool
--- a/internal/membership/runner.go
+++ b/internal/membership/runner.go
@@ -75,6 +75,9 @@
 	// OnRevision is told when a peer has a newer configuration revision than this node; it must
 	// not block and may be called often. It may be nil.
 	OnRevision func(PeerRevision)
+	// ServerCutoff is the age of the last renewal at which a backend server gets no new work; 0 means
+	// the default of the backend package.
+	ServerCutoff time.Duration
 }
 
 // Runner keeps a node's view of the fleet up to date. It implements backend.Registry and
--- a/internal/membership/serve.go
+++ b/internal/membership/serve.go
@@ -61,9 +61,28 @@
 // instance.
 func (r *Runner) Servers(service string) (servers []backend.Server) {
 	r.locked(func(s *State, now time.Time) { servers = s.Servers(now, service) })
+	for i := range servers {
+		servers[i].Cutoff = r.o.ServerCutoff
+	}
 	return servers
 }
 
+// AnnounceHere records an announcement without regard to host sets, on hosts that hold the announcements
+// of all services. Errors: MalformedError, SupersededError.
+func (r *Runner) AnnounceHere(server backend.Server) error {
+	if err := checkAnnouncement(server); err != nil {
+		return err
+	}
+	return r.announceHere(server)
+}
+
+// Mark records that a backend server drains or has left, whatever its service. An incarnation of 0
+// means the known one. It returns the services of the entries that it found.
+func (r *Runner) Mark(instance string, incarnation uint64, state backend.State) (services []string) {
+	r.locked(func(s *State, now time.Time) { services = s.Mark(now, instance, incarnation, state) })
+	return services
+}
+
 // Announce records an announcement that a backend server made to this node now. A node outside
 // the host set of the service forwards it to a member.
 // Errors: MalformedError, SupersededError, UnknownServiceError, UnreachableSetError.
--- a/internal/membership/servers.go
+++ b/internal/membership/servers.go
@@ -63,6 +63,9 @@
 	}
 	a.Renewed = heard
 	a.ReadySince = heard
+	if a.State != backend.Left && !s.supersedeAddress(a) {
+		return &SupersededError{Service: a.Service, Instance: a.Instance, Known: a.Incarnation}
+	}
 	old, ok := s.servers[serverID{a.Service, a.Instance}]
 	if !ok || a.Incarnation > old.Incarnation {
 		s.putServer(&serverEntry{Server: a, version: 1})
@@ -113,6 +116,44 @@
 	s.putServer(&e)
 }
 
+// Mark raises the state of every entry of the instance that is not of a newer incarnation, and returns
+// the services of these entries.
+func (s *State) Mark(now time.Time, instance string, incarnation uint64, state backend.State) (services []string) {
+	for id, old := range s.servers {
+		if id.instance != instance || incarnation > 0 && old.Incarnation > incarnation {
+			continue
+		}
+		services = append(services, id.service)
+		if old.State >= state {
+			continue
+		}
+		e := *old
+		e.State = state
+		s.putServer(&e)
+	}
+	return services
+}
+
+// supersedeAddress marks the entries that announced the address before the server did as left, since
+// their processes have ended. It returns false if the address belongs to a newer server.
+func (s *State) supersedeAddress(a backend.Server) bool {
+	for id, old := range s.servers {
+		if old.Address != a.Address || id == (serverID{a.Service, a.Instance}) || old.State == backend.Left {
+			continue
+		}
+		if old.Incarnation > a.Incarnation {
+			return false
+		}
+		if old.Incarnation == a.Incarnation {
+			continue
+		}
+		e := *old
+		e.State = backend.Left
+		s.putServer(&e)
+	}
+	return true
+}
+
 // Servers returns the backend servers of a service that were renewed within a minute, ordered by
 // instance.
 func (s *State) Servers(now time.Time, service string) []backend.Server {
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -9,20 +9,46 @@
 
 // Match is the route that a request takes.
 type Match struct {
-	Route      string
-	Service    string
+	Route string
+	// Service is empty if the requests are split among services.
+	Service string
+	// Split lists the services among which the requests are split, if there are several.
+	Split      []Part
 	Priority   priority.Priority
 	Idempotent bool
 	// BodyLimit is the largest accepted request body in bytes.
 	BodyLimit int64
 	// DefaultDeadline applies when the caller states none.
 	DefaultDeadline time.Duration
+	// Timeout is the longest time until the caller has an answer, whatever its deadline; 0 means no bound.
+	Timeout time.Duration
+	// Attempts is the most backend servers that one request is sent to; 0 means the default.
+	Attempts int
+	// Keyless is set if non-idempotent requests need no key: each is sent to a backend server at most once.
+	Keyless bool
 	// TargetLatency is the latency within which the answer counts as good; 0 if the service has no target.
 	TargetLatency time.Duration
 	// TargetShare is the share of requests that must be good; 0 if the service has no target.
 	TargetShare float64
 }
 
+// Part is one service of a route whose requests are split.
+type Part struct {
+	Service string
+	// Upto is the sum of the shares up to this part; that of the last is 1.
+	Upto float64
+}
+
+// Choose returns the service for a position from 0 to 1, exclusively.
+func (m *Match) Choose(position float64) string {
+	for _, p := range m.Split {
+		if position < p.Upto {
+			return p.Service
+		}
+	}
+	return m.Service
+}
+
 // Team is a group of callers that share a quota.
 type Team struct {
 	ID string
--- a/internal/settings/load.go
+++ b/internal/settings/load.go
@@ -70,6 +70,12 @@
 	if _, err := decoder.Token(); err != io.EOF {
 		return nil, Errors{{Reason: "the file has content after the settings object", Remedy: "remove what follows the closing brace"}}
 	}
+	return Complete(s)
+}
+
+// Complete fills in the defaults and validates settings that were not read from a file of the
+// product's own format. The error is an Errors.
+func Complete(s *Settings) (*Settings, error) {
 	s.setDefaults()
 	if faults := s.validate(); len(faults) > 0 {
 		return nil, faults
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -22,12 +22,43 @@
 	ControlReplicas []Replica `json:"control_replicas"`
 	// Peers lists fleet addresses of nodes to join through. A node needs at least one unless it is the only one.
 	Peers []string `json:"peers,omitempty"`
+	// Memory bounds the memory that the collector lets the process grow to, in bytes; 0 means no bound.
+	Memory int64 `json:"memory,omitempty"`
 	// Control is set on a host that runs a control replica.
 	Control *Control `json:"control,omitempty"`
+	// Discovery is set in a fleet whose hosts are not listed in the configuration but found through
+	// seeds. Nodes of such a fleet attach to its control hosts, which dispatch.
+	Discovery *Discovery `json:"discovery,omitempty"`
+	// Adapter sets the listeners of an adapter to the conventions of another platform.
+	Adapter *Adapter `json:"adapter,omitempty"`
 	// Log sets what is logged and how.
 	Log Log `json:"log"`
 }
 
+// Discovery sets how the hosts of a fleet find each other.
+type Discovery struct {
+	// Join is set if the fleet was started before, so that this host never forms the first control group. Default: false.
+	Join bool `json:"join,omitempty"`
+	// Tolerate is how many control hosts may be lost at once. Default: 1. Range: 0 to 4.
+	Tolerate int `json:"tolerate,omitempty"`
+	// ServerCutoff is the age of the last announcement at which a backend server gets no new work. Default: 20s. Range: 1s to 1m.
+	ServerCutoff Duration `json:"server_cutoff,omitempty"`
+	// LeaveFor is how long a leaving node goes on accepting callers that keep an older endpoint answer. Default: 3s. Range: 0s to 1m.
+	LeaveFor Duration `json:"leave_for,omitempty"`
+	// StopAfter is how long after the request to stop a process must have ended. Default: 1m. Range: 1s to 1h.
+	StopAfter Duration `json:"stop_after,omitempty"`
+}
+
+// Adapter sets the listeners that an adapter serves.
+type Adapter struct {
+	// Control is the address for backend servers and operators, as ip:port. Control hosts only.
+	Control string `json:"control,omitempty"`
+	// Directory is the address for callers that ask where to connect, as ip:port. Control hosts only.
+	Directory string `json:"directory,omitempty"`
+	// Ready is the address for questions whether a node serves callers, as ip:port. Nodes only.
+	Ready string `json:"ready,omitempty"`
+}
+
 // Listener is one listening address.
 type Listener struct {
 	// Address to listen on, as ip:port. Required.
@@ -88,6 +119,12 @@
 	DefaultRecordRetention = 24 * time.Hour
 	DefaultSegmentBytes    = 64 << 20
 	DefaultLogLevel        = "info"
+	DefaultTolerate        = 1
+	// DefaultServerCutoff bridges partitions between backend servers and control hosts; real work finds
+	// lost servers long before.
+	DefaultServerCutoff = 20 * time.Second
+	DefaultLeaveFor     = 3 * time.Second
+	DefaultStopAfter    = time.Minute
 )
 
 // setDefaults fills what the file leaves out.
@@ -98,6 +135,12 @@
 	if s.Entry != nil {
 		s.Entry.setDefaults()
 	}
+	if d := s.Discovery; d != nil {
+		setDefault(&d.Tolerate, DefaultTolerate)
+		setDefault(&d.ServerCutoff, Duration(DefaultServerCutoff))
+		setDefault(&d.LeaveFor, Duration(DefaultLeaveFor))
+		setDefault(&d.StopAfter, Duration(DefaultStopAfter))
+	}
 	if s.Control != nil {
 		setDefault(&s.Control.RecordRetention, Duration(DefaultRecordRetention))
 		setDefault(&s.Control.SegmentBytes, DefaultSegmentBytes)
--- a/internal/settings/validate.go
+++ b/internal/settings/validate.go
@@ -31,6 +31,8 @@
 	c.entry(s)
 	c.control(s)
 	c.replicas(s)
+	c.discovery(s)
+	c.adapter(s)
 	for i, peer := range s.Peers {
 		c.address(fmt.Sprintf("peers[%d]", i), peer)
 	}
@@ -86,6 +88,35 @@
 	c.number("entry.max_requests", int64(e.MaxRequests), 1, 1_000_000)
 }
 
+func (c *checker) discovery(s *Settings) {
+	d := s.Discovery
+	if d == nil {
+		return
+	}
+	c.number("discovery.tolerate", int64(d.Tolerate), 0, 4)
+	c.duration("discovery.server_cutoff", d.ServerCutoff, time.Second, time.Minute)
+	c.duration("discovery.leave_for", d.LeaveFor, 0, time.Minute)
+	c.duration("discovery.stop_after", d.StopAfter, time.Second, time.Hour)
+	if s.Entry != nil && s.Control != nil {
+		c.fault("discovery", "a host with discovery runs either a node or a control replica", "remove entry or control")
+	}
+}
+
+func (c *checker) adapter(s *Settings) {
+	a := s.Adapter
+	if a == nil {
+		return
+	}
+	for field, address := range map[string]string{"adapter.control": a.Control, "adapter.directory": a.Directory, "adapter.ready": a.Ready} {
+		if address != "" {
+			c.listener(field, Listener{Address: address, Advertise: address})
+		}
+	}
+	if s.Discovery == nil {
+		c.fault("adapter", "an adapter needs discovery", "set discovery, too")
+	}
+}
+
 func (c *checker) control(s *Settings) {
 	if s.Control == nil {
 		return
