--- a/internal/app/attached.go
+++ b/internal/app/attached.go
@@ -106,7 +106,7 @@
 		Node:        s.ID,
 		DataCentre:  s.DataCentre,
 		Incarnation: uint64(i),
-		Settings:    documentSettings{storeDocument(st)},
+		Settings:    newDocumentSettings(storeDocument(st), s),
 		Registry:    servers,
 		Elections:   a,
 		Pool:        pool,
--- a/internal/app/discovery.go
+++ b/internal/app/discovery.go
@@ -113,6 +113,12 @@
 // in advance, so no shares are reserved for them.
 type documentSettings struct {
 	document func() *configpb.Document
+	// retryShare and retryFloor bound retries and hedges.
+	retryShare, retryFloor float64
+}
+
+func newDocumentSettings(document func() *configpb.Document, s *settings.Settings) documentSettings {
+	return documentSettings{document: document, retryShare: s.Discovery.RetryShare, retryFloor: s.Discovery.RetryFloor}
 }
 
 // Services lists all services.
@@ -128,14 +134,16 @@
 func (d documentSettings) Service(name string) (dispatchrpc.ServiceSettings, bool) {
 	for _, s := range d.document().GetServices() {
 		if s.GetName() == name {
-			return serviceSettings(s), true
+			settings := serviceSettings(s)
+			settings.RetryShare, settings.RetryFloor = d.retryShare, d.retryFloor
+			return settings, true
 		}
 	}
 	return dispatchrpc.ServiceSettings{}, false
 }
 
 func newControlDispatcher(lc fx.Lifecycle, b *background, s *settings.Settings, holder *logHolder, m *membership.Runner, e *election.Runner, registry *prometheus.Registry, logger *log.Logger) *dispatchrpc.Server {
-	return newDispatcher(lc, b, s, documentSettings{holder.document}, m, e, registry, logger)
+	return newDispatcher(lc, b, s, newDocumentSettings(holder.document, s), m, e, registry, logger)
 }
 
 func newAttachServer(s *settings.Settings, m *membership.Runner, e *election.Runner, source hostset.Source, holder *logHolder, pool *transport.Pool, logger *log.Logger) *attach.Server {
--- a/internal/cli/process.go
+++ b/internal/cli/process.go
@@ -23,6 +23,8 @@
 	// arrives. After 3 s no node sends new work; a server that closes earlier breaks connections
 	// on which a request may just have been written.
 	standinLeave = 3 * time.Second
+	// logCloseTimeout bounds the writing of the last log lines.
+	logCloseTimeout = 100 * time.Millisecond
 )
 
 type nodeCommand struct {
@@ -44,7 +46,9 @@
 	if err != nil {
 		return err
 	}
-	return app.Run(ctx, s, out.out, platform.New(logging.New(out.out, s.Log.Level, s.Log.JSON)))
+	lines := logging.NewAsync(out.out)
+	defer closeLog(ctx, lines)
+	return app.Run(ctx, s, lines, platform.New(logging.New(lines, s.Log.Level, s.Log.JSON)))
 }
 
 // Run runs an entry host until it is told to stop.
@@ -59,6 +63,13 @@
 	return app.Run(ctx, s, out.errs, nil)
 }
 
+// closeLog writes what is waiting, unless nobody reads the output.
+func closeLog(ctx context.Context, lines *logging.Async) {
+	bounded, cancel := context.WithTimeout(context.WithoutCancel(ctx), logCloseTimeout)
+	defer cancel()
+	lines.Close(bounded)
+}
+
 type controlCommand struct {
 	Settings string `arg:"" help:"Settings file." type:"path"`
 }
--- a/internal/dispatch/budget.go
+++ b/internal/dispatch/budget.go
@@ -23,6 +23,10 @@
 
 // Budget limits the retries and hedges of a service over the whole fleet.
 type Budget struct {
+	// Share is the share of granted requests that may be retries or hedges, and Floor what is allowed
+	// beyond it; 0 means the default.
+	Share, Floor float64
+
 	seconds [budgetSeconds]budgetSecond
 }
 
@@ -49,7 +53,14 @@
 // Allows tells whether one more retry or hedge fits.
 func (b *Budget) Allows(now time.Time) bool {
 	granted, extra := b.sums(now)
-	return float64(extra+1) <= budgetShare*float64(granted)+budgetFloor
+	share, floor := b.Share, b.Floor
+	if share == 0 {
+		share = budgetShare
+	}
+	if floor == 0 {
+		floor = budgetFloor
+	}
+	return float64(extra+1) <= share*float64(granted)+floor
 }
 
 // Spend counts a grant; extra is set for a retry or a hedge.
--- a/internal/dispatch/config.go
+++ b/internal/dispatch/config.go
@@ -58,6 +58,10 @@
 	DefaultSlots int
 	// DefaultConnections is used for servers that announce none; 0 means no limit.
 	DefaultConnections int
+	// RetryShare and RetryFloor bound the retries and hedges of 10 s: the share of the granted requests,
+	// and what is allowed beyond it. 0 means the default.
+	RetryShare float64
+	RetryFloor float64
 	// Members is the host set.
 	Members []Member
 }
--- a/internal/dispatch/detect.go
+++ b/internal/dispatch/detect.go
@@ -75,6 +75,9 @@
 		s.latency.decay(now)
 	}
 	m.latencies = serviceLatencies(m.servers)
+	for _, k := range m.kinds {
+		k.refresh(now)
+	}
 	m.pool(now)
 }
 
--- a/internal/dispatch/evidence.go
+++ b/internal/dispatch/evidence.go
@@ -65,6 +65,7 @@
 	}
 	switch c.Result {
 	case grant.OK:
+		m.kindOf(r.Kind).learn(latency, c.Total)
 		m.observeAnswer(now, r, latency, false)
 		m.crashes.clear(now, r.Fingerprint)
 		m.charge(r, c.Total)
--- a/internal/dispatch/machine.go
+++ b/internal/dispatch/machine.go
@@ -24,6 +24,7 @@
 	peaks   [peakMinutes]peak
 
 	latencies latencies
+	kinds     map[uint32]*kind
 	// cost is the mean slot time in seconds of a request of each priority.
 	cost          [priority.Count]float64
 	overload      bool
@@ -73,6 +74,8 @@
 		byName:    map[string]*server{},
 		nodes:     map[string]*node{},
 		crashes:   newCrashTable(),
+		kinds:     map[uint32]*kind{},
+		retries:   Budget{Share: c.RetryShare, Floor: c.RetryFloor},
 		suspected: map[string]bool{},
 		dead:      map[string]memberState{},
 	}
@@ -84,6 +87,7 @@
 func (m *Machine) Configure(now time.Time, c Config) {
 	c.Term = m.config.Term
 	m.config = c
+	m.retries.Share, m.retries.Floor = c.RetryShare, c.RetryFloor
 	m.reserve(now)
 	m.enforceMinimum(now)
 	m.pump(now)
@@ -321,7 +325,7 @@
 	if m.crashes.poisoned(now, q.Fingerprint) {
 		return problem.PoisonRequest
 	}
-	if q.Deadline.Sub(now) < max(m.latencies.p50, 1) {
+	if q.Deadline.Sub(now) < max(m.needs(q, false), 1) {
 		return problem.DeadlineUnmeetable
 	}
 	if q.Purpose != grant.First && (m.overload || !m.retries.Allows(now)) {
--- a/internal/dispatch/node.go
+++ b/internal/dispatch/node.go
@@ -83,7 +83,9 @@
 
 // sweepQueue refuses queued requests that can no longer meet their deadline.
 func (m *Machine) sweepQueue(now time.Time) {
-	m.deferred = m.queue.expired(now, m.latencies.p50, m.deferred[:0])
+	m.deferred = m.queue.expired(func(r *request) bool {
+		return r.Deadline.Sub(now) < m.needs(&r.Request, false)
+	}, m.deferred[:0])
 	for _, r := range m.deferred {
 		m.refuseQueued(r, problem.DeadlineUnmeetable)
 	}
--- a/internal/dispatch/placement.go
+++ b/internal/dispatch/placement.go
@@ -56,7 +56,7 @@
 		m.refuseQueued(r, kind)
 		return true
 	}
-	if !r.late && r.due.Sub(now) < m.needed() {
+	if !r.late && r.due.Sub(now) < m.needs(&r.Request, m.queue.length() > 1) {
 		m.queue.demote(r)
 		return true
 	}
@@ -77,7 +77,7 @@
 // refusal checks once more what may have changed while the request waited.
 func (m *Machine) refusal(now time.Time, r *request) problem.Kind {
 	switch {
-	case r.Deadline.Sub(now) < m.needed():
+	case r.Deadline.Sub(now) < m.needs(&r.Request, m.queue.length() > 1):
 		return problem.DeadlineUnmeetable
 	case m.crashes.poisoned(now, r.Fingerprint):
 		return problem.PoisonRequest
@@ -88,16 +88,6 @@
 	}
 }
 
-// needed is the time that a request must have left when it is granted. With others waiting, a
-// slot is not spent on work that would probably end too late: the earliest deadline goes first,
-// so under overload every request would otherwise start with just too little time.
-func (m *Machine) needed() time.Duration {
-	if m.queue.length() > 1 {
-		return m.latencies.p95 + m.latencies.p95/4
-	}
-	return m.latencies.p50
-}
-
 func (m *Machine) hasFreeSlot(now time.Time) bool {
 	for _, s := range m.servers {
 		if len(s.inflight) < s.limit(now) {
--- a/internal/dispatch/queue.go
+++ b/internal/dispatch/queue.go
@@ -2,7 +2,6 @@
 
 import (
 	"container/heap"
-	"time"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -258,19 +257,19 @@
 	return most.newest()
 }
 
-// expired appends the queued requests that have less than need left, bucket heads first.
-func (q *queue) expired(now time.Time, need time.Duration, out []*request) []*request {
+// expired appends the queued requests that are too late, bucket heads first.
+func (q *queue) expired(tooLate func(*request) bool, out []*request) []*request {
 	for i := range q.ranks {
-		out = q.ranks[i].fresh.expired(now, need, out)
-		out = q.ranks[i].late.expired(now, need, out)
+		out = q.ranks[i].fresh.expired(tooLate, out)
+		out = q.ranks[i].late.expired(tooLate, out)
 	}
 	return out
 }
 
-func (c *class) expired(now time.Time, need time.Duration, out []*request) []*request {
+func (c *class) expired(tooLate func(*request) bool, out []*request) []*request {
 	for _, b := range c.active {
 		for _, r := range b.requests {
-			if r.Deadline.Sub(now) < need {
+			if tooLate(r) {
 				out = append(out, r)
 			}
 		}
--- a/internal/dispatch/request.go
+++ b/internal/dispatch/request.go
@@ -17,6 +17,8 @@
 	// Weight of the team; 0 means 1.
 	Weight   uint32
 	Deadline time.Time
+	// Kind tells work of different length apart, such as the hash of the route; 0 if it is not known.
+	Kind uint32
 	// Target is the latency within which the answer counts as good; 0 means that of the priority.
 	Target      time.Duration
 	Fingerprint uint64
--- a/internal/dispatchrpc/settings.go
+++ b/internal/dispatchrpc/settings.go
@@ -47,6 +47,8 @@
 	// DefaultSlots and DefaultConnections hold for servers that announce none.
 	DefaultSlots       int
 	DefaultConnections int
+	// RetryShare and RetryFloor bound retries and hedges; 0 means the default.
+	RetryShare, RetryFloor float64
 	// Members is the host set of the service, in the same order on every node. Callers must not change it.
 	Members []dispatch.Member
 }
@@ -69,6 +71,8 @@
 		Targets:               s.Targets,
 		DefaultSlots:          s.DefaultSlots,
 		DefaultConnections:    s.DefaultConnections,
+		RetryShare:            s.RetryShare,
+		RetryFloor:            s.RetryFloor,
 		Members:               s.Members,
 	}
 }
--- a/internal/entry/dispatch.go
+++ b/internal/entry/dispatch.go
@@ -17,6 +17,8 @@
 const (
 	// maxAttempts bounds the servers that one request is sent to, hedges apart.
 	maxAttempts = 3
+	// maxSends bounds the grants that one request uses, with those whose server did not run it.
+	maxSends = 8
 	// maxUnused bounds the grants that one request gives back because they expired.
 	maxUnused = 4
 
@@ -39,6 +41,8 @@
 	detail string
 	// mayHaveRun is set if the server may have run the work.
 	mayHaveRun bool
+	// arrived is set if the server may have seen a part of the request.
+	arrived bool
 	// unused is set if the grant expired before a byte was sent.
 	unused bool
 	// final is set if no other server can do better.
@@ -75,7 +79,7 @@
 func (f *dispatch) request(x *Exchange) grant.Request {
 	return grant.Request{
 		Service: x.match.Service, Priority: x.match.Priority, Team: x.team.ID, Weight: max(x.team.Weight, 1),
-		Deadline: x.deadline, Target: x.match.TargetLatency,
+		Deadline: x.deadline, Target: x.match.TargetLatency, Kind: uint32(xxhash.Sum64String(x.match.Route)),
 		Fingerprint: workFingerprint(x), Idempotent: x.match.Idempotent,
 	}
 }
@@ -100,35 +104,72 @@
 	x       *Exchange
 	request grant.Request
 	unused  int
+	// arrived is set once an attempt may have reached a server; later ones count as retries.
+	arrived bool
 	// last is the failure of the attempt before, if any.
 	last *failure
+	// fallback is a whole answer with which the server reported a failure. It is passed on if no
+	// other server does better.
+	fallback *Exchange
 }
 
 func (t *trial) run() (*Exchange, error) {
-	for t.x.attempts < orDefault(t.x.match.Attempts, maxAttempts) {
+	for t.x.attempts < maxSends && t.x.runs < t.limit() {
 		g, err := t.acquire()
 		if err != nil {
-			return nil, err
+			return t.settle(err)
 		}
 		if g == nil {
 			continue
 		}
 		winner, err := t.attempt(g)
-		if err == nil {
+		if err == nil && !t.wantsBetter(winner) {
 			return winner, nil
 		}
+		if err == nil {
+			t.setAside(winner)
+			continue
+		}
 		if err := t.judge(err); err != nil {
-			return nil, err
+			return t.settle(err)
 		}
 	}
-	return nil, t.refusal()
+	return t.settle(t.refusal())
+}
+
+// limit is how many attempts may run the work.
+func (t *trial) limit() int {
+	return orDefault(t.x.match.Attempts, maxAttempts)
+}
+
+// settle ends the request with the error, or with a failure that a server reported.
+func (t *trial) settle(err error) (*Exchange, error) {
+	if t.fallback != nil && t.x.r.Context().Err() == nil {
+		return t.fallback, nil
+	}
+	return nil, err
+}
+
+// wantsBetter tells whether another server may do better than the answer: the server reported a
+// failure of its own, and the work may run once more.
+func (t *trial) wantsBetter(answer *Exchange) bool {
+	return answer.fetched && answer.answer.Status >= http.StatusInternalServerError &&
+		t.x.repeatable() && t.x.runs+1 < t.limit() && t.x.ctx.Err() == nil
+}
+
+func (t *trial) setAside(answer *Exchange) {
+	t.x.runs++
+	t.x.mayHaveRun = true
+	t.arrived = true
+	t.fallback = answer
+	t.last = &failure{kind: problem.BackendFailed, detail: "the backend server reported a failure", mayHaveRun: true, arrived: true}
 }
 
 // acquire returns a grant that may be used now, or nil if one was given back and another should be asked for.
 func (t *trial) acquire() (grant.Grant, error) {
 	x := t.x
 	t.request.Purpose = grant.First
-	if x.attempts > 0 {
+	if t.arrived {
 		t.request.Purpose = grant.Retry
 	}
 	ctx := x.ctx
@@ -201,6 +242,10 @@
 		return t.expired()
 	}
 	x.mayHaveRun = x.mayHaveRun || fail.mayHaveRun
+	t.arrived = t.arrived || fail.arrived || fail.mayHaveRun
+	if fail.mayHaveRun {
+		x.runs++
+	}
 	t.last = fail
 	if fail.final != nil {
 		return t.outcomeOf(fail.final)
@@ -257,8 +302,11 @@
 func (t *trial) attempt(g grant.Grant) (*Exchange, error) {
 	x := t.x
 	x.attempts++
+	if x.tries == nil {
+		x.tries = &tries{}
+	}
 	t.request.Exclude = append(t.request.Exclude, g.Server().Instance)
-	if x.repeatable() {
+	if x.repeatable() && x.runs+1 < t.limit() {
 		return t.race(g)
 	}
 	child := x.fork(x.ctx, g)
--- a/internal/entry/exchange.go
+++ b/internal/entry/exchange.go
@@ -41,8 +41,12 @@
 	// mayHaveRun is set once an attempt may have run the work.
 	mayHaveRun bool
 	attempts   int
-	hedged     bool
-	replayed   bool
+	// tries records what became of the attempts, for the log; nil before the first.
+	tries *tries
+	// runs counts the attempts that may have run the work.
+	runs     int
+	hedged   bool
+	replayed bool
 	// record collects the answer of claimed work.
 	record *attempt.Answer
 
--- a/internal/entry/forward.go
+++ b/internal/entry/forward.go
@@ -195,7 +195,7 @@
 	if claim := x.claimOf(); claim != nil {
 		claim.Rejected()
 	}
-	return &failure{kind: problem.NoCapacity, detail: detail, wait: wait}
+	return &failure{kind: problem.NoCapacity, detail: detail, arrived: true, wait: wait}
 }
 
 // failed classifies a round trip without an answer.
@@ -273,6 +273,7 @@
 		return
 	}
 	x.completed = true
+	x.tries.add(x.grant.Server().Instance, result.String(), time.Since(x.sent))
 	if x.answer != nil {
 		x.answer.Close()
 	}
--- a/internal/entry/race.go
+++ b/internal/entry/race.go
@@ -100,6 +100,12 @@
 	if r.winner != nil {
 		return r.winner, nil
 	}
+	if second, ok := r.secondErr.(*failure); ok && second.mayHaveRun {
+		if first, ok := err.(*failure); ok && first.mayHaveRun {
+			// The trial counts the first one.
+			r.x.runs++
+		}
+	}
 	if r.secondServer != "" {
 		r.request.Exclude = append(r.request.Exclude, r.secondServer)
 		r.x.attempts++
--- a/internal/entry/recovery.go
+++ b/internal/entry/recovery.go
@@ -6,19 +6,22 @@
 	"runtime/debug"
 	"time"
 
+	"github.com/charmbracelet/log"
 	"github.com/pkg/errors"
 
+	"github.com/tarragonmux/tarragonmux/internal/logging"
 	"github.com/tarragonmux/tarragonmux/internal/problem"
 )
 
 // recovery tells the caller how its request ended, whatever happened inside.
 type recovery struct {
-	next Filter
-	cfg  *Config
+	next  Filter
+	cfg   *Config
+	lines *logging.Limiter
 }
 
 func newRecovery(_ context.Context, next Filter, cfg *Config, _ string) (Filter, error) {
-	return &recovery{next: next, cfg: cfg}, nil
+	return &recovery{next: next, cfg: cfg, lines: logging.NewLimiter(logging.DefaultLinesPerSecond)}, nil
 }
 
 // Handle writes refusals. It panics with http.ErrAbortHandler to break the caller's connection.
@@ -82,6 +85,44 @@
 		o.Outcome = OutcomeAnswered
 	}
 	f.cfg.Observer.Observe(o)
+	f.logEnd(x, o, refusal)
+}
+
+// logEnd writes one line for each request that did not get a good answer, and at the level debug for
+// the others. The number of lines per second is bounded.
+func (f *recovery) logEnd(x *Exchange, o Observation, refusal *problem.Problem) {
+	good := o.Outcome == OutcomeAnswered && o.Status < 500
+	if good && f.cfg.Log.GetLevel() > log.DebugLevel {
+		return
+	}
+	ok, suppressed := f.lines.Allow(time.Now())
+	if suppressed > 0 {
+		f.cfg.Log.Warn("suppressed lines on ended requests", "lines", suppressed)
+	}
+	if !ok {
+		return
+	}
+	fields := []any{
+		"request", x.id, "route", x.match.Route, "service", x.match.Service, "outcome", o.Outcome, "status", x.status,
+		"took_ms", o.Latency.Milliseconds(), "attempts", x.attempts, "runs", x.runs, "limit", x.match.Attempts,
+	}
+	if x.snapshot != nil {
+		fields = append(fields, "revision", x.snapshot.Revision())
+	}
+	if !x.deadline.IsZero() {
+		fields = append(fields, "left_ms", time.Until(x.deadline).Milliseconds())
+	}
+	if x.tries != nil {
+		fields = append(fields, "tries", x.tries.String())
+	}
+	if refusal != nil {
+		fields = append(fields, "ran", string(refusal.Outcome), "detail", refusal.Detail, "retry_after_ms", refusal.RetryAfter.Milliseconds())
+	}
+	if good {
+		f.cfg.Log.Debug("request ended", fields...)
+		return
+	}
+	f.cfg.Log.Info("request ended", fields...)
 }
 
 // asProblem returns the refusal in an error; other errors become an internal failure.
--- a/internal/grant/grant.go
+++ b/internal/grant/grant.go
@@ -29,6 +29,8 @@
 	// Weight of the team in fair queueing; 0 means 1.
 	Weight   uint32
 	Deadline time.Time
+	// Kind tells work of different length apart, such as the hash of the route; 0 if it is not known.
+	Kind uint32
 	// Target is the latency within which the answer counts as good; 0 means that of the priority.
 	Target time.Duration
 	// Fingerprint identifies requests that are the same work: route and key, or route, path and body hash.
@@ -71,6 +73,16 @@
 	Unused
 )
 
+var resultNames = map[Result]string{
+	OK: "ok", Error: "error", ConnectFailed: "connect failed", Broken: "broken", Shed: "shed",
+	Timeout: "timeout", Cancelled: "cancelled", Unused: "unused",
+}
+
+// String returns the name used in log lines.
+func (r Result) String() string {
+	return resultNames[r]
+}
+
 // Completion reports the end of a granted request.
 type Completion struct {
 	Result Result
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -43,6 +43,10 @@
 	Tolerate int `json:"tolerate,omitempty"`
 	// ServerCutoff is the age of the last announcement at which a backend server gets no new work. Default: 20s. Range: 1s to 1m.
 	ServerCutoff Duration `json:"server_cutoff,omitempty"`
+	// RetryShare is the share of a service's requests that retries and hedges may add. Default: 0.1. Range: 0 to 1.
+	RetryShare float64 `json:"retry_share,omitempty"`
+	// RetryFloor is how many retries and hedges a service may have in 10 s beyond the share. Default: 3. Range: 0 to 10000.
+	RetryFloor float64 `json:"retry_floor,omitempty"`
 	// LeaveFor is how long a leaving node goes on accepting callers that keep an older endpoint answer. Default: 3s. Range: 0s to 1m.
 	LeaveFor Duration `json:"leave_for,omitempty"`
 	// StopAfter is how long after the request to stop a process must have ended. Default: 1m. Range: 1s to 1h.
--- a/internal/settings/validate.go
+++ b/internal/settings/validate.go
@@ -97,6 +97,13 @@
 	c.duration("discovery.server_cutoff", d.ServerCutoff, time.Second, time.Minute)
 	c.duration("discovery.leave_for", d.LeaveFor, 0, time.Minute)
 	c.duration("discovery.stop_after", d.StopAfter, time.Second, time.Hour)
+	// The comparisons are written so that they are false for NaN.
+	if !(d.RetryShare >= 0 && d.RetryShare <= 1) {
+		c.fault("discovery.retry_share", fmt.Sprintf("%v is out of range", d.RetryShare), "use 0 to 1")
+	}
+	if !(d.RetryFloor >= 0 && d.RetryFloor <= 10_000) {
+		c.fault("discovery.retry_floor", fmt.Sprintf("%v is out of range", d.RetryFloor), "use 0 to 10000")
+	}
 	if s.Entry != nil && s.Control != nil {
 		c.fault("discovery", "a host with discovery runs either a node or a control replica", "remove entry or control")
 	}
