Recover after lost disks and restarts with other seeds

Cause: after a restart with seeds outside the control group, proposers asked hosts that knew no group, and entry hosts attached to control hosts outside the group never learned a dispatcher. SIGHUP ended processes. Change: the group comes from the own replica, from gossip and from peers; all control hosts follow the dispatchers; voters are asked in turn; settings are read again on SIGHUP and every second.

--- a/internal/agreement/proposer.go
+++ b/internal/agreement/proposer.go
@@ -39,6 +39,8 @@
 	// FirstGroup lists replicas from which the proposer learns the present group.
 	FirstGroup []Member
 	Client     Client
+	// Known returns the newest group that the replica of this process knows; nil means that it has none.
+	Known func() *agreementpb.Group
 	// Logger may be nil.
 	Logger *log.Logger
 }
@@ -91,6 +93,10 @@
 }
 
 func (p *proposer) quorum() quorum {
+	if p.cfg.Known != nil {
+		g := p.cfg.Known()
+		p.learnGroup(g.GetEpoch(), g.GetMembers())
+	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	return quorum{epoch: p.epoch, members: p.members}
--- a/internal/app/attached.go
+++ b/internal/app/attached.go
@@ -38,6 +38,7 @@
 func attachedModule() fx.Option {
 	return fx.Options(
 		fx.Provide(
+			newLive,
 			newAttachClient,
 			attach.NewServers,
 			newAttachedStore,
@@ -56,7 +57,7 @@
 	store *store.Store
 }
 
-func newAttachClient(lc fx.Lifecycle, b *background, s *settings.Settings, i incarnation, pool *transport.Pool, logger *log.Logger) (*attach.Client, *hinter) {
+func newAttachClient(lc fx.Lifecycle, b *background, s *settings.Settings, live *settings.Live, i incarnation, pool *transport.Pool, logger *log.Logger) (*attach.Client, *hinter) {
 	hints := &hinter{}
 	client := attach.NewClient(attach.ClientOptions{
 		ID:           s.ID,
@@ -64,7 +65,7 @@
 		DataCentre:   s.DataCentre,
 		EntryAddress: s.Entry.Advertise,
 		FleetAddress: s.Fleet.Advertise,
-		Seeds:        func() []string { return controlAddresses(s) },
+		Seeds:        seedAddresses(live),
 		Caller:       attach.NewCaller(pool),
 		OnRevision:   func(address string, revision uint64) { hints.store.Hint(address, revision) },
 		Logger:       logger,
--- a/internal/app/common.go
+++ b/internal/app/common.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"github.com/charmbracelet/log"
@@ -92,7 +93,28 @@
 // revisionHints receives news of newer configuration revisions from gossip.
 type revisionHints func(address string, revision uint64)
 
-func newMembership(lc fx.Lifecycle, b *background, s *settings.Settings, i incarnation, source hostset.Source, pool *transport.Pool, logger *log.Logger, hints revisionHints) *membership.Runner {
+// moreSeeds is how a process learns of further members at run time.
+type moreSeeds struct {
+	fx.In
+
+	Live   *settings.Live `optional:"true"`
+	Gossip *gossipHolder  `optional:"true"`
+}
+
+// gossipHolder breaks the cycle between the replica, which finds its peers through the gossip, and the
+// membership, which reads the hosts from the replica.
+type gossipHolder struct {
+	runner atomic.Pointer[membership.Runner]
+}
+
+func (g *gossipHolder) members() []membership.Member {
+	if runner := g.runner.Load(); runner != nil {
+		return runner.Members()
+	}
+	return nil
+}
+
+func newMembership(lc fx.Lifecycle, b *background, more moreSeeds, s *settings.Settings, i incarnation, source hostset.Source, pool *transport.Pool, logger *log.Logger, hints revisionHints) *membership.Runner {
 	runner := membership.NewRunner(membership.Options{
 		Identity: membership.Identity{
 			ID:           s.ID,
@@ -106,6 +128,7 @@
 		Source:       source,
 		Caller:       membership.NewCaller(pool),
 		Logger:       logger.WithPrefix("membership"),
+		Discover:     discoverThrough(more.Live),
 		ServerCutoff: serverCutoff(s),
 		OnRevision:   func(p membership.PeerRevision) { hints(p.Address, p.Revision) },
 	})
@@ -113,6 +136,13 @@
 	return runner
 }
 
+func discoverThrough(live *settings.Live) func() []string {
+	if live == nil {
+		return nil
+	}
+	return seedAddresses(live)
+}
+
 // serverCutoff returns 0, which is the default, unless the fleet discovers its hosts.
 func serverCutoff(s *settings.Settings) time.Duration {
 	if s.Discovery == nil {
--- a/internal/app/control.go
+++ b/internal/app/control.go
@@ -65,7 +65,7 @@
 	return h.log.Document()
 }
 
-func newReplica(lc fx.Lifecycle, b *background, s *settings.Settings, pool *transport.Pool, logger *log.Logger) (*agreement.Replica, error) {
+func newReplica(lc fx.Lifecycle, b *background, more moreSeeds, s *settings.Settings, pool *transport.Pool, logger *log.Logger) (*agreement.Replica, error) {
 	retention := records.Retention{Period: s.Control.RecordRetention.D()}
 	replica, err := agreement.NewReplica(agreement.ReplicaConfig{
 		ID:           s.ID,
@@ -73,6 +73,7 @@
 		FS:           storage.NewFS(),
 		Folder:       filepath.Join(s.DataFolder, "replica"),
 		FirstGroup:   groupMembers(s),
+		Discover:     discoverMembers(more),
 		Join:         s.Discovery != nil && s.Discovery.Join,
 		Client:       agreement.NewTransportClient(pool),
 		Logger:       logger.WithPrefix("agreement"),
@@ -88,11 +89,30 @@
 	return replica, nil
 }
 
+// discoverMembers lists the control replicas of the settings in force, and those that the gossip knows.
+// It returns nil if the hosts are not discovered.
+func discoverMembers(more moreSeeds) func() []agreement.Member {
+	if more.Live == nil {
+		return nil
+	}
+	return func() []agreement.Member {
+		var members []agreement.Member
+		for _, r := range more.Live.Replicas() {
+			members = append(members, agreement.Member{ID: r.ID, Address: r.Address})
+		}
+		for _, m := range more.Gossip.members() {
+			members = append(members, agreement.Member{ID: m.ID, Address: m.FleetAddress})
+		}
+		return members
+	}
+}
+
 func newConfigurationLog(lc fx.Lifecycle, b *background, s *settings.Settings, replica *agreement.Replica, m *membership.Runner, pool *transport.Pool, logger *log.Logger) *control.Log {
 	proposer := agreement.NewProposer(agreement.ProposerConfig{
 		ID:         s.ID,
 		FirstGroup: groupMembers(s),
 		Client:     agreement.NewLocalClient(s.ID, replica, agreement.NewTransportClient(pool)),
+		Known:      replica.Group,
 		Logger:     logger.WithPrefix("configuration"),
 	})
 	l := control.New(control.Options{
--- a/internal/app/discovery.go
+++ b/internal/app/discovery.go
@@ -43,6 +43,25 @@
 	return controlHostModule()
 }
 
+// newLive keeps the settings up to date.
+func newLive(lc fx.Lifecycle, b *background, o Options, s *settings.Settings, logger *log.Logger) *settings.Live {
+	live := settings.NewLive(s, o.Reload, logger)
+	start(lc, b, "settings", func(ctx context.Context) error { return live.Run(ctx, o.Signals) })
+	return live
+}
+
+// seedAddresses returns the fleet addresses of the control replicas in the settings in force.
+func seedAddresses(live *settings.Live) func() []string {
+	return func() []string {
+		replicas := live.Replicas()
+		addresses := make([]string, 0, len(replicas))
+		for _, r := range replicas {
+			addresses = append(addresses, r.Address)
+		}
+		return addresses
+	}
+}
+
 // controlHostModule composes a control host, which keeps the configuration, knows all hosts and
 // backend servers, and dispatches.
 func controlHostModule() fx.Option {
@@ -52,7 +71,9 @@
 			func(l *logHolder, r *agreement.Replica) hostset.Source {
 				return &groupSource{document: l.document, replica: r}
 			},
+			newLive,
 			func() *logHolder { return &logHolder{} },
+			func() *gossipHolder { return &gossipHolder{} },
 			func() revisionHints { return func(string, uint64) {} },
 			newElections,
 			newControlDispatcher,
@@ -159,8 +180,9 @@
 	})
 }
 
-func registerControlHost(lc fx.Lifecycle, mux *transport.Mux, s *settings.Settings, m *membership.Runner, e *election.Runner, d *dispatchrpc.Server, a *attach.Server, source hostset.Source, holder *logHolder, parts *controlParts, b *background) error {
+func registerControlHost(lc fx.Lifecycle, mux *transport.Mux, s *settings.Settings, m *membership.Runner, e *election.Runner, d *dispatchrpc.Server, a *attach.Server, source hostset.Source, holder *logHolder, gossip *gossipHolder, parts *controlParts, b *background) error {
 	holder.log = parts.Log
+	gossip.runner.Store(m)
 	lc.Append(fx.StopHook(func(ctx context.Context) {
 		m.Leave(ctx)
 		e.Resign(ctx)
--- a/internal/app/node.go
+++ b/internal/app/node.go
@@ -131,6 +131,7 @@
 		ID:          s.ID,
 		Incarnation: uint64(i),
 		Source:      source,
+		Follow:      s.Discovery != nil,
 		Caller:      election.NewCaller(pool),
 		Logger:      logger.WithPrefix("election"),
 	})
--- a/internal/app/process.go
+++ b/internal/app/process.go
@@ -37,6 +37,10 @@
 	Listen func(address string) (net.Listener, error)
 	// Grants replaces the source of grants, for comparisons with the baselines; nil means the dispatchers.
 	Grants GrantsFactory
+	// Reload reads the settings again; nil means that they never change.
+	Reload func() (*settings.Settings, error)
+	// Signals asks for the settings to be read again; may be nil.
+	Signals <-chan os.Signal
 	// Adapter speaks the conventions of another platform; nil means the product's own.
 	Adapter adapter.Adapter
 }
@@ -148,9 +152,10 @@
 }
 
 // Run starts a process, waits until the context ends or a part fails, and stops it gracefully.
-func Run(ctx context.Context, s *settings.Settings, out io.Writer, a adapter.Adapter) error {
+func Run(ctx context.Context, s *settings.Settings, out io.Writer, o Options) error {
 	logger := logging.New(out, s.Log.Level, s.Log.JSON)
-	p, err := New(s, Options{Logger: logger, Adapter: a})
+	o.Logger = logger
+	p, err := New(s, o)
 	if err != nil {
 		return err
 	}
--- a/internal/cli/process.go
+++ b/internal/cli/process.go
@@ -4,6 +4,8 @@
 	"context"
 	"encoding/json"
 	"os"
+	"os/signal"
+	"syscall"
 	"time"
 
 	"github.com/pkg/errors"
@@ -48,7 +50,14 @@
 	}
 	lines := logging.NewAsync(out.out)
 	defer closeLog(ctx, lines)
-	return app.Run(ctx, s, lines, platform.New(logging.New(lines, s.Log.Level, s.Log.JSON)))
+	hangUps := make(chan os.Signal, 1)
+	signal.Notify(hangUps, syscall.SIGHUP)
+	defer signal.Stop(hangUps)
+	return app.Run(ctx, s, lines, app.Options{
+		Adapter: platform.New(logging.New(lines, s.Log.Level, s.Log.JSON)),
+		Reload:  func() (*settings.Settings, error) { return platform.LoadSettings(path) },
+		Signals: hangUps,
+	})
 }
 
 // Run runs an entry host until it is told to stop.
@@ -60,7 +69,7 @@
 	if s.Entry == nil {
 		return errors.New("the settings have no entry section; add one, or run: tarragonmux control")
 	}
-	return app.Run(ctx, s, out.errs, nil)
+	return app.Run(ctx, s, out.errs, app.Options{})
 }
 
 // closeLog writes what is waiting, unless nobody reads the output.
@@ -83,7 +92,7 @@
 	if s.Control == nil {
 		return errors.New("the settings have no control section; add one, or run: tarragonmux node")
 	}
-	return app.Run(ctx, s, out.errs, nil)
+	return app.Run(ctx, s, out.errs, app.Options{})
 }
 
 type backendCommand struct {
--- a/internal/dispatchrpc/alone.go
+++ b/internal/dispatchrpc/alone.go
@@ -16,6 +16,9 @@
 	sharesEvery = 500 * time.Millisecond
 	// waitLimit bounds the calls that wait at this node while there is no dispatcher.
 	waitLimit = 4096
+	// hopelessAfter is how long a call waits at a host that knows neither a dispatcher nor a backend
+	// server; an election takes half of it.
+	hopelessAfter = time.Second
 	// attachedShare is how many slots of a server a host may use alone if it does not know the other
 	// hosts. Requests beyond the slots of a server wait in its own queue.
 	attachedShare = 1
@@ -75,6 +78,10 @@
 	}
 	s, ok := c.placeAlone(now, &k.request)
 	if !ok {
+		if len(c.client.config.Registry.Servers(c.service)) == 0 && now.Sub(k.asked) >= hopelessAfter {
+			c.withdraw(k)
+			c.finish(k, answer{problem: problem.New(problem.NoCapacity, problem.NotRun, "no backend server is known and no dispatcher answers").After(hopelessAfter)})
+		}
 		return
 	}
 	c.withdraw(k)
--- a/internal/dispatchrpc/channel.go
+++ b/internal/dispatchrpc/channel.go
@@ -53,7 +53,9 @@
 type call struct {
 	id      uint64
 	request grant.Request
-	done    chan answer
+	// asked is when the call began to wait.
+	asked time.Time
+	done  chan answer
 }
 
 // answer ends a call: exactly one field is set.
@@ -89,6 +91,7 @@
 		c.mu.Unlock()
 		return nil, problem.New(problem.DeadlinePassed, problem.NotRun, "")
 	}
+	k.asked = now
 	if c.closed {
 		c.mu.Unlock()
 		return nil, problem.New(problem.ShuttingDown, problem.NotRun, "")
--- a/internal/election/runner.go
+++ b/internal/election/runner.go
@@ -58,8 +58,11 @@
 	// Incarnation is the start time of the process in milliseconds.
 	Incarnation uint64
 	Source      hostset.Source
-	Caller      Caller
-	Logger      *log.Logger
+	// Follow is set if this node learns the dispatchers of all services, also where it is not in the
+	// host set, since others ask it.
+	Follow bool
+	Caller Caller
+	Logger *log.Logger
 }
 
 // Runner votes, campaigns and learns the dispatchers of all services. It implements
@@ -90,6 +93,8 @@
 	announced uint64
 	known     word
 	nextPoll  time.Time
+	// turn is the position in the voting group of the next voter to ask; 0 before the first.
+	turn int
 }
 
 // word is what this node heard of the dispatcher.
@@ -276,7 +281,7 @@
 
 // poll asks a voter who dispatches the service.
 func (r *Runner) poll(ctx context.Context, c *contest, now time.Time) {
-	if now.Before(c.nextPoll) || !c.member || len(c.groups.Current) == 0 {
+	if now.Before(c.nextPoll) || !c.member && !r.o.Follow || len(c.groups.Current) == 0 {
 		return
 	}
 	// A voter that does not answer is followed by another one soon.
@@ -284,8 +289,8 @@
 	if _, held := c.candidate.Held(now); held {
 		return
 	}
-	voter := c.groups.Current[rand.IntN(len(c.groups.Current))]
-	if voter == r.o.ID {
+	voter := c.nextVoter(r.o.ID)
+	if voter == "" {
 		return
 	}
 	message := &fleetpb.VoteRequest{Service: c.service, Candidate: r.o.ID, HostsRevision: c.groups.Revision}
@@ -297,6 +302,23 @@
 	})
 }
 
+// nextVoter returns the voter to ask, in turn: the voters that did not vote for a new holder do not know
+// it, and asked at random they could be asked again and again. It returns "" if there is no other voter.
+func (c *contest) nextVoter(self string) string {
+	if c.turn == 0 {
+		// Nodes begin at different voters.
+		c.turn = 1 + rand.IntN(len(c.groups.Current))
+	}
+	for range c.groups.Current {
+		voter := c.groups.Current[c.turn%len(c.groups.Current)]
+		c.turn++
+		if voter != self {
+			return voter
+		}
+	}
+	return ""
+}
+
 // jitter keeps the nodes of a fleet from asking in step.
 func jitter(d time.Duration) time.Duration {
 	return d*3/4 + rand.N(d/2)
--- a/internal/entry/dialect.go
+++ b/internal/entry/dialect.go
@@ -43,8 +43,8 @@
 	// HoldAnswer is up to how many bytes of an answer of unknown length are read before it is passed
 	// on, so that a break can still be told or retried.
 	HoldAnswer int
-	// WriteProblem sends a refusal; leaving is set if the caller should use another host.
-	WriteProblem func(w http.ResponseWriter, p *problem.Problem, requestID string)
+	// WriteProblem sends a refusal and returns its status.
+	WriteProblem func(w http.ResponseWriter, p *problem.Problem, requestID string) int
 	// FixedPaths is set if the host serves endpoint answers and announcements beside the routes.
 	FixedPaths bool
 }
@@ -65,7 +65,10 @@
 		Draining: func(h http.Header) bool {
 			return strings.EqualFold(h.Get(headerState), stateDrain)
 		},
-		WriteProblem: func(w http.ResponseWriter, p *problem.Problem, requestID string) { p.Write(w, requestID) },
-		FixedPaths:   true,
+		WriteProblem: func(w http.ResponseWriter, p *problem.Problem, requestID string) int {
+			p.Write(w, requestID)
+			return p.Status()
+		},
+		FixedPaths: true,
 	}
 }
--- a/internal/entry/recovery.go
+++ b/internal/entry/recovery.go
@@ -63,8 +63,7 @@
 		// The rest of an unread body must not be taken for the next request.
 		h.Set("Connection", "close")
 	}
-	x.status = p.Status()
-	x.dialect.WriteProblem(x.w, p, x.id)
+	x.status = x.dialect.WriteProblem(x.w, p, x.id)
 }
 
 func (f *recovery) observe(x *Exchange, err error, refusal *problem.Problem) {
--- a/internal/membership/runner.go
+++ b/internal/membership/runner.go
@@ -68,10 +68,12 @@
 type Options struct {
 	Identity Identity
 	// Peers lists fleet addresses to join through.
-	Peers  []string
-	Source hostset.Source
-	Caller Caller
-	Logger *log.Logger
+	Peers []string
+	// Discover lists further addresses to join through, which may change; nil means none.
+	Discover func() []string
+	Source   hostset.Source
+	Caller   Caller
+	Logger   *log.Logger
 	// OnRevision is told when a peer has a newer configuration revision than this node; it must
 	// not block and may be called often. It may be nil.
 	OnRevision func(PeerRevision)
@@ -263,6 +265,9 @@
 
 func (r *Runner) seeds() []string {
 	addresses := slices.Clone(r.o.Peers)
+	if r.o.Discover != nil {
+		addresses = append(addresses, r.o.Discover()...)
+	}
 	if fleet := r.o.Source.Fleet(); fleet != nil {
 		for _, h := range fleet.Hosts {
 			addresses = append(addresses, h.FleetAddress)
