Suspend servers that fail for seconds, and keep unrepeatable work from doubtful ones

Cause: at any time about a third of the servers reset or fail most requests for 2 to 3 s; ejection needed five samples, and a server that the minimum kept at one slot failed at once and so looked idle and got more. Change: a share of failures with a half-life; two failures in a row suspend for 3 s; retries need the budget only, hedges also no overload.

--- a/internal/dispatch/ejection.go
+++ b/internal/dispatch/ejection.go
@@ -179,6 +179,10 @@
 		m.hold(now, s)
 		return
 	}
+	if s.failed {
+		m.suspend(now, s)
+		return
+	}
 	m.eject(now, s, causeCanary)
 }
 
@@ -193,6 +197,10 @@
 	s.holds = 0
 	s.forget(now)
 	s.grow(now)
+	if s.failed {
+		s.growFor = growAfterFailing
+	}
+	s.failed = false
 	m.stats.Returns++
 }
 
--- a/internal/dispatch/evidence.go
+++ b/internal/dispatch/evidence.go
@@ -70,10 +70,15 @@
 		m.crashes.clear(now, r.Fingerprint)
 		m.charge(r, c.Total)
 		s.sheds = 0
+		m.noteOutcome(now, r, false)
 	case grant.Error:
 		m.observeAnswer(now, r, latency, true)
+		m.noteOutcome(now, r, true)
 		m.charge(r, c.Total)
-	case grant.ConnectFailed, grant.Broken:
+	case grant.Broken:
+		m.observeBreak(now, r, c.Result)
+		m.noteOutcome(now, r, true)
+	case grant.ConnectFailed:
 		m.observeBreak(now, r, c.Result)
 	case grant.Shed:
 		s.shed(now)
--- /dev/null
+++ b/internal/dispatch/failing.go
@@ -0,0 +1,133 @@
+package dispatch
+
+import (
+	"math"
+	"time"
+)
+
+// The pattern that this file answers: at any time several servers reset or fail a large part of their
+// requests for some seconds and then work again, more of them at once than the minimum healthy capacity
+// allows to eject. Work that must not repeat is lost with the first failure, so each further one counts.
+const (
+	// failureWeight is the weight of the newest outcome in the share of failures.
+	failureWeight = 0.3
+	// failureHalfLife halves the share of a server that gets no work.
+	failureHalfLife = 3 * time.Second
+	// doubtfulShare is the share from which on a server gets work that must not repeat only when no
+	// other has room: one failure that is not followed by two successes.
+	doubtfulShare = 0.15
+	// failingShare is the share from which on a server is suspended: two failures in a row.
+	failingShare = 0.5
+	// suspendFor is the first time without work; it doubles up to suspendCap with each failed canary.
+	suspendFor = 3 * time.Second
+	suspendCap = 6 * time.Second
+	// forgiveAfter is the time after a suspension from which on the next one is a first one.
+	forgiveAfter = 5 * time.Second
+	// growAfterFailing is how soon a server that was suspended for failures has all its slots again.
+	growAfterFailing = time.Second
+	// mostlyFailing is one over the share of failing servers from which on work goes to them all the same.
+	mostlyFailing = 2
+)
+
+// failures is the recent share of failed requests. The zero value has none.
+type failures struct {
+	value float64
+	at    time.Time
+}
+
+// share returns the share as it has faded by now.
+func (f *failures) share(now time.Time) float64 {
+	if f.value == 0 {
+		return 0
+	}
+	return f.value * math.Exp2(-now.Sub(f.at).Seconds()/failureHalfLife.Seconds())
+}
+
+func (f *failures) add(now time.Time, failed bool) {
+	value := f.share(now) * (1 - failureWeight)
+	if failed {
+		value += failureWeight
+	}
+	f.value, f.at = value, now
+}
+
+// noteOutcome counts the end of a request that the server answered or broke off.
+func (m *Machine) noteOutcome(now time.Time, r *request, failed bool) {
+	s := r.server
+	s.failing.add(now, failed)
+	s.path(r.node.centreKey).failing.add(now, failed)
+	if !failed || s.state != inRotation || s.failing.share(now) < failingShare {
+		return
+	}
+	if m.onlyCentreFails(now, s, r.node) {
+		m.blockPath(now, s, r.node.centreKey)
+		return
+	}
+	m.suspend(now, s)
+}
+
+// onlyCentreFails tells whether the server fails for the nodes of one data centre while it works for
+// those of another.
+func (m *Machine) onlyCentreFails(now time.Time, s *server, n *node) bool {
+	others := false
+	for _, other := range m.nodes {
+		if other.centreKey == n.centreKey {
+			continue
+		}
+		p := s.paths[other.centreKey]
+		if p == nil || now.Sub(p.lastAnswer) > sampleWindow {
+			continue
+		}
+		if p.failing.share(now) >= doubtfulShare {
+			return false
+		}
+		others = true
+	}
+	return others && s.path(n.centreKey).failing.share(now) >= failingShare
+}
+
+// suspend takes a failing server out for a short time. If the minimum forbids that, it stays, and gets
+// work only when all others are full.
+func (m *Machine) suspend(now time.Time, s *server) {
+	if !m.allowed(now, s) {
+		m.stats.EjectionsDenied++
+		return
+	}
+	m.takeOut(now, s, ejectedServer)
+	s.failed = true
+	if now.Sub(s.suspendedUntil) > forgiveAfter {
+		s.suspensions = 0
+	}
+	s.stateUntil = now.Add(min(suspendFor<<min(s.suspensions, 10), suspendCap))
+	s.suspendedUntil = s.stateUntil
+	s.suspensions++
+	m.stats.Ejections++
+}
+
+// mostFail tells whether so many servers fail that avoiding them would leave too few.
+func (m *Machine) mostFail(now time.Time) bool {
+	healthy, failing := 0, 0
+	for _, s := range m.servers {
+		if !s.healthy(now) {
+			continue
+		}
+		healthy++
+		if s.failing.share(now) >= failingShare {
+			failing++
+		}
+	}
+	return mostlyFailing*failing >= healthy
+}
+
+// spares tells whether the request should wait for another server than this failing one: what may
+// repeat while it can meet its target, other work while it can be done at all.
+func (m *Machine) spares(now time.Time, s *server, r *request) bool {
+	if s.failing.share(now) < failingShare || s.state != inRotation || m.mostFail(now) {
+		return false
+	}
+	needed := m.needs(&r.Request, true)
+	if r.Idempotent {
+		return now.Before(r.due.Add(-needed))
+	}
+	return now.Before(r.Deadline.Add(-2 * needed))
+}
--- a/internal/dispatch/machine.go
+++ b/internal/dispatch/machine.go
@@ -328,7 +328,7 @@
 	if q.Deadline.Sub(now) < max(m.needs(q, false), 1) {
 		return problem.DeadlineUnmeetable
 	}
-	if q.Purpose != grant.First && (m.overload || !m.retries.Allows(now)) {
+	if q.Purpose == grant.Hedge && m.overload || q.Purpose != grant.First && !m.retries.Allows(now) {
 		return problem.NoCapacity
 	}
 	if m.queue.ranks[q.Priority].length() < m.queueLimit() {
--- a/internal/dispatch/server.go
+++ b/internal/dispatch/server.go
@@ -50,6 +50,12 @@
 	ejections   int
 	lastEjected time.Time
 
+	failing failures
+	// failed is set while the server is out for failures, and suspensions counts how often in a row.
+	failed         bool
+	suspensions    int
+	suspendedUntil time.Time
+
 	latency    distribution
 	samples    []sample
 	unanswered []unansweredRequest
@@ -75,6 +81,7 @@
 
 // path is what one node, or the nodes of one data centre, experience with a server.
 type path struct {
+	failing      failures
 	lastAnswer   time.Time
 	blockedUntil time.Time
 	blocks       int
