--- a/internal/dispatch/failing.go
+++ b/internal/dispatch/failing.go
@@ -25,8 +25,11 @@
 	forgiveAfter = 5 * time.Second
 	// growAfterFailing is how soon a server that was suspended for failures has all its slots again.
 	growAfterFailing = time.Second
-	// mostlyFailing is one over the share of failing servers from which on work goes to them all the same.
-	mostlyFailing = 2
+	// mostlyFailing is the share of failing servers from which on work goes to them all the same.
+	mostlyFailing = 0.75
+	// tryAnyway is how many usual times of its kind a request that must not repeat has left when it is
+	// sent to a failing server rather than to none.
+	tryAnyway = 1.5
 )
 
 // failures is the recent share of failed requests. The zero value has none.
@@ -116,7 +119,7 @@
 			failing++
 		}
 	}
-	return mostlyFailing*failing >= healthy
+	return float64(failing) >= mostlyFailing*float64(healthy)
 }
 
 // spares tells whether the request should wait for another server than this failing one: what may
@@ -125,9 +128,9 @@
 	if s.failing.share(now) < failingShare || s.state != inRotation || m.mostFail(now) {
 		return false
 	}
-	needed := m.needs(&r.Request, true)
+	usual := m.needs(&r.Request, false)
 	if r.Idempotent {
-		return now.Before(r.due.Add(-needed))
+		return now.Before(r.due.Add(-usual))
 	}
-	return now.Before(r.Deadline.Add(-2 * needed))
+	return now.Before(r.Deadline.Add(-time.Duration(tryAnyway * float64(usual))))
 }
--- a/internal/dispatch/placement.go
+++ b/internal/dispatch/placement.go
@@ -10,6 +10,12 @@
 )
 
 const (
+	// survivedAfter is how soon a request that a failing server resets is reported.
+	survivedAfter = 12 * time.Millisecond
+	// provenFor is how long a request in flight shows that its server works.
+	provenFor = 100 * time.Millisecond
+	// unprovenUse is what an unproven server counts as fuller for work that must not repeat.
+	unprovenUse = 0.4
 	// deferLimit bounds how many requests that no free server may serve are passed over at a time.
 	deferLimit = 16
 	// slowerFactor is how much slower a local server may be before another data centre is preferred.
@@ -107,6 +113,9 @@
 	r.sent = now
 	r.canary = s.state == onCanary
 	s.attach(r)
+	if now.Sub(s.lastGrant) >= survivedAfter {
+		s.grantBefore = s.lastGrant
+	}
 	s.lastGrant = now
 	invariant.Check(len(s.inflight) <= s.hardLimit(), "dispatch.slot-limit",
 		"server %s has %d requests in flight with %d slots and %d connections", s.Instance, len(s.inflight), s.Slots, s.Connections)
@@ -148,6 +157,10 @@
 		}
 		rank := s.rank(now, r, m.latencies.p50)
 		use := float64(len(s.inflight)+1) / float64(limit)
+		if !r.Idempotent && rank <= rankRemote && !s.proven(now) {
+			// A server that begins to fail is found by work that may repeat.
+			use += unprovenUse
+		}
 		if best == nil || rank < bestRank || rank == bestRank && (use < bestUse || use == bestUse && s.Load < best.Load) {
 			best, bestRank, bestUse = s, rank, use
 		}
@@ -155,6 +168,16 @@
 	return best, possible
 }
 
+// proven tells whether the server took a request a moment ago and has not failed it since. A server that
+// resets its requests does so within milliseconds.
+func (s *server) proven(now time.Time) bool {
+	since := now.Sub(s.lastGrant)
+	if since < survivedAfter {
+		since = now.Sub(s.grantBefore)
+	}
+	return since >= survivedAfter && since <= provenFor && s.failing.share(now) < doubtfulShare
+}
+
 // blocked tells whether the node's path to the server is bad.
 func (s *server) blocked(now time.Time, n *node) bool {
 	if !now.Before(s.pathsBlockedUntil) {
--- a/internal/dispatch/server.go
+++ b/internal/dispatch/server.go
@@ -76,7 +76,8 @@
 	holds        int
 	crashedAt    time.Time
 	suspects     int
-	lastGrant    time.Time
+	// grantBefore is the last grant that was old enough to be reported as failed when the next one came.
+	lastGrant, grantBefore time.Time
 }
 
 // path is what one node, or the nodes of one data centre, experience with a server.
