Count servers that leave on purpose out of the minimum healthy capacity

Cause: the minimum referred to the peak of the announced slots with those of drained and replaced servers, so after a release nothing could be ejected.

--- a/internal/dispatch/ejection.go
+++ b/internal/dispatch/ejection.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	"github.com/tarragonmux/tarragonmux/internal/backend"
+
 	"github.com/tarragonmux/tarragonmux/internal/grant"
 	"github.com/tarragonmux/tarragonmux/internal/invariant"
 )
@@ -33,13 +35,32 @@
 func (m *Machine) announcedSlots() int {
 	total := 0
 	for _, s := range m.servers {
-		if s.present {
+		if s.present && !s.leaving() {
 			total += s.Slots
 		}
 	}
 	return total
 }
 
+// leaving tells whether the server was taken out on purpose.
+func (s *server) leaving() bool {
+	return s.draining || s.State >= backend.Draining
+}
+
+// forgetLeaving takes the slots of servers that leave on purpose out of the remembered capacity. The
+// minimum guards against losses; what operators remove is none.
+func (m *Machine) forgetLeaving() {
+	for _, s := range m.servers {
+		if !s.leaving() || s.deducted {
+			continue
+		}
+		s.deducted = true
+		for i := range m.peaks {
+			m.peaks[i].slots = max(0, m.peaks[i].slots-s.Slots)
+		}
+	}
+}
+
 // healthyCapacity is the sum of the slots of the servers in rotation.
 func (m *Machine) healthyCapacity(now time.Time) int {
 	total := 0
@@ -67,6 +88,7 @@
 }
 
 func (m *Machine) recordPeak(now time.Time) {
+	m.forgetLeaving()
 	minute := now.Unix() / 60
 	p := &m.peaks[minute%peakMinutes]
 	if p.minute != minute {
--- a/internal/dispatch/machine.go
+++ b/internal/dispatch/machine.go
@@ -143,6 +143,7 @@
 		m.add(s)
 		m.beginWarmUp(now, s)
 	case s.Incarnation != b.Incarnation:
+		s.deducted = false
 		m.restart(now, s, b)
 	}
 	becameReady := s.State != backend.Ready && b.State == backend.Ready
--- a/internal/dispatch/server.go
+++ b/internal/dispatch/server.go
@@ -38,6 +38,8 @@
 	limitedUntil time.Time
 	// draining is set by signals in answers.
 	draining bool
+	// deducted is set once the slots of a leaving server no longer count as announced.
+	deducted bool
 	// reserved are the slots that members without a stream may use on their own.
 	reserved int
 	// shares caches the autonomous shares by member.
