Give up connections that went silent, and wait while a dispatcher's stream is joined

Cause: connections of all hosts went silent without a reset; drpc reused the pooled ones, so entry hosts placed requests alone until the next restart and did not hear of servers that drain. Grants given alone beside a fresh hello reopened the stream again and again. Ruled out: a lost mark (all five control hosts had it), a second dispatcher, a later announcement of the server (announcements logged).

--- a/internal/app/process.go
+++ b/internal/app/process.go
@@ -23,6 +23,9 @@
 	startTimeout = 2 * time.Minute
 	// stopTimeout bounds a graceful stop. It exceeds the largest deadline that a caller may state.
 	stopTimeout = 15 * time.Minute
+	// backendUnacknowledged is how long a backend server may leave a request unacknowledged before the
+	// connection counts as broken; its host acknowledges also while it is busy.
+	backendUnacknowledged = 700 * time.Millisecond
 )
 
 // Options change how a process meets its surroundings. The zero value is the operating system.
@@ -53,7 +56,7 @@
 		o.Dialer = transport.NewDialer()
 	}
 	if o.BackendDialer == nil {
-		o.BackendDialer = transport.NewDialer()
+		o.BackendDialer = transport.SilentDialer(transport.DialTimeout, backendUnacknowledged)
 	}
 	if o.Listen == nil {
 		o.Listen = func(address string) (net.Listener, error) { return net.Listen("tcp", address) }
--- a/internal/attach/server.go
+++ b/internal/attach/server.go
@@ -132,7 +132,9 @@
 
 // Mark records the mark of another control host.
 func (s *Server) Mark(_ context.Context, r *fleetpb.MarkRequest) (*fleetpb.MarkReply, error) {
-	s.o.Registry.Mark(r.GetInstance(), r.GetIncarnation(), backend.State(r.GetState()))
+	services := s.o.Registry.Mark(r.GetInstance(), r.GetIncarnation(), backend.State(r.GetState()))
+	s.o.Logger.Info("marked a backend server for another control host", "instance", r.GetInstance(), "incarnation", r.GetIncarnation(),
+		"state", backend.State(r.GetState()).String(), "services", services)
 	return &fleetpb.MarkReply{}, nil
 }
 
@@ -144,11 +146,12 @@
 	request := &fleetpb.MarkRequest{Instance: instance, Incarnation: incarnation, State: fleetpb.ServerState(state)}
 	t := &takeOut{server: s, request: request, services: services, told: map[string]bool{s.o.Address: true}}
 	for {
-		if t.binding() {
-			return nil
+		if !t.binding() {
+			t.round(ctx)
 		}
-		t.round(ctx)
 		if t.binding() {
+			s.o.Logger.Info("took a backend server out", "instance", instance, "incarnation", incarnation,
+				"state", state.String(), "services", services, "told", len(t.told))
 			return nil
 		}
 		timer := time.NewTimer(markEvery)
--- a/internal/dispatch/evidence.go
+++ b/internal/dispatch/evidence.go
@@ -81,7 +81,8 @@
 	case grant.ConnectFailed:
 		m.observeBreak(now, r, c.Result)
 	case grant.Shed:
-		s.shed(now)
+		m.observeShed(now, s)
+		m.noteOutcome(now, r, true)
 		m.answered(now, r)
 	case grant.Timeout, grant.Cancelled:
 		m.observeSilence(now, r, c)
--- a/internal/dispatch/machine.go
+++ b/internal/dispatch/machine.go
@@ -300,6 +300,7 @@
 	r := m.newRequest()
 	*r = request{Request: q, node: n, state: stateQueued, arrived: now}
 	r.due = m.due(now, &q)
+	r.work = m.kindOf(q.Kind).seconds
 	r.crashSuspect = m.crashes.suspect(q.Fingerprint)
 	n.requests[q.ID] = r
 	m.queue.push(r)
@@ -329,6 +330,9 @@
 	if q.Deadline.Sub(now) < max(m.needs(q, false), 1) {
 		return problem.DeadlineUnmeetable
 	}
+	if m.hopeless(now, q) {
+		return problem.DeadlineUnmeetable
+	}
 	if q.Purpose == grant.Hedge && m.overload || q.Purpose != grant.First && !m.retries.Allows(now) {
 		return problem.NoCapacity
 	}
--- a/internal/dispatch/queue.go
+++ b/internal/dispatch/queue.go
@@ -59,6 +59,8 @@
 	active  []*bucket
 	cursor  int
 	length  int
+	// work is the slot time in seconds that the requests will take.
+	work float64
 }
 
 // head returns the request whose turn it is, or nil.
@@ -91,6 +93,7 @@
 	r.bucket = b
 	heap.Push(b, r)
 	c.length++
+	c.work += r.work
 }
 
 func (c *class) remove(r *request) {
@@ -98,6 +101,11 @@
 	heap.Remove(b, r.index)
 	r.bucket = nil
 	c.length--
+	c.work -= r.work
+	if c.length == 0 {
+		// Nothing of rounding errors may stay.
+		c.work = 0
+	}
 	if len(b.requests) == 0 {
 		c.deactivate(b)
 	}
@@ -243,6 +251,20 @@
 	minimumCost = 0.001
 )
 
+// ahead returns the slot time in seconds of the requests that are served before a new one of the team.
+func (q *queue) ahead(p priority.Priority, team string) float64 {
+	work := 0.0
+	for i := range p {
+		work += q.ranks[i].fresh.work + q.ranks[i].late.work
+	}
+	c := &q.ranks[p].fresh
+	if len(c.active) == 1 && c.active[0] == c.buckets[q.slotOf(team)] {
+		// With other teams waiting, the turns decide.
+		work += c.work
+	}
+	return work
+}
+
 // victim returns the request to drop so that a request of the team may enter a full class; it
 // returns nil when the newcomer itself is the one to drop.
 func (q *queue) victim(p priority.Priority, team string) *request {
--- a/internal/dispatch/request.go
+++ b/internal/dispatch/request.go
@@ -84,6 +84,8 @@
 	// once the request is late.
 	due  time.Time
 	late bool
+	// work is the slot time in seconds that the request will probably take.
+	work float64
 	// bucket and index are the position in the queue.
 	bucket *bucket
 	index  int
--- a/internal/dispatch/server.go
+++ b/internal/dispatch/server.go
@@ -30,6 +30,7 @@
 	weight      float64
 	pausedUntil time.Time
 	sheds       int
+	shedAt      time.Time
 	weightAt    time.Time
 	// growFrom is when the limit started to rise from one slot; zero if it does not.
 	growFrom time.Time
@@ -240,10 +241,32 @@
 	// shedPause is the first pause after a shed answer. A server that sheds everything at once
 	// would otherwise look idle and attract all work.
 	shedPause = 20 * time.Millisecond
+	// shedTogether is how close shed answers of different servers are when they shed at once.
+	shedTogether = time.Second
 	// shedPauseCap bounds the pause.
 	shedPauseCap = 500 * time.Millisecond
 )
 
+// observeShed takes a shed answer. When most servers shed at once, fewer requests at each would only leave
+// slots idle, since none of them is fuller than the others.
+func (m *Machine) observeShed(now time.Time, s *server) {
+	s.shedAt = now
+	healthy, shedding := 0, 0
+	for _, other := range m.servers {
+		if !other.healthy(now) {
+			continue
+		}
+		healthy++
+		if now.Sub(other.shedAt) < shedTogether {
+			shedding++
+		}
+	}
+	if 2*shedding > healthy {
+		return
+	}
+	s.shed(now)
+}
+
 // shed lowers the weight and pauses the server.
 func (s *server) shed(now time.Time) {
 	pause := min(shedPause<<min(s.sheds, 5), shedPauseCap)
--- a/internal/dispatch/work.go
+++ b/internal/dispatch/work.go
@@ -69,3 +69,23 @@
 	}
 	return k.median
 }
+
+// hopelessFactor is how far the expected wait must exceed the time that a request has before it is
+// refused at once. The estimate is rough, and what waits may be cancelled.
+const hopelessFactor = 1.25
+
+// hopeless tells whether a request would probably wait in vain, by the work that waits before it. A
+// burst of work that the slots cannot take is then refused when it comes, not when its deadlines are near.
+func (m *Machine) hopeless(now time.Time, q *Request) bool {
+	ahead := m.queue.ahead(q.Priority, q.Team)
+	if ahead == 0 {
+		return false
+	}
+	slots := 0
+	for _, s := range m.servers {
+		slots += s.limit(now)
+	}
+	wait := time.Duration(ahead / float64(max(slots, 1)) * float64(time.Second))
+	left := q.Deadline.Sub(now) - m.needs(q, false)
+	return float64(wait) > hopelessFactor*float64(left)
+}
--- a/internal/dispatchrpc/alone.go
+++ b/internal/dispatchrpc/alone.go
@@ -31,6 +31,8 @@
 	budget     dispatch.Budget
 	// unreported is set by a grant between the hello of a stream and its first answer.
 	unreported bool
+	// noted is the autonomy that was logged last.
+	noted bool
 }
 
 // autonomous tells whether the node has had no dispatcher for too long.
@@ -38,6 +40,28 @@
 	return c.pace.alone(now, c.heard)
 }
 
+// joining tells whether a stream was opened a moment ago and its dispatcher will probably answer soon. A
+// grant that the node gives itself meanwhile is not in its hello, so the stream would be opened anew; under
+// load each new one would meet the same.
+func (c *channel) joining(now time.Time) bool {
+	return c.linked && !c.answered && c.fruitless == 0 && now.Sub(c.opened) < SilenceLimit
+}
+
+// noteAutonomy logs when the node begins and ends to route without a dispatcher. The caller holds the mutex.
+func (c *channel) noteAutonomy(now time.Time) {
+	is := c.autonomous(now)
+	if is == c.alone.noted {
+		return
+	}
+	c.alone.noted = is
+	if is {
+		c.client.log.Warn("lost the dispatcher; placing requests alone", "service", c.service, "term", c.term,
+			"silent_ms", now.Sub(c.heard).Milliseconds(), "servers", len(c.client.config.Registry.Servers(c.service)))
+		return
+	}
+	c.client.log.Info("follows a dispatcher again", "service", c.service, "term", c.term)
+}
+
 // waiting returns the calls in the order in which they are served.
 func (c *channel) waiting() []*call {
 	list := make([]*call, 0, len(c.calls))
@@ -55,7 +79,7 @@
 
 // serveAlone grants waiting calls out of the node's own shares. The caller holds the mutex.
 func (c *channel) serveAlone(now time.Time) {
-	if len(c.calls) == 0 {
+	if len(c.calls) == 0 || c.joining(now) {
 		return
 	}
 	c.refreshShares(now)
@@ -115,7 +139,7 @@
 		}
 		// Hosts that choose the same server among equals would fill it first.
 		if rand.IntN(ties) == 0 {
-			best = grant.Server{Service: c.service, Instance: s.Instance, Address: s.Address, DataCentre: s.DataCentre}
+			best = grant.Server{Service: c.service, Instance: s.Instance, Address: s.Address, DataCentre: s.DataCentre, Alone: true}
 		}
 	}
 	return best, most > 0
--- a/internal/dispatchrpc/channel.go
+++ b/internal/dispatchrpc/channel.go
@@ -33,6 +33,8 @@
 	// stream numbers the streams, so that the end of one does not touch the next.
 	stream   uint64
 	answered bool
+	// fruitless counts the streams since the last one on which a dispatcher answered.
+	fruitless int
 	// received counts the grants, refusals and advices of the stream.
 	received uint64
 	opened   time.Time
@@ -175,6 +177,7 @@
 		return false
 	}
 	c.answered = true
+	c.fruitless = 0
 	c.received += uint64(len(b.Grants) + len(b.Refuses) + len(b.Advises))
 	for _, g := range b.Grants {
 		c.granted(now, g)
@@ -322,6 +325,9 @@
 		return
 	}
 	c.linked = false
+	if !c.answered {
+		c.fruitless++
+	}
 	c.out = &dispatchpb.NodeBatch{}
 	c.hedge.Store(0)
 }
--- a/internal/dispatchrpc/connect.go
+++ b/internal/dispatchrpc/connect.go
@@ -142,6 +142,9 @@
 				return
 			}
 			if c.silent(now, started) {
+				if holder.Node != c.client.config.Node {
+					c.client.config.Pool.Suspect(holder.Address)
+				}
 				cancel()
 				return
 			}
@@ -176,6 +179,7 @@
 		case now := <-ticker.C:
 			c.mu.Lock()
 			c.expire(now)
+			c.noteAutonomy(now)
 			if c.autonomous(now) {
 				c.serveAlone(now)
 			}
--- a/internal/entry/tries.go
+++ b/internal/entry/tries.go
@@ -4,6 +4,8 @@
 	"strings"
 	"sync"
 	"time"
+
+	"github.com/tarragonmux/tarragonmux/internal/grant"
 )
 
 // maxTries bounds the attempts of one request that are recorded for the log.
@@ -16,15 +18,20 @@
 }
 
 // add records the end of one attempt.
-func (t *tries) add(instance, result string, took time.Duration) {
+func (t *tries) add(server grant.Server, result grant.Result, took time.Duration) {
 	if t == nil {
 		return
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if len(t.list) < maxTries {
-		t.list = append(t.list, instance+" "+result+" after "+took.Round(time.Millisecond).String())
+	if len(t.list) >= maxTries {
+		return
+	}
+	line := server.Instance + " " + result.String() + " after " + took.Round(time.Millisecond).String()
+	if server.Alone {
+		line += " without a dispatcher"
 	}
+	t.list = append(t.list, line)
 }
 
 // String lists the attempts in the order in which they ended.
--- a/internal/grant/grant.go
+++ b/internal/grant/grant.go
@@ -48,6 +48,8 @@
 	// Address is ip:port.
 	Address    string
 	DataCentre string
+	// Alone is set if the node chose the server without a dispatcher.
+	Alone bool
 }
 
 // Result tells how the granted request ended.
--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"sync"
 	"time"
 
 	"github.com/charmbracelet/log"
@@ -30,6 +31,10 @@
 	idleExpiration = time.Minute
 	// helloTimeout bounds how long an accepted connection may take to send a whole call.
 	helloTimeout = 10 * time.Second
+	// unacknowledgedLimit is above a few retransmissions on a link that loses packets.
+	unacknowledgedLimit = 1500 * time.Millisecond
+	// freshFor is how long a new connection to a peer is not suspected again.
+	freshFor = 200 * time.Millisecond
 	// softCancelGrace lets a cancelled call keep its connection when its send is nearly done.
 	softCancelGrace = 2 * time.Millisecond
 )
@@ -41,7 +46,7 @@
 
 // NewDialer returns the dialer of the operating system.
 func NewDialer() Dialer {
-	return &net.Dialer{Timeout: DialTimeout, KeepAlive: 15 * time.Second}
+	return SilentDialer(DialTimeout, unacknowledgedLimit)
 }
 
 func managerOptions() drpcmanager.Options {
@@ -55,14 +60,30 @@
 // Pool opens and reuses connections to peers. It is safe for concurrent use.
 type Pool struct {
 	dialer Dialer
-	pool   *drpcpool.Pool[string, *drpcconn.Conn]
+	pool   *drpcpool.Pool[poolKey, *drpcconn.Conn]
+
+	mu sync.Mutex
+	// suspected counts how often the connections to an address were given up.
+	suspected map[string]suspicion
+}
+
+// poolKey separates the connections to an address from those that were given up.
+type poolKey struct {
+	address    string
+	generation uint64
+}
+
+type suspicion struct {
+	generation uint64
+	at         time.Time
 }
 
 // NewPool returns a pool that dials with d.
 func NewPool(d Dialer) *Pool {
 	return &Pool{
-		dialer: d,
-		pool: drpcpool.New[string, *drpcconn.Conn](drpcpool.Options{
+		dialer:    d,
+		suspected: map[string]suspicion{},
+		pool: drpcpool.New[poolKey, *drpcconn.Conn](drpcpool.Options{
 			Expiration:  idleExpiration,
 			KeyCapacity: idleConnections,
 		}),
@@ -72,10 +93,41 @@
 // Conn returns a connection to the peer for any number of calls, also at once. It dials on the
 // first call; errors of dialing come back from the calls.
 func (p *Pool) Conn(ctx context.Context, address string) drpc.Conn {
-	return p.pool.Get(ctx, address, p.dial)
+	p.mu.Lock()
+	key := poolKey{address, p.suspected[address].generation}
+	p.mu.Unlock()
+	return &watchedConn{Conn: p.pool.Get(ctx, key, p.dial), pool: p, address: address}
+}
+
+// Suspect gives up the open connections to the peer: a connection can go silent for good without a
+// reset while new ones work. Calls under way go on.
+func (p *Pool) Suspect(address string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	s := p.suspected[address]
+	if now := time.Now(); now.Sub(s.at) >= freshFor {
+		p.suspected[address] = suspicion{generation: s.generation + 1, at: now}
+	}
+}
+
+// watchedConn suspects the connection when a call is not answered in time.
+type watchedConn struct {
+	drpc.Conn
+	pool    *Pool
+	address string
+}
+
+// Invoke implements drpc.Conn.
+func (c *watchedConn) Invoke(ctx context.Context, rpc string, enc drpc.Encoding, in, out drpc.Message) error {
+	err := c.Conn.Invoke(ctx, rpc, enc, in, out)
+	if err != nil && errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		c.pool.Suspect(c.address)
+	}
+	return err
 }
 
-func (p *Pool) dial(ctx context.Context, address string) (*drpcconn.Conn, error) {
+func (p *Pool) dial(ctx context.Context, key poolKey) (*drpcconn.Conn, error) {
+	address := key.address
 	ctx, cancel := context.WithTimeout(ctx, DialTimeout)
 	defer cancel()
 	conn, err := p.dialer.DialContext(ctx, "tcp", address)
