Replace lost members of the control group and grow it to bear two losses

Cause: a control host that is gone for good left the group without room for a second loss; three seeds form a group of three only. Change: a keeper plans swaps and growth from the gossip; the group decides.

--- a/internal/agreement/swap.go
+++ b/internal/agreement/swap.go
@@ -42,7 +42,8 @@
 	r.poke()
 }
 
-// Swap replaces one member of the group by another and returns the new group once it is decided.
+// Swap replaces one member of the group by another, or adds one if it names none to remove, and returns
+// the new group once it is decided.
 // An empty disk id of the new member is asked from it. The same member with another address keeps
 // its state and its vote.
 func (r *Replica) Swap(ctx context.Context, in *agreementpb.SwapRequest) (*agreementpb.SwapReply, error) {
@@ -104,6 +105,9 @@
 		return errors.Errorf("the replica is %s; ask a voting one", r.state)
 	}
 	g := r.store.group
+	if removeID == "" && findMember(g, add.GetId()) == nil {
+		return r.checkGrowth()
+	}
 	if findMember(g, removeID) == nil {
 		return errors.Errorf("the group has no member %s; name one of its members", removeID)
 	}
@@ -131,6 +135,24 @@
 	return nil
 }
 
+// checkGrowth is called with the lock held. A new member counts for the majority before it votes, so that
+// many members of the larger group must vote already.
+func (r *Replica) checkGrowth() error {
+	voting := 0
+	answers := r.situation().answers
+	members := r.store.group.GetMembers()
+	for _, m := range members {
+		a := answers[m.GetId()]
+		if m.GetId() == r.cfg.ID || (a.GetState() == string(Voting) && a.GetSelf().GetDiskId() == m.GetDiskId()) {
+			voting++
+		}
+	}
+	if need := majority(len(members) + 1); voting < need {
+		return errors.Errorf("%d members vote and %d must before the group grows; wait until the others vote", voting, need)
+	}
+	return nil
+}
+
 func nextGroup(current *agreementpb.Group, removeID string, add *agreementpb.Member) *agreementpb.Group {
 	next := &agreementpb.Group{Epoch: current.GetEpoch() + 1, Previous: current.GetMembers()}
 	for _, m := range current.GetMembers() {
@@ -143,6 +165,11 @@
 		}
 		next.Members = append(next.Members, m)
 	}
+	if removeID == "" {
+		next.Members = append(next.Members, &agreementpb.Member{
+			Id: add.GetId(), DiskId: add.GetDiskId(), Address: add.GetAddress(), Joined: next.Epoch,
+		})
+	}
 	return next
 }
 
--- a/internal/app/discovery.go
+++ b/internal/app/discovery.go
@@ -79,7 +79,7 @@
 			newControlDispatcher,
 			newAttachServer,
 		),
-		fx.Invoke(registerControlHost, serveFleet, serveControlSurface),
+		fx.Invoke(registerControlHost, keepGroup, serveFleet, serveControlSurface),
 	)
 }
 
--- /dev/null
+++ b/internal/app/group.go
@@ -0,0 +1,80 @@
+package app
+
+import (
+	"context"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"go.uber.org/fx"
+
+	"github.com/tarragonmux/tarragonmux/internal/agreement"
+	"github.com/tarragonmux/tarragonmux/internal/groupkeeper"
+	"github.com/tarragonmux/tarragonmux/internal/logging"
+	"github.com/tarragonmux/tarragonmux/internal/membership"
+	"github.com/tarragonmux/tarragonmux/internal/settings"
+	"github.com/tarragonmux/tarragonmux/proto/agreementpb"
+	"github.com/tarragonmux/tarragonmux/proto/fleetpb"
+)
+
+const (
+	// keepGroupEvery is how often a control host looks at the control group.
+	keepGroupEvery = 500 * time.Millisecond
+	// changeGroupTimeout bounds one change of the group.
+	changeGroupTimeout = 2 * time.Second
+)
+
+// keepGroup keeps the control group complete.
+func keepGroup(lc fx.Lifecycle, b *background, s *settings.Settings, replica *agreement.Replica, m *membership.Runner, logger *log.Logger) {
+	prefixed := logger.WithPrefix("group")
+	keeper := groupkeeper.New(s.ID, 2*s.Discovery.Tolerate+1, time.Now())
+	start(lc, b, "control group", func(ctx context.Context) error {
+		ticker := time.NewTicker(keepGroupEvery)
+		defer ticker.Stop()
+		for {
+			select {
+			case <-ctx.Done():
+				return nil
+			case <-ticker.C:
+			}
+			status := replica.Status()
+			if status.State != agreement.Voting {
+				continue
+			}
+			if change, ok := keeper.Next(time.Now(), memberIDs(status.Members), controlHosts(m)); ok {
+				changeGroup(ctx, replica, change, prefixed)
+			}
+		}
+	})
+}
+
+func memberIDs(members []agreement.Member) []string {
+	ids := make([]string, 0, len(members))
+	for _, m := range members {
+		ids = append(ids, m.ID)
+	}
+	return ids
+}
+
+func controlHosts(m *membership.Runner) []groupkeeper.Host {
+	var hosts []groupkeeper.Host
+	for _, member := range m.Members() {
+		hosts = append(hosts, groupkeeper.Host{
+			ID: member.ID, Address: member.FleetAddress, DataCentre: member.DataCentre,
+			Alive: member.State == fleetpb.NodeState_NODE_STATE_ALIVE,
+		})
+	}
+	return hosts
+}
+
+func changeGroup(ctx context.Context, replica *agreement.Replica, change groupkeeper.Change, logger *log.Logger) {
+	ctx, cancel := context.WithTimeout(ctx, changeGroupTimeout)
+	defer cancel()
+	reply, err := replica.Swap(ctx, &agreementpb.SwapRequest{
+		RemoveId: change.Remove, Add: &agreementpb.Member{Id: change.Add.ID, Address: change.Add.Address},
+	})
+	if err != nil || reply.GetError() != "" {
+		logger.Warn("the control group was not changed", "remove", change.Remove, "add", change.Add.ID, "err", logging.Err(err), "answer", reply.GetError())
+		return
+	}
+	logger.Info("changed the control group", "remove", change.Remove, "add", change.Add.ID, "epoch", reply.GetGroup().GetEpoch())
+}
--- /dev/null
+++ b/internal/groupkeeper/keeper_test.go
@@ -0,0 +1,94 @@
+package groupkeeper
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+)
+
+var began = time.Unix(1_000, 0)
+
+func at(s float64) time.Time { return began.Add(time.Duration(s * float64(time.Second))) }
+
+func hosts(alive ...string) []Host {
+	centres := map[string]string{"a1": "a", "a2": "a", "b1": "b", "b2": "b", "c1": "c"}
+	var list []Host
+	for _, id := range []string{"a1", "a2", "b1", "b2", "c1"} {
+		h := Host{ID: id, Address: id + ":1", DataCentre: centres[id]}
+		for _, name := range alive {
+			h.Alive = h.Alive || name == id
+		}
+		list = append(list, h)
+	}
+	return list
+}
+
+// A member that stays away leaves the group without room for a second loss.
+func TestLostMemberIsReplaced(t *testing.T) {
+	g := NewWithT(t)
+	k := New("a1", 3, began)
+	members := []string{"a1", "b1", "c1"}
+	all := hosts("a1", "a2", "b1", "b2", "c1")
+	_, ok := k.Next(at(2), members, all)
+	g.Expect(ok).To(BeFalse())
+	without := hosts("a1", "a2", "b1", "b2")
+	_, ok = k.Next(at(3), members, without)
+	g.Expect(ok).To(BeFalse())
+	_, ok = k.Next(at(5), members, without)
+	g.Expect(ok).To(BeFalse(), "a restart must not cost the member its place")
+	change, ok := k.Next(at(5.6), members, without)
+	g.Expect(ok).To(BeTrue())
+	g.Expect(change).To(Equal(Change{Remove: "c1", Add: all[1]}))
+}
+
+// A member that comes back in time must not be replaced later for the sum of its absences.
+func TestReturnedMemberStays(t *testing.T) {
+	g := NewWithT(t)
+	k := New("a1", 3, began)
+	members := []string{"a1", "b1", "c1"}
+	for i := range 20 {
+		view := hosts("a1", "a2", "b1", "b2", "c1")
+		if i%2 == 0 {
+			view = hosts("a1", "a2", "b1", "b2")
+		}
+		_, ok := k.Next(at(2+float64(i)), members, view)
+		g.Expect(ok).To(BeFalse())
+	}
+}
+
+// Two hosts that act at once would compete for the same epoch.
+func TestOnlyLowestLivingMemberActs(t *testing.T) {
+	g := NewWithT(t)
+	members := []string{"a1", "b1", "c1"}
+	without := hosts("a2", "b1", "b2", "c1")
+	for _, id := range []string{"c1", "b2"} {
+		k := New(id, 3, began)
+		k.Next(at(2), members, without)
+		_, ok := k.Next(at(9), members, without)
+		g.Expect(ok).To(BeFalse(), id)
+	}
+	k := New("b1", 3, began)
+	k.Next(at(2), members, without)
+	change, ok := k.Next(at(9), members, without)
+	g.Expect(ok).To(BeTrue())
+	g.Expect(change.Remove).To(Equal("a1"))
+}
+
+// The seeds form a group of three; to bear two losses at once it must have five members.
+func TestGroupGrows(t *testing.T) {
+	g := NewWithT(t)
+	k := New("a1", 5, began)
+	all := hosts("a1", "a2", "b1", "b2", "c1")
+	change, ok := k.Next(at(2), []string{"a1", "b1", "c1"}, all)
+	g.Expect(ok).To(BeTrue())
+	g.Expect(change.Remove).To(BeEmpty())
+	g.Expect(change.Add.ID).To(Equal("a2"))
+	_, ok = k.Next(at(2.5), []string{"a1", "a2", "b1", "c1"}, all)
+	g.Expect(ok).To(BeFalse(), "the new member needs time to copy")
+	change, ok = k.Next(at(3.1), []string{"a1", "a2", "b1", "c1"}, all)
+	g.Expect(ok).To(BeTrue())
+	g.Expect(change.Add.ID).To(Equal("b2"))
+	_, ok = k.Next(at(9), []string{"a1", "a2", "b1", "b2", "c1"}, all)
+	g.Expect(ok).To(BeFalse())
+}
