--- a/internal/dispatch/ejection.go
+++ b/internal/dispatch/ejection.go
@@ -215,11 +215,13 @@
 
 // putBack returns a server to rotation with one slot.
 func (m *Machine) putBack(now time.Time, s *server) {
+	quick := s.failed || s.holds > 0
 	s.state = inRotation
 	s.holds = 0
 	s.forget(now)
 	s.grow(now)
-	if s.failed {
+	if quick {
+		// A server that starts cold announces a new incarnation, and grows by its own warm-up.
 		s.growFor = growAfterFailing
 	}
 	s.failed = false
--- a/internal/dispatch/failing.go
+++ b/internal/dispatch/failing.go
@@ -18,6 +18,8 @@
 	doubtfulShare = 0.15
 	// failingShare is the share from which on a server is suspended: two failures in a row.
 	failingShare = 0.5
+	// sparedFor is how long a failing server that the minimum keeps is spared, unless it recovers before.
+	sparedFor = 3 * time.Second
 	// suspendFor is the first time without work; it doubles up to suspendCap with each failed canary.
 	suspendFor = 3 * time.Second
 	suspendCap = 6 * time.Second
@@ -36,6 +38,8 @@
 type failures struct {
 	value float64
 	at    time.Time
+	// failedAt is when the latest failure was noted. Later answers to what was sent before say nothing.
+	failedAt time.Time
 }
 
 // share returns the share as it has faded by now.
@@ -46,7 +50,12 @@
 	return f.value * math.Exp2(-now.Sub(f.at).Seconds()/failureHalfLife.Seconds())
 }
 
-func (f *failures) add(now time.Time, failed bool) {
+func (f *failures) add(now, sent time.Time, failed bool) {
+	if failed {
+		f.failedAt = now
+	} else if sent.Before(f.failedAt) {
+		return
+	}
 	value := f.share(now) * (1 - failureWeight)
 	if failed {
 		value += failureWeight
@@ -57,11 +66,16 @@
 // noteOutcome counts the end of a request that the server answered or broke off.
 func (m *Machine) noteOutcome(now time.Time, r *request, failed bool) {
 	s := r.server
-	s.failing.add(now, failed)
-	s.path(r.node.centreKey).failing.add(now, failed)
-	if !failed || s.state != inRotation || s.failing.share(now) < failingShare {
+	s.failing.add(now, r.sent, failed)
+	s.path(r.node.centreKey).failing.add(now, r.sent, failed)
+	share := s.failing.share(now)
+	if !failed && share < failingShare/2 {
+		s.failingUntil = time.Time{}
+	}
+	if !failed || s.state != inRotation || share < failingShare {
 		return
 	}
+	s.failingUntil = now.Add(sparedFor)
 	if m.onlyCentreFails(now, s, r.node) {
 		m.blockPath(now, s, r.node.centreKey)
 		return
@@ -115,17 +129,31 @@
 			continue
 		}
 		healthy++
-		if s.failing.share(now) >= failingShare {
+		if now.Before(s.failingUntil) {
 			failing++
 		}
 	}
 	return float64(failing) >= mostlyFailing*float64(healthy)
 }
 
+// testing tells whether a doubtful server has just taken a request that may still fail at once. Until that
+// is known it gets no other, or a queue that waited for it would be lost together.
+func (s *server) testing(now time.Time) bool {
+	if now.Sub(s.lastGrant) >= survivedAfter || s.failing.share(now) < doubtfulShare {
+		return false
+	}
+	for _, r := range s.inflight {
+		if now.Sub(r.sent) < survivedAfter {
+			return true
+		}
+	}
+	return false
+}
+
 // spares tells whether the request should wait for another server than this failing one: what may
 // repeat while it can meet its target, other work while it can be done at all.
 func (m *Machine) spares(now time.Time, s *server, r *request) bool {
-	if s.failing.share(now) < failingShare || s.state != inRotation || m.mostFail(now) {
+	if !now.Before(s.failingUntil) || s.state != inRotation || m.mostFail(now) {
 		return false
 	}
 	usual := m.needs(&r.Request, false)
--- /dev/null
+++ b/internal/dispatch/failing_test.go
@@ -0,0 +1,282 @@
+package dispatch_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/tarragonmux/tarragonmux/internal/backend"
+	"github.com/tarragonmux/tarragonmux/internal/dispatch"
+	"github.com/tarragonmux/tarragonmux/internal/grant"
+	"github.com/tarragonmux/tarragonmux/internal/priority"
+	"github.com/tarragonmux/tarragonmux/internal/problem"
+)
+
+// bench drives one machine with servers whose behaviour the test scripts, in virtual time.
+type bench struct {
+	machine *dispatch.Machine
+	now     time.Time
+	servers []backend.Server
+	nextID  uint64
+	running []run
+	// work is how long a request of a kind takes.
+	work map[uint32]time.Duration
+	// resets tells whether a server resets what arrives at the moment.
+	resets func(instance string, now time.Time) bool
+	// sheds tells whether a server rejects what arrives.
+	sheds   func(instance string) bool
+	asked   map[uint64]dispatch.Request
+	began   map[uint64]time.Time
+	failed  map[bool]int
+	served  map[uint32]int
+	refused map[problem.Kind]int
+	// held is the longest time from asking to a refusal.
+	held time.Duration
+}
+
+type run struct {
+	id     uint64
+	ends   time.Time
+	result grant.Result
+}
+
+const benchStep = 2 * time.Millisecond
+
+func newBench(servers, slots int) *bench {
+	b := &bench{
+		now:    time.Unix(5_000, 0),
+		resets: func(string, time.Time) bool { return false },
+		sheds:  func(string) bool { return false },
+		asked:  map[uint64]dispatch.Request{}, began: map[uint64]time.Time{},
+		failed: map[bool]int{}, served: map[uint32]int{}, refused: map[problem.Kind]int{}, work: map[uint32]time.Duration{},
+	}
+	b.machine = dispatch.New(b.now, dispatch.Config{
+		Service: "cuefeed", Term: 1, MinimumHealthyPercent: 70, RetryShare: 0.18, RetryFloor: 18,
+		Shares: [priority.Count]float64{0, 0.2, 0.1},
+	})
+	for i := range servers {
+		b.servers = append(b.servers, backend.Server{
+			Service: "cuefeed", Instance: fmt.Sprintf("s%02d", i), Incarnation: 1, Address: "10.0.0.1:1", DataCentre: "a",
+			State: backend.Ready, Slots: slots, Connections: 100, Renewed: b.now, ReadySince: b.now.Add(-time.Minute), Cutoff: time.Hour,
+		})
+	}
+	for _, n := range []string{"n0", "n1", "n2"} {
+		b.machine.Connect(b.now, n, "a", 1, nil, nil)
+	}
+	b.machine.SetServers(b.now, b.servers)
+	return b
+}
+
+// ask sends a request of a kind from one of the nodes.
+func (b *bench) ask(kind uint32, p priority.Priority, idempotent bool, target, deadline time.Duration, purpose grant.Purpose) {
+	b.nextID++
+	q := dispatch.Request{
+		ID: b.nextID, Kind: kind, Priority: p, Idempotent: idempotent, Target: target,
+		Deadline: b.now.Add(deadline), Purpose: purpose, Fingerprint: b.nextID,
+	}
+	b.asked[q.ID], b.began[q.ID] = q, b.now
+	b.machine.Acquire(b.now, b.node(q.ID), q)
+	b.settle()
+}
+
+func (b *bench) node(id uint64) string { return fmt.Sprint("n", id%3) }
+
+func (b *bench) settle() {
+	for _, a := range append([]dispatch.Action(nil), b.machine.Take()...) {
+		q := b.asked[a.ID]
+		switch a.Kind {
+		case dispatch.Granted:
+			r := run{id: a.ID, ends: b.now.Add(b.work[q.Kind]), result: grant.OK}
+			if b.resets(a.Instance, b.now) {
+				r.ends, r.result = b.now.Add(2*time.Millisecond), grant.Broken
+			} else if b.sheds(a.Instance) {
+				r.ends, r.result = b.now.Add(2*time.Millisecond), grant.Shed
+			}
+			b.running = append(b.running, r)
+		case dispatch.Refused:
+			b.refused[a.Refusal]++
+			b.held = max(b.held, b.now.Sub(b.began[a.ID]))
+		}
+	}
+}
+
+func (b *bench) step() {
+	b.now = b.now.Add(benchStep)
+	for i := 0; i < len(b.running); i++ {
+		r := b.running[i]
+		if r.ends.After(b.now) {
+			continue
+		}
+		b.running = append(b.running[:i], b.running[i+1:]...)
+		i--
+		b.finish(r)
+	}
+	if b.now.UnixMilli()%20 == 0 {
+		for _, n := range []string{"n0", "n1", "n2"} {
+			b.machine.Heard(b.now, n, 1<<62)
+		}
+		b.machine.Tick(b.now)
+		b.settle()
+	}
+}
+
+func (b *bench) finish(r run) {
+	q := b.asked[r.id]
+	b.machine.Complete(b.now, b.node(r.id), r.id, grant.Completion{Result: r.result, FirstByte: b.work[q.Kind], Total: b.work[q.Kind]})
+	b.settle()
+	switch {
+	case r.result == grant.OK:
+		b.served[q.Kind]++
+	case q.Purpose == grant.First && (q.Idempotent || r.result == grant.Shed):
+		b.ask(q.Kind, q.Priority, q.Idempotent, q.Target, q.Deadline.Sub(b.now), grant.Retry)
+	default:
+		b.failed[q.Idempotent]++
+	}
+}
+
+func (b *bench) run(d time.Duration, each func()) {
+	for until := b.now.Add(d); b.now.Before(until); {
+		b.step()
+		each()
+	}
+}
+
+const (
+	repeatable = 1
+	single     = 2
+)
+
+// Each server resets nearly everything for 2.7 s of each 9 s, so that about a third of them do at any
+// time. Work that must not repeat is lost with a reset; only the first one of an episode is unavoidable.
+func TestEpisodesOfResetsCostLittleUnrepeatableWork(t *testing.T) {
+	g := NewWithT(t)
+	b := newBench(14, 6)
+	random := rand.New(rand.NewPCG(7, 7))
+	b.work[repeatable], b.work[single] = 330*time.Millisecond, 440*time.Millisecond
+	began := b.now
+	phase := map[string]time.Duration{}
+	for _, s := range b.servers {
+		phase[s.Instance] = time.Duration(random.Int64N(int64(9 * time.Second)))
+	}
+	b.resets = func(instance string, now time.Time) bool {
+		return (now.Sub(began)+phase[instance])%(9*time.Second) < 2700*time.Millisecond && random.Float64() < 0.85
+	}
+	asked := 0
+	b.run(30*time.Second, func() {
+		if random.Float64() < 16.4*benchStep.Seconds() {
+			b.ask(repeatable, priority.Normal, true, 1200*time.Millisecond, 2*time.Second, grant.First)
+		}
+		if random.Float64() < 57.8*benchStep.Seconds() {
+			asked++
+			b.ask(single, priority.Normal, false, 1200*time.Millisecond, 2500*time.Millisecond, grant.First)
+		}
+	})
+	// 14 servers begin an episode every 9 s: 47 in 30 s. The bound allows one loss for each and as many again.
+	g.Expect(b.failed[false]).To(BeNumerically("<", 94), "of %d", asked)
+	g.Expect(b.served[single]).To(BeNumerically(">", asked*93/100))
+}
+
+// A failing server that the minimum keeps in rotation answers at once, so it always has a free slot. It
+// must not attract the work that the full sound servers cannot take at the moment.
+func TestFailingServersThatMustStayAttractNoWork(t *testing.T) {
+	g := NewWithT(t)
+	b := newBench(10, 6)
+	random := rand.New(rand.NewPCG(3, 3))
+	b.work[single] = 400 * time.Millisecond
+	bad := map[string]bool{"s00": true, "s01": true, "s02": true, "s03": true, "s04": true}
+	b.resets = func(instance string, _ time.Time) bool { return bad[instance] }
+	asked := 0
+	// 60 requests/s of 0.4 s keep 24 of the 30 sound slots busy.
+	b.run(10*time.Second, func() {
+		if random.Float64() < 60*benchStep.Seconds() {
+			asked++
+			b.ask(single, priority.Normal, false, 1200*time.Millisecond, 2500*time.Millisecond, grant.First)
+		}
+	})
+	g.Expect(b.failed[false]).To(BeNumerically("<", asked/10), "of %d", asked)
+}
+
+// When all servers reject about half of what arrives, pausing them leaves slots idle while work waits.
+func TestShedsOfAllServersLeaveNoSlotsIdle(t *testing.T) {
+	g := NewWithT(t)
+	b := newBench(14, 6)
+	random := rand.New(rand.NewPCG(5, 5))
+	b.work[single] = 400 * time.Millisecond
+	b.sheds = func(string) bool { return random.Float64() < 0.55 }
+	asked := 0
+	b.run(8*time.Second, func() {
+		if random.Float64() < 75*benchStep.Seconds() {
+			asked++
+			b.ask(single, priority.Normal, false, 1200*time.Millisecond, 2500*time.Millisecond, grant.First)
+		}
+	})
+	// 45% are served at the first try, and the budget of 18% and 18 in 10 s repeats some of the rest.
+	g.Expect(b.served[single]).To(BeNumerically(">", asked*45/100), "of %d, refused %v", asked, b.refused)
+	g.Expect(b.refused[problem.DeadlineUnmeetable]).To(BeZero())
+}
+
+// Short urgent work and long work share a service. Judged by the times of the service as a whole, the
+// short work would be refused although it could be served in time.
+func TestShortWorkIsNotRefusedForTheLongOne(t *testing.T) {
+	g := NewWithT(t)
+	b := newBench(10, 6)
+	random := rand.New(rand.NewPCG(9, 9))
+	const short, long = 3, 4
+	b.work[short], b.work[long] = 130*time.Millisecond, 1600*time.Millisecond
+	b.run(20*time.Second, func() {
+		if random.Float64() < 15*benchStep.Seconds() {
+			b.ask(short, priority.Urgent, true, 500*time.Millisecond, time.Second, grant.First)
+		}
+		if random.Float64() < 45*benchStep.Seconds() {
+			b.ask(long, priority.Background, true, 5*time.Second, 5*time.Second, grant.First)
+		}
+	})
+	g.Expect(b.served[short]).To(BeNumerically(">", 270))
+}
+
+// Work that the queue cannot take before its deadline is refused when it comes, so that its caller can
+// turn elsewhere; it used to be held until the deadline was near.
+func TestHopelessWorkIsRefusedAtOnce(t *testing.T) {
+	g := NewWithT(t)
+	b := newBench(10, 6)
+	random := rand.New(rand.NewPCG(11, 11))
+	b.work[single] = 800 * time.Millisecond
+	ask := func(rate float64) func() {
+		return func() {
+			if random.Float64() < rate*benchStep.Seconds() {
+				b.ask(single, priority.Background, true, 4*time.Second, 5*time.Second, grant.First)
+			}
+		}
+	}
+	b.run(5*time.Second, ask(40))
+	b.run(10*time.Second, ask(225))
+	late := 0
+	for kind, n := range b.refused {
+		late += n
+		g.Expect(kind).To(Equal(problem.DeadlineUnmeetable))
+	}
+	g.Expect(late).To(BeNumerically(">", 500))
+	g.Expect(b.served[single]).To(BeNumerically(">", 75*12*9/10), "the slots stay busy")
+}
+
+// Servers that operators take out must not raise the minimum, or nothing can be ejected after a release.
+func TestPlannedLeavingDoesNotRaiseTheMinimum(t *testing.T) {
+	g := NewWithT(t)
+	b := newBench(20, 6)
+	b.work[single] = 100 * time.Millisecond
+	for i := range 10 {
+		b.servers[i].State = backend.Draining
+	}
+	b.machine.SetServers(b.now, b.servers)
+	b.resets = func(instance string, _ time.Time) bool { return instance == "s15" }
+	b.run(3*time.Second, func() {
+		if b.now.UnixMilli()%10 == 0 {
+			b.ask(single, priority.Normal, true, time.Second, 2*time.Second, grant.First)
+		}
+	})
+	g.Expect(b.machine.Stats().Ejections + b.machine.Stats().Crashes).To(BeNumerically(">", 0))
+	g.Expect(b.machine.Stats().EjectionsDenied).To(BeZero())
+}
--- a/internal/dispatch/placement.go
+++ b/internal/dispatch/placement.go
@@ -152,7 +152,7 @@
 		}
 		possible = true
 		limit := s.limit(now)
-		if len(s.inflight) >= limit || !s.accepts(now, r) || m.withholds(now, s, r) || m.spares(now, s, r) {
+		if len(s.inflight) >= limit || !s.accepts(now, r) || m.withholds(now, s, r) || s.testing(now) || m.spares(now, s, r) {
 			continue
 		}
 		rank := s.rank(now, r, m.latencies.p50)
@@ -207,7 +207,7 @@
 	if s.state == onCanary {
 		return rankConfirm
 	}
-	if s.failing.share(now) >= failingShare {
+	if now.Before(s.failingUntil) {
 		return rankDoubted
 	}
 	if s.doubted || s.failing.share(now) >= doubtfulShare {
--- a/internal/dispatch/server.go
+++ b/internal/dispatch/server.go
@@ -54,6 +54,8 @@
 	lastEjected time.Time
 
 	failing failures
+	// failingUntil is how long the server is spared.
+	failingUntil time.Time
 	// failed is set while the server is out for failures, and suspensions counts how often in a row.
 	failed         bool
 	suspensions    int
