--- a/internal/dispatch/work.go
+++ b/internal/dispatch/work.go
@@ -17,7 +17,7 @@
 type kind struct {
 	taken   distribution
 	answers int
-	// median and slow are the 50th and 95th percentile of the time from sending to the first byte.
+	// median and slow are the 50th and 90th percentile of the time from sending to the first byte.
 	median, slow time.Duration
 	// seconds is the mean slot time.
 	seconds float64
@@ -53,7 +53,7 @@
 func (k *kind) refresh(now time.Time) {
 	k.taken.decay(now)
 	if k.answers >= trustedAnswers && k.taken.total > 0 {
-		k.median, k.slow = k.taken.quantile(0.5), k.taken.quantile(0.95)
+		k.median, k.slow = k.taken.quantile(0.5), k.taken.quantile(0.9)
 	}
 }
 
@@ -65,7 +65,7 @@
 		return 0
 	}
 	if contended {
-		return k.slow + k.slow/4
+		return k.slow
 	}
 	return k.median
 }
