--- /dev/null
+++ b/internal/attach/attach_test.go
@@ -0,0 +1,252 @@
+package attach_test
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"github.com/pkg/errors"
+
+	"github.com/tarragonmux/tarragonmux/internal/attach"
+	"github.com/tarragonmux/tarragonmux/internal/backend"
+	"github.com/tarragonmux/tarragonmux/internal/hostset"
+	"github.com/tarragonmux/tarragonmux/internal/leadership"
+	"github.com/tarragonmux/tarragonmux/internal/logging"
+	"github.com/tarragonmux/tarragonmux/internal/membership"
+	"github.com/tarragonmux/tarragonmux/proto/dispatchpb"
+	"github.com/tarragonmux/tarragonmux/proto/fleetpb"
+)
+
+// registry keeps what is announced, without gossip.
+type registry struct {
+	mu      sync.Mutex
+	servers map[string]backend.Server
+	refuse  error
+}
+
+func (r *registry) AnnounceHere(s backend.Server) error {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.refuse != nil {
+		return r.refuse
+	}
+	s.Renewed = time.Now()
+	r.servers[s.Instance] = s
+	return nil
+}
+
+func (r *registry) Servers(service string) (list []backend.Server) {
+	for _, s := range r.servers {
+		if s.Service == service {
+			list = append(list, s)
+		}
+	}
+	return list
+}
+
+func (r *registry) Members() []membership.Member { return nil }
+
+func (r *registry) Mark(instance string, _ uint64, state backend.State) []string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	s, ok := r.servers[instance]
+	if !ok {
+		return nil
+	}
+	s.State = max(s.State, state)
+	r.servers[instance] = s
+	return []string{s.Service}
+}
+
+type elections struct{ holder leadership.Holder }
+
+func (e elections) Held(string) (leadership.Lease, bool) { return leadership.Lease{}, false }
+func (e elections) Dispatcher(string) (leadership.Holder, bool) {
+	return e.holder, e.holder.Node != ""
+}
+
+type source struct{}
+
+func (source) Fleet() *hostset.Fleet {
+	return &hostset.Fleet{
+		Hosts:    []hostset.Host{{ID: "a", FleetAddress: "a:1"}, {ID: "b", FleetAddress: "b:1"}, {ID: "c", FleetAddress: "c:1"}},
+		Services: []hostset.Service{{Name: "cuefeed"}},
+	}
+}
+
+// marker answers for the control hosts that are reachable.
+type marker struct {
+	mu    sync.Mutex
+	up    map[string]bool
+	calls map[string]int
+}
+
+func (m *marker) Mark(_ context.Context, address string, _ *fleetpb.MarkRequest) error {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.calls[address]++
+	if !m.up[address] {
+		return errors.New("unreachable")
+	}
+	return nil
+}
+
+func newServer(dispatcher string, up ...string) (*attach.Server, *registry, *marker) {
+	r := &registry{servers: map[string]backend.Server{}}
+	m := &marker{up: map[string]bool{}, calls: map[string]int{}}
+	for _, address := range up {
+		m.up[address] = true
+	}
+	s := attach.NewServer(attach.ServerOptions{
+		ID: "a", Address: "a:1", Registry: r, Source: source{}, Marker: m, Logger: logging.Discard(),
+		Elections: elections{leadership.Holder{Node: dispatcher, Address: dispatcher + ":1", Term: 3}},
+		Revision:  func() uint64 { return 9 },
+	})
+	return s, r, m
+}
+
+func drained(state backend.State) backend.Server {
+	return backend.Server{Service: "cuefeed", Instance: "i-1", Incarnation: 5, Address: "10.0.0.1:80", DataCentre: "a", State: state}
+}
+
+// A confirmed drain binds although the host that confirmed it dies at once: the dispatcher and a majority know.
+func TestDrainIsConfirmedOnlyWhenItBinds(t *testing.T) {
+	cases := map[string]struct {
+		dispatcher string
+		up         []string
+		binds      bool
+	}{
+		"all reachable":                       {"b", []string{"b:1", "c:1"}, true},
+		"a majority with the dispatcher":      {"b", []string{"b:1"}, true},
+		"a majority without the dispatcher":   {"b", []string{"c:1"}, false},
+		"no majority":                         {"a", nil, false},
+		"this host dispatches, majority":      {"a", []string{"c:1"}, true},
+		"no dispatcher is known, no majority": {"", nil, false},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			s, r, _ := newServer(c.dispatcher, c.up...)
+			g.Expect(s.Announce(context.Background(), drained(backend.Ready))).To(Succeed())
+			ctx, cancel := context.WithTimeout(context.Background(), 150*time.Millisecond)
+			defer cancel()
+			err := s.Announce(ctx, drained(backend.Draining))
+			g.Expect(err == nil).To(Equal(c.binds))
+			g.Expect(r.servers["i-1"].State).To(Equal(backend.Draining), "nothing new goes there either way")
+		})
+	}
+}
+
+// A control host that is away for a moment must be told again, not cost the confirmation.
+func TestDrainIsToldAgain(t *testing.T) {
+	g := NewWithT(t)
+	s, _, m := newServer("b", "c:1")
+	time.AfterFunc(120*time.Millisecond, func() {
+		m.mu.Lock()
+		defer m.mu.Unlock()
+		m.up["b:1"] = true
+	})
+	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
+	defer cancel()
+	g.Expect(s.Announce(ctx, drained(backend.Ready))).To(Succeed())
+	g.Expect(s.TakeOut(ctx, "i-1", 0, backend.Left)).To(Succeed())
+	g.Expect(m.calls["c:1"]).To(Equal(1), "who has answered is not asked again")
+}
+
+// Callers must not be sent to hosts that leave or start, and an outdated start must be told to go above the known one.
+func TestHeartbeats(t *testing.T) {
+	g := NewWithT(t)
+	s, r, _ := newServer("b")
+	beat := func(state fleetpb.NodeState, ready bool) *fleetpb.AttachReply {
+		reply, err := s.Attach(context.Background(), &fleetpb.AttachRequest{Host: &fleetpb.Node{
+			Id: "front-1", Incarnation: 4, State: state, Ready: ready, EntryAddress: "10.0.0.9:80", DataCentre: "a",
+		}})
+		g.Expect(err).NotTo(HaveOccurred())
+		return reply
+	}
+	beat(fleetpb.NodeState_NODE_STATE_ALIVE, false)
+	g.Expect(s.Endpoints(time.Now())).To(BeEmpty())
+	reply := beat(fleetpb.NodeState_NODE_STATE_ALIVE, true)
+	g.Expect(reply.GetRevision()).To(BeEquivalentTo(9))
+	g.Expect(reply.GetDispatchers()).To(HaveLen(1))
+	g.Expect(s.Endpoints(time.Now())).To(HaveLen(1))
+	g.Expect(s.Endpoints(time.Now().Add(attach.DirectoryAge))).To(BeEmpty(), "a lost host")
+	beat(fleetpb.NodeState_NODE_STATE_LEAVING, true)
+	g.Expect(s.Endpoints(time.Now())).To(BeEmpty())
+	r.refuse = &membership.SupersededError{Known: 77}
+	g.Expect(beat(fleetpb.NodeState_NODE_STATE_ALIVE, true).GetKnownIncarnation()).To(BeEquivalentTo(77))
+}
+
+// beats is a fake of the control hosts' side.
+type beats struct {
+	mu    sync.Mutex
+	down  map[string]bool
+	calls []string
+	reply *fleetpb.AttachReply
+	last  *fleetpb.Node
+}
+
+func (b *beats) Attach(_ context.Context, address string, r *fleetpb.AttachRequest) (*fleetpb.AttachReply, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.calls = append(b.calls, address)
+	if b.down[address] {
+		return nil, errors.New("silent")
+	}
+	b.last = r.GetHost()
+	return b.reply, nil
+}
+
+// An entry host must find the fleet through any one seed, and go on when its control host is lost.
+func TestClientTurnsToAnotherControlHost(t *testing.T) {
+	g := NewWithT(t)
+	fake := &beats{down: map[string]bool{"s1:1": true}, reply: &fleetpb.AttachReply{
+		Control:     []string{"c1:1", "c2:1"},
+		Dispatchers: []*fleetpb.Dispatcher{{Service: "cuefeed", Node: "c1", Address: "c1:1", Term: 5}},
+	}}
+	c := attach.NewClient(attach.ClientOptions{
+		ID: "front-1", Incarnation: 2, DataCentre: "a", Caller: fake, Logger: logging.Discard(),
+		Seeds: func() []string { return []string{"s1:1", "s2:1"} },
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go func() { _ = c.Run(ctx) }()
+	g.Eventually(func() bool { _, ok := c.Dispatcher("cuefeed"); return ok }).Should(BeTrue())
+	fake.mu.Lock()
+	fake.down["s2:1"] = true
+	fake.reply = &fleetpb.AttachReply{KnownIncarnation: 40, Dispatchers: []*fleetpb.Dispatcher{
+		{Service: "cuefeed", Node: "old", Address: "old:1", Term: 4},
+	}}
+	fake.mu.Unlock()
+	c.Lost("cuefeed")
+	g.Eventually(func() uint64 {
+		fake.mu.Lock()
+		defer fake.mu.Unlock()
+		return fake.last.GetIncarnation()
+	}, "3s").Should(BeEquivalentTo(41), "a host whose clock was set back goes above what is known")
+	h, _ := c.Dispatcher("cuefeed")
+	g.Expect(h.Node).To(Equal("c1"), "an older term is no news")
+	c.Leave(ctx)
+	fake.mu.Lock()
+	defer fake.mu.Unlock()
+	g.Expect(fake.last.GetState()).To(Equal(fleetpb.NodeState_NODE_STATE_LEAVING))
+}
+
+// A list that misses a removal lets a host that lost its dispatcher place work on a drained server.
+func TestServersFollowTheNews(t *testing.T) {
+	g := NewWithT(t)
+	s := attach.NewServers()
+	entry := func(name, address string) *dispatchpb.ServerEntry {
+		return &dispatchpb.ServerEntry{Instance: name, Address: address, Slots: 6}
+	}
+	s.TakeNews("cuefeed", &dispatchpb.ServerNews{Reset_: true, Changed: []*dispatchpb.ServerEntry{entry("b", "b:1"), entry("a", "a:1")}})
+	s.TakeNews("cuefeed", &dispatchpb.ServerNews{Removed: []string{"a"}, Changed: []*dispatchpb.ServerEntry{entry("c", "c:1"), entry("b", "b:2")}})
+	list := s.Servers("cuefeed")
+	g.Expect(list).To(HaveLen(2))
+	g.Expect([]string{list[0].Instance, list[0].Address, list[1].Instance}).To(Equal([]string{"b", "b:2", "c"}))
+	s.MarkDraining("cuefeed", "b")
+	g.Expect(s.Servers("cuefeed")).To(HaveLen(1))
+	g.Expect(s.Announce(context.Background(), backend.Server{})).To(MatchError(attach.ErrNoAnnouncements))
+}
