--- /dev/null
+++ b/internal/configuration/control/supersede_test.go
@@ -0,0 +1,96 @@
+package control_test
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"testing/synctest"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/tarragonmux/tarragonmux/internal/configuration"
+	"github.com/tarragonmux/tarragonmux/internal/configuration/control"
+	"github.com/tarragonmux/tarragonmux/internal/registerfake"
+	"github.com/tarragonmux/tarragonmux/proto/configpb"
+)
+
+func versioned(version uint64, source string) *configpb.Document {
+	return &configpb.Document{
+		Version:  version,
+		Services: []*configpb.Service{configuration.DefaultService("cuefeed")},
+		Source:   []byte(source),
+	}
+}
+
+func inForce(l *control.Log) (uint64, string) {
+	reply, err := l.Get(background, &configpb.GetRequest{})
+	if err != nil {
+		return 0, err.Error()
+	}
+	return reply.GetDocument().GetVersion(), string(reply.GetDocument().GetSource())
+}
+
+// The highest version is in force whatever the order; an overtaken one and a resend are accepted without
+// effect, and other content under the version held is never obeyed.
+func TestHighestVersionIsInForce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		registers := registerfake.New(1, registerfake.Faults{})
+		l, other := newLog(registers), newLog(registers)
+		put := func(on *control.Log, version uint64, source string) {
+			g.Expect(on.Supersede(background, versioned(version, source), "test")).To(Succeed())
+		}
+		put(l, 4, "four")
+		put(other, 9, "nine")
+		put(l, 7, "late")
+		put(l, 9, "other content")
+		put(other, 4, "four")
+		for _, on := range []*control.Log{l, other, newLog(registers)} {
+			version, source := inForce(on)
+			g.Expect(version).To(BeEquivalentTo(9))
+			g.Expect(source).To(Equal("nine"))
+		}
+	})
+}
+
+// Two operators that race for one version at two hosts get one winner, which both hosts show.
+func TestRacingVersionsHaveOneWinner(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		registers := registerfake.New(3, registerfake.Faults{})
+		a, b := newLog(registers), newLog(registers)
+		for version := uint64(2); version < 40; version += 3 {
+			var group sync.WaitGroup
+			errs := make([]error, 2)
+			for i, on := range []*control.Log{a, b} {
+				group.Go(func() {
+					errs[i] = on.Supersede(background, versioned(version, []string{"a", "b"}[i]), "test")
+				})
+			}
+			group.Wait()
+			g.Expect(errs[0]).NotTo(HaveOccurred())
+			g.Expect(errs[1]).NotTo(HaveOccurred())
+			versionA, sourceA := inForce(a)
+			versionB, sourceB := inForce(b)
+			g.Expect(versionA).To(Equal(version))
+			g.Expect(versionB).To(Equal(version))
+			g.Expect(sourceA).To(Equal(sourceB))
+		}
+	})
+}
+
+// A document that is refused must not come into force, and one without a majority must not be confirmed.
+func TestSupersedeRefusals(t *testing.T) {
+	g := NewWithT(t)
+	l := newLog(registerfake.New(1, registerfake.Faults{}))
+	faulty := versioned(3, "faulty")
+	faulty.Routes = []*configpb.Route{{Id: "r", HostName: "a", PathPrefix: "/", Service: "unknown", Priority: configpb.Priority_PRIORITY_NORMAL}}
+	var fault *configuration.Rejection
+	g.Expect(l.Supersede(background, faulty, "test")).To(BeAssignableToTypeOf(fault))
+	g.Expect(l.Supersede(background, versioned(0, "none"), "test")).To(BeAssignableToTypeOf(fault))
+	version, _ := inForce(l)
+	g.Expect(version).To(BeZero())
+	ended, cancel := context.WithCancel(background)
+	cancel()
+	g.Expect(l.Supersede(ended, versioned(3, "three"), "test")).To(HaveOccurred())
+}
--- /dev/null
+++ b/internal/configuration/split_test.go
@@ -0,0 +1,53 @@
+package configuration_test
+
+import (
+	"testing"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/tarragonmux/tarragonmux/internal/configuration"
+	"github.com/tarragonmux/tarragonmux/proto/configpb"
+)
+
+func split(weights ...uint32) *configpb.Document {
+	r := &configpb.Route{Id: "r", HostName: "a.example", PathPrefix: "/p", Priority: configpb.Priority_PRIORITY_URGENT, TimeoutMs: 1500, TargetLatencyMs: 600, MaxAttempts: 2, Keyless: true}
+	d := &configpb.Document{Version: 3, Routes: []*configpb.Route{r}}
+	for i, weight := range weights {
+		name := string(rune('a' + i))
+		d.Services = append(d.Services, configuration.DefaultService(name))
+		r.WeightedServices = append(r.WeightedServices, &configpb.WeightedService{Service: name, Weight: weight})
+	}
+	return d
+}
+
+// A part that gets another share than its weight is overloaded or idle.
+func TestSplitRoutesKeepTheirWeights(t *testing.T) {
+	g := NewWithT(t)
+	m, ok := configuration.Compile(split(90, 0, 10)).Match("a.example", "GET", "/p/1")
+	g.Expect(ok).To(BeTrue())
+	count := map[string]int{}
+	for i := range 1000 {
+		count[m.Choose(float64(i)/1000)]++
+	}
+	g.Expect(count).To(Equal(map[string]int{"a": 900, "c": 100}))
+	g.Expect(m.Timeout.Milliseconds()).To(BeEquivalentTo(1500))
+	g.Expect(m.TargetLatency.Milliseconds()).To(BeEquivalentTo(600))
+	g.Expect(m.Attempts).To(Equal(2))
+	g.Expect(m.Keyless).To(BeTrue())
+}
+
+// A split without a service to go to would refuse every request of its route.
+func TestFaultySplitsAreRejected(t *testing.T) {
+	g := NewWithT(t)
+	check := func(d *configpb.Document) *configuration.Rejection {
+		return configuration.Validate(configuration.Empty(), &configpb.Change{Kind: &configpb.Change_Supersede{Supersede: &configpb.Supersede{Document: d}}})
+	}
+	g.Expect(check(split(1, 2))).To(BeNil())
+	g.Expect(check(split(0, 0))).NotTo(BeNil())
+	unknown := split(1, 2)
+	unknown.Routes[0].WeightedServices[1].Service = "z"
+	g.Expect(check(unknown)).NotTo(BeNil())
+	both := split(1, 2)
+	both.Routes[0].Service = "a"
+	g.Expect(check(both)).NotTo(BeNil())
+}
--- /dev/null
+++ b/internal/entry/roundtrip/stray_test.go
@@ -0,0 +1,66 @@
+package roundtrip_test
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/tarragonmux/tarragonmux/internal/entry/roundtrip"
+)
+
+func answers(t *testing.T, text string) string {
+	return listen(t, func(_ int, c net.Conn, br *bufio.Reader) {
+		defer c.Close()
+		for {
+			if _, err := http.ReadRequest(br); err != nil {
+				return
+			}
+			_, _ = io.WriteString(c, text)
+			if text[len(text)-1] == '!' {
+				return
+			}
+		}
+	})
+}
+
+func fetchEcho(p *roundtrip.Pool, address string) (string, error) {
+	r := get("/")
+	r.EchoName, r.EchoValue, r.EndsWithConnection = "X-Id", "7", true
+	a, err := p.Send(context.Background(), address, r)
+	if err != nil {
+		return "", err
+	}
+	defer a.Close()
+	body, err := io.ReadAll(a)
+	return string(body), err
+}
+
+// An answer that came too late for its own request must not be given to the next caller.
+func TestStrayAnswersAreSkipped(t *testing.T) {
+	g := NewWithT(t)
+	stray := "HTTP/1.1 200 OK\r\nX-Id: 6\r\nContent-Length: 5\r\n\r\nwrong"
+	own := "HTTP/1.1 200 OK\r\nX-Id: 7\r\nContent-Length: 5\r\n\r\nright"
+	body, err := fetchEcho(newPool(t, roundtrip.Config{}), answers(t, stray+own))
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(body).To(Equal("right"))
+	_, err = fetchEcho(newPool(t, roundtrip.Config{}), answers(t, stray+"!"))
+	g.Expect(err).To(HaveOccurred())
+}
+
+// An answer whose end is the end of its connection is whole, but the connection serves no other request.
+func TestAnswersThatEndWithTheConnection(t *testing.T) {
+	g := NewWithT(t)
+	p := newPool(t, roundtrip.Config{})
+	address := answers(t, "HTTP/1.1 200 OK\r\nX-Id: 7\r\n\r\nall of it!")
+	for range 3 {
+		body, err := fetchEcho(p, address)
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(body).To(Equal("all of it!"))
+	}
+	g.Expect(p.Open()).To(BeZero())
+}
