--- a/internal/agreement/cluster_test.go
+++ b/internal/agreement/cluster_test.go
@@ -49,12 +49,17 @@
 	return c
 }
 
-func (c *cluster) start(id string) *agreement.Replica {
+// disk returns the disk of a host, which is empty at first.
+func (c *cluster) disk(id string) *storage.MemFS {
 	if c.disks[id] == nil {
 		c.disks[id] = storage.NewMemFS()
 	}
+	return c.disks[id]
+}
+
+func (c *cluster) start(id string) *agreement.Replica {
 	r, err := agreement.NewReplica(agreement.ReplicaConfig{
-		ID: id, Address: id, FS: c.disks[id], Folder: "data", FirstGroup: c.members,
+		ID: id, Address: id, FS: c.disk(id), Folder: "data", FirstGroup: c.members,
 		Client: c.network.Client(id), SegmentBytes: c.segment, Retain: c.retain,
 	})
 	c.g.Expect(err).NotTo(HaveOccurred())
--- a/internal/app/process.go
+++ b/internal/app/process.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"os"
+	"runtime/debug"
 	"time"
 
 	"github.com/charmbracelet/log"
@@ -23,6 +24,9 @@
 	startTimeout = 2 * time.Minute
 	// stopTimeout bounds a graceful stop. It exceeds the largest deadline that a caller may state.
 	stopTimeout = 15 * time.Minute
+	// heapPercent is the part of the memory of a process from which on the collector works harder; the
+	// rest is for buffers of the kernel that count towards the process.
+	heapPercent = 70
 	// backendUnacknowledged is how long a backend server may leave a request unacknowledged before the
 	// connection counts as broken; its host acknowledges also while it is busy.
 	backendUnacknowledged = 700 * time.Millisecond
@@ -158,6 +162,9 @@
 func Run(ctx context.Context, s *settings.Settings, out io.Writer, o Options) error {
 	logger := logging.New(out, s.Log.Level, s.Log.JSON)
 	o.Logger = logger
+	if s.Memory > 0 {
+		debug.SetMemoryLimit(s.Memory * heapPercent / 100)
+	}
 	p, err := New(s, o)
 	if err != nil {
 		return err
--- /dev/null
+++ b/internal/logging/async_test.go
@@ -0,0 +1,64 @@
+package logging
+
+import (
+	"bytes"
+	"context"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+)
+
+// blocked is an output that nobody reads until it is released.
+type blocked struct {
+	mu      sync.Mutex
+	release chan struct{}
+	lines   bytes.Buffer
+}
+
+func (b *blocked) Write(p []byte) (int, error) {
+	<-b.release
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.lines.Write(p)
+}
+
+// A log that nobody reads must not stop the requests; what is dropped is told.
+func TestAsyncNeverBlocks(t *testing.T) {
+	g := NewWithT(t)
+	out := &blocked{release: make(chan struct{})}
+	a := NewAsync(out)
+	began := time.Now()
+	for range 3 * asyncLines {
+		_, err := a.Write([]byte("line\n"))
+		g.Expect(err).NotTo(HaveOccurred())
+	}
+	g.Expect(time.Since(began)).To(BeNumerically("<", 5*time.Second))
+	short, cancel := context.WithTimeout(context.Background(), 10*time.Millisecond)
+	defer cancel()
+	a.Close(short)
+	close(out.release)
+	a.Close(context.Background())
+	text := out.lines.String()
+	g.Expect(strings.Count(text, "line\n")).To(BeNumerically(">=", asyncLines))
+	g.Expect(text).To(ContainSubstring("dropped lines"))
+}
+
+// A flood of failures must not flood the log, and the reader must see that lines are missing.
+func TestLimiterCountsWhatItSuppresses(t *testing.T) {
+	g := NewWithT(t)
+	l := NewLimiter(10)
+	now := time.Unix(100, 0)
+	allowed := 0
+	for range 50 {
+		if ok, _ := l.Allow(now); ok {
+			allowed++
+		}
+	}
+	g.Expect(allowed).To(Equal(10))
+	ok, suppressed := l.Allow(now.Add(time.Second))
+	g.Expect(ok).To(BeTrue())
+	g.Expect(suppressed).To(Equal(40))
+}
--- /dev/null
+++ b/internal/settings/live_test.go
@@ -0,0 +1,45 @@
+package settings_test
+
+import (
+	"context"
+	"os"
+	"syscall"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"github.com/pkg/errors"
+
+	"github.com/tarragonmux/tarragonmux/internal/logging"
+	"github.com/tarragonmux/tarragonmux/internal/settings"
+)
+
+// Seeds change with or without a signal; a process that keeps the old ones finds nobody after a partition,
+// and one that takes faulty settings loses those in force.
+func TestLiveFollowsTheSeeds(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		next, failure := &settings.Settings{ControlReplicas: []settings.Replica{{ID: "a", Address: "a:1"}}}, error(nil)
+		live := settings.NewLive(next, func() (*settings.Settings, error) { return next, failure }, logging.Discard())
+		ctx, cancel := context.WithCancel(context.Background())
+		signals := make(chan os.Signal, 1)
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			_ = live.Run(ctx, signals)
+		}()
+		next = &settings.Settings{ControlReplicas: []settings.Replica{{ID: "b", Address: "b:1"}}}
+		signals <- syscall.SIGHUP
+		synctest.Wait()
+		g.Expect(live.Replicas()[0].ID).To(Equal("b"))
+		next, failure = nil, errors.New("faulty")
+		time.Sleep(2 * time.Second)
+		g.Expect(live.Replicas()[0].ID).To(Equal("b"))
+		next, failure = &settings.Settings{ControlReplicas: []settings.Replica{{ID: "c", Address: "c:1"}}}, nil
+		time.Sleep(2 * time.Second)
+		g.Expect(live.Replicas()[0].ID).To(Equal("c"))
+		cancel()
+		<-done
+	})
+}
