--- a/internal/dispatch/classify.go
+++ b/internal/dispatch/classify.go
@@ -122,6 +122,7 @@
 		s.pathsBlockedUntil = p.blockedUntil
 	}
 	m.stats.PathBlocks++
+	m.note(now, s, eventBlocked, key)
 }
 
 // judgePaths finds nodes and data centres that get no answers from servers that answer others.
--- a/internal/dispatch/crash.go
+++ b/internal/dispatch/crash.go
@@ -152,7 +152,7 @@
 	s.addSample(sample{at: now, sent: r.sent, failed: true, node: r.node, fingerprint: r.Fingerprint})
 	// The next request confirms or clears the doubt.
 	s.doubted = true
-	if m.crashed(now, s) {
+	if m.crashed(now, s, r) {
 		m.noteCrash(now, s)
 		return
 	}
@@ -163,7 +163,10 @@
 // connection refused later, and no answer to work sent in between: a server that answers what was
 // sent after the break has not crashed. Refusals count for the whole sample window, since at a low
 // rate the next request may come late.
-func (m *Machine) crashed(now time.Time, s *server) bool {
+func (m *Machine) crashed(now time.Time, s *server, r *request) bool {
+	if s.outlived(r) {
+		return false
+	}
 	broken, recentlyBroken, refused := 0, 0, 0
 	for _, b := range s.breaks {
 		switch {
@@ -181,6 +184,24 @@
 	return recentlyBroken >= 2 || broken >= 1 && refused >= 1
 }
 
+// outlived tells whether requests other than the given one that were in flight when a connection broke
+// still are. A crash breaks all connections at once; a server that resets single requests goes on with the
+// others.
+func (s *server) outlived(ended *request) bool {
+	for _, b := range s.breaks {
+		if b.refused || b.at.Before(s.answeredSent) {
+			continue
+		}
+		for _, r := range s.inflight {
+			if r != ended && r.sent.Before(b.at) {
+				return true
+			}
+		}
+		return false
+	}
+	return false
+}
+
 // noteCrash counts the crash against the requests that ran, and holds the server.
 func (m *Machine) noteCrash(now time.Time, s *server) {
 	for i := range s.breaks {
--- a/internal/dispatch/ejection.go
+++ b/internal/dispatch/ejection.go
@@ -121,6 +121,7 @@
 	m.setProbation(now, s)
 	m.takeOut(now, s, ejectedServer)
 	m.stats.Ejections++
+	m.note(now, s, eventEjected, causeNames[why])
 	s.forget(now)
 }
 
@@ -139,6 +140,7 @@
 func (m *Machine) limitToOne(now time.Time, s *server) {
 	if !now.Before(s.limitedUntil) {
 		m.stats.EjectionsDenied++
+		m.note(now, s, eventLimited, "")
 	}
 	s.limitedUntil = now.Add(limitedFor)
 }
@@ -161,6 +163,7 @@
 	}
 	s.holds++
 	m.takeOut(now, s, held)
+	m.note(now, s, eventHeld, "")
 	s.stateUntil = now.Add(min(holdFor<<min(s.holds-1, 10), holdCap))
 }
 
@@ -225,6 +228,7 @@
 		s.growFor = growAfterFailing
 	}
 	s.failed = false
+	m.note(now, s, eventReturned, "")
 	m.stats.Returns++
 }
 
--- a/internal/dispatch/failing.go
+++ b/internal/dispatch/failing.go
@@ -18,6 +18,8 @@
 	doubtfulShare = 0.15
 	// failingShare is the share from which on a server is suspended: two failures in a row.
 	failingShare = 0.5
+	// breaksTogether is how long the nodes may take to report the breaks of one crash.
+	breaksTogether = 40 * time.Millisecond
 	// sparedFor is how long a failing server that the minimum keeps is spared, unless it recovers before.
 	sparedFor = 3 * time.Second
 	// suspendFor is the first time without work; it doubles up to suspendCap with each failed canary.
@@ -27,6 +29,8 @@
 	forgiveAfter = 5 * time.Second
 	// growAfterFailing is how soon a server that was suspended for failures has all its slots again.
 	growAfterFailing = time.Second
+	// hopelessShare is the share from which on a request is better off waiting to its end.
+	hopelessShare = 0.75
 	// mostlyFailing is the share of failing servers from which on work goes to them all the same.
 	mostlyFailing = 0.75
 	// tryAnyway is how many usual times of its kind a request that must not repeat has left when it is
@@ -75,12 +79,29 @@
 	if !failed || s.state != inRotation || share < failingShare {
 		return
 	}
+	spared := now.Before(s.failingUntil)
 	s.failingUntil = now.Add(sparedFor)
+	if s.breaking(now) {
+		// More may break at any moment, which would show a crash. The server is spared meanwhile.
+		return
+	}
 	if m.onlyCentreFails(now, s, r.node) {
 		m.blockPath(now, s, r.node.centreKey)
 		return
 	}
-	m.suspend(now, s)
+	if !m.suspend(now, s) && !spared {
+		m.note(now, s, eventSpared, "")
+	}
+}
+
+// breaking tells whether connections to the server have begun to break a moment ago.
+func (s *server) breaking(now time.Time) bool {
+	for _, b := range s.breaks {
+		if !b.refused && !b.crashed && !b.at.Before(s.answeredSent) {
+			return now.Sub(b.at) < breaksTogether
+		}
+	}
+	return false
 }
 
 // onlyCentreFails tells whether the server fails for the nodes of one data centre while it works for
@@ -103,14 +124,15 @@
 	return others && s.path(n.centreKey).failing.share(now) >= failingShare
 }
 
-// suspend takes a failing server out for a short time. If the minimum forbids that, it stays, and gets
-// work only when all others are full.
-func (m *Machine) suspend(now time.Time, s *server) {
+// suspend takes a failing server out for a short time, and tells whether the minimum allowed that. If not,
+// the server stays, and gets work only when all others are full.
+func (m *Machine) suspend(now time.Time, s *server) bool {
 	if !m.allowed(now, s) {
 		m.stats.EjectionsDenied++
-		return
+		return false
 	}
 	m.takeOut(now, s, ejectedServer)
+	m.note(now, s, eventSuspended, "")
 	s.failed = true
 	if now.Sub(s.suspendedUntil) > forgiveAfter {
 		s.suspensions = 0
@@ -119,6 +141,7 @@
 	s.suspendedUntil = s.stateUntil
 	s.suspensions++
 	m.stats.Ejections++
+	return true
 }
 
 // mostFail tells whether so many servers fail that avoiding them would leave too few.
@@ -156,6 +179,9 @@
 	if !now.Before(s.failingUntil) || s.state != inRotation || m.mostFail(now) {
 		return false
 	}
+	if s.failing.share(now) >= hopelessShare {
+		return true
+	}
 	usual := m.needs(&r.Request, false)
 	if r.Idempotent {
 		return now.Before(r.due.Add(-usual))
--- a/internal/dispatch/failing_test.go
+++ b/internal/dispatch/failing_test.go
@@ -280,3 +280,40 @@
 	g.Expect(b.machine.Stats().Ejections + b.machine.Stats().Crashes).To(BeNumerically(">", 0))
 	g.Expect(b.machine.Stats().EjectionsDenied).To(BeZero())
 }
+
+// A server that resets single requests has not crashed: its other requests go on. Taken for a crash, two
+// such servers made a request poison, and callers were refused it for ten minutes.
+func TestSingleResetsAreNoCrash(t *testing.T) {
+	g := NewWithT(t)
+	b := newBench(14, 6)
+	random := rand.New(rand.NewPCG(13, 13))
+	b.work[repeatable] = 440 * time.Millisecond
+	bad := map[string]bool{"s01": true, "s04": true, "s07": true, "s09": true}
+	b.resets = func(instance string, _ time.Time) bool { return bad[instance] && random.Float64() < 0.5 }
+	b.run(10*time.Second, func() {
+		if random.Float64() < 75*benchStep.Seconds() {
+			b.ask(repeatable, priority.Normal, true, 1200*time.Millisecond, 2*time.Second, grant.First)
+		}
+	})
+	g.Expect(b.machine.Stats().PoisonRequests).To(BeZero())
+	g.Expect(b.refused[problem.PoisonRequest]).To(BeZero())
+}
+
+// The log of a dispatcher must say of each server that it stopped using why.
+func TestJudgementsAreTold(t *testing.T) {
+	g := NewWithT(t)
+	b := newBench(14, 6)
+	b.work[single] = 400 * time.Millisecond
+	b.resets = func(instance string, _ time.Time) bool { return instance == "s03" }
+	told := map[string]bool{}
+	b.run(6*time.Second, func() {
+		if b.now.UnixMilli()%12 == 0 {
+			b.ask(single, priority.Normal, false, 1200*time.Millisecond, 2500*time.Millisecond, grant.First)
+		}
+		for _, e := range b.machine.Events() {
+			g.Expect(e.Instance).To(Equal("s03"))
+			told[e.What] = true
+		}
+	})
+	g.Expect(told).NotTo(BeEmpty())
+}
--- a/internal/dispatch/machine.go
+++ b/internal/dispatch/machine.go
@@ -34,6 +34,7 @@
 	suspected     map[string]bool
 	dead          map[string]memberState
 	actions       []Action
+	events        []Event
 	deferred      []*request
 	free          []*request
 	stats         Stats
--- a/internal/dispatchrpc/runner.go
+++ b/internal/dispatchrpc/runner.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"sync"
 	"time"
@@ -136,6 +137,7 @@
 		}
 	}
 	r.machine.Tick(now)
+	r.logEvents(now)
 	if now.Sub(r.viewAt) >= ViewEvery {
 		r.viewAt = now
 		r.broadcastView(now)
@@ -291,6 +293,19 @@
 	return batch, x.interval()
 }
 
+// logEvents writes a line for each change of what the dispatcher believes of a server.
+func (r *runner) logEvents(now time.Time) {
+	for _, e := range r.machine.Events() {
+		ok, suppressed := r.server.lines.Allow(now)
+		if !ok {
+			continue
+		}
+		r.server.log.Info("judged a server", "service", r.service, "term", r.term, "instance", e.Instance, "what", e.What, "why", e.Why,
+			"failures", math.Round(e.Failures*100)/100, "in_flight", e.InFlight, "limit", e.Limit,
+			"healthy", e.Healthy, "minimum", e.Minimum, "suppressed", suppressed)
+	}
+}
+
 // broadcastView sends the view to the nodes that have another one. A change of the ejected servers or
 // of the overload goes out at once; a new latency goes with the next message.
 func (r *runner) broadcastView(now time.Time) {
--- a/internal/dispatchrpc/server.go
+++ b/internal/dispatchrpc/server.go
@@ -29,6 +29,7 @@
 type Server struct {
 	config ServerConfig
 	log    *log.Logger
+	lines  *logging.Limiter
 	mu     sync.RWMutex
 	// runners by service; entries are never removed, since there are at most a few hundred.
 	runners map[string]*runner
@@ -38,7 +39,7 @@
 
 // NewServer returns a server that grants nothing until Run is called and a lease is held.
 func NewServer(c ServerConfig) *Server {
-	return &Server{config: c, log: c.Logger.WithPrefix("dispatch"), runners: map[string]*runner{}}
+	return &Server{config: c, log: c.Logger.WithPrefix("dispatch"), lines: logging.NewLimiter(logging.DefaultLinesPerSecond), runners: map[string]*runner{}}
 }
 
 // Run drives the state machines until the context ends.
