--- a/internal/dispatch/failing_test.go
+++ b/internal/dispatch/failing_test.go
@@ -308,7 +308,7 @@
 	told := map[string]bool{}
 	b.run(6*time.Second, func() {
 		if b.now.UnixMilli()%12 == 0 {
-			b.ask(single, priority.Normal, false, 1200*time.Millisecond, 2500*time.Millisecond, grant.First)
+			b.ask(single, priority.Normal, true, 1200*time.Millisecond, 2500*time.Millisecond, grant.First)
 		}
 		for _, e := range b.machine.Events() {
 			g.Expect(e.Instance).To(Equal("s03"))
