--- a/internal/configuration/routes.go
+++ b/internal/configuration/routes.go
@@ -108,7 +108,7 @@
 		Timeout:         time.Duration(r.GetTimeoutMs()) * time.Millisecond,
 		Attempts:        int(r.GetMaxAttempts()),
 		Keyless:         r.GetKeyless(),
-		Split:           compileSplit(r.GetWeightedServices()),
+		Split:           compileSplit(r.GetParts()),
 	}
 	if m.DefaultDeadline == 0 {
 		m.DefaultDeadline = DefaultDeadline
@@ -125,7 +125,7 @@
 	return m
 }
 
-func compileSplit(weighted []*configpb.WeightedService) []route.Part {
+func compileSplit(weighted []*configpb.RoutePart) []route.Part {
 	total := 0.0
 	for _, w := range weighted {
 		total += float64(w.GetWeight())
--- a/internal/configuration/split_test.go
+++ b/internal/configuration/split_test.go
@@ -15,7 +15,7 @@
 	for i, weight := range weights {
 		name := string(rune('a' + i))
 		d.Services = append(d.Services, configuration.DefaultService(name))
-		r.WeightedServices = append(r.WeightedServices, &configpb.WeightedService{Service: name, Weight: weight})
+		r.Parts = append(r.Parts, &configpb.RoutePart{Service: name, Weight: weight})
 	}
 	return d
 }
@@ -45,7 +45,7 @@
 	g.Expect(check(split(1, 2))).To(BeNil())
 	g.Expect(check(split(0, 0))).NotTo(BeNil())
 	unknown := split(1, 2)
-	unknown.Routes[0].WeightedServices[1].Service = "z"
+	unknown.Routes[0].Parts[1].Service = "z"
 	g.Expect(check(unknown)).NotTo(BeNil())
 	both := split(1, 2)
 	both.Routes[0].Service = "a"
--- a/internal/configuration/validate.go
+++ b/internal/configuration/validate.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 
 	"github.com/tarragonmux/tarragonmux/proto/configpb"
 )
@@ -95,7 +96,7 @@
 		return r
 	}
 	for _, route := range d.GetRoutes() {
-		if route.GetService() == name {
+		if uses(route, name) {
 			return reject("delete_service", "delete the route or move it to another service first", "route %q uses service %q", route.GetId(), name)
 		}
 	}
@@ -109,6 +110,12 @@
 	return nil
 }
 
+// uses tells whether requests of the route go to the service.
+func uses(r *configpb.Route, service string) bool {
+	return r.GetService() == service ||
+		slices.ContainsFunc(r.GetParts(), func(p *configpb.RoutePart) bool { return p.GetService() == service })
+}
+
 func validatePutRoute(d *configpb.Document, r *configpb.Route) *Rejection {
 	if fault := validateRoute("put_route", r, d); fault != nil {
 		return fault
--- a/internal/configuration/validate_routes.go
+++ b/internal/configuration/validate_routes.go
@@ -34,23 +34,23 @@
 
 // validateRouteServices checks the one service of a route, or the services among which it is split.
 func validateRouteServices(field string, r *configpb.Route, d *configpb.Document) *Rejection {
-	parts := r.GetWeightedServices()
+	parts := r.GetParts()
 	if len(parts) == 0 {
 		return validateRouteService(field+".service", r.GetService(), d)
 	}
 	if r.GetService() != "" {
-		return reject(field+".service", "set either service or weighted_services", "both are set")
+		return reject(field+".service", "set either service or parts", "both are set")
 	}
 	total := uint64(0)
 	for i, part := range parts {
-		at := fmt.Sprintf("%s.weighted_services[%d]", field, i)
+		at := fmt.Sprintf("%s.parts[%d]", field, i)
 		if fault := validateRouteService(at+".service", part.GetService(), d); fault != nil {
 			return fault
 		}
 		total += uint64(part.GetWeight())
 	}
 	if total == 0 {
-		return reject(field+".weighted_services", "give one part a weight above 0", "no part has a weight")
+		return reject(field+".parts", "give one part a weight above 0", "no part has a weight")
 	}
 	return nil
 }
