--- a/internal/attach/client.go
+++ b/internal/attach/client.go
@@ -53,7 +53,6 @@
 	mu          sync.Mutex
 	ready       bool
 	leaving     bool
-	version     uint64
 	address     string
 	control     []string
 	dispatchers map[string]leadership.Holder
--- a/internal/settings/live_test.go
+++ b/internal/settings/live_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"os"
+	"sync"
 	"syscall"
 	"testing"
 	"testing/synctest"
@@ -20,8 +21,20 @@
 func TestLiveFollowsTheSeeds(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		g := NewWithT(t)
-		next, failure := &settings.Settings{ControlReplicas: []settings.Replica{{ID: "a", Address: "a:1"}}}, error(nil)
-		live := settings.NewLive(next, func() (*settings.Settings, error) { return next, failure }, logging.Discard())
+		var mu sync.Mutex
+		first := &settings.Settings{ControlReplicas: []settings.Replica{{ID: "a", Address: "a:1"}}}
+		next, failure := first, error(nil)
+		load := func() (*settings.Settings, error) {
+			mu.Lock()
+			defer mu.Unlock()
+			return next, failure
+		}
+		write := func(s *settings.Settings, err error) {
+			mu.Lock()
+			defer mu.Unlock()
+			next, failure = s, err
+		}
+		live := settings.NewLive(first, load, logging.Discard())
 		ctx, cancel := context.WithCancel(context.Background())
 		signals := make(chan os.Signal, 1)
 		done := make(chan struct{})
@@ -29,14 +42,14 @@
 			defer close(done)
 			_ = live.Run(ctx, signals)
 		}()
-		next = &settings.Settings{ControlReplicas: []settings.Replica{{ID: "b", Address: "b:1"}}}
+		write(&settings.Settings{ControlReplicas: []settings.Replica{{ID: "b", Address: "b:1"}}}, nil)
 		signals <- syscall.SIGHUP
 		synctest.Wait()
 		g.Expect(live.Replicas()[0].ID).To(Equal("b"))
-		next, failure = nil, errors.New("faulty")
+		write(nil, errors.New("faulty"))
 		time.Sleep(2 * time.Second)
 		g.Expect(live.Replicas()[0].ID).To(Equal("b"))
-		next, failure = &settings.Settings{ControlReplicas: []settings.Replica{{ID: "c", Address: "c:1"}}}, nil
+		write(&settings.Settings{ControlReplicas: []settings.Replica{{ID: "c", Address: "c:1"}}}, nil)
 		time.Sleep(2 * time.Second)
 		g.Expect(live.Replicas()[0].ID).To(Equal("c"))
 		cancel()
