--- a/internal/dispatchrpc/client.go
+++ b/internal/dispatchrpc/client.go
@@ -79,7 +79,7 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.ctx.Err() != nil {
+	if c.ctx == nil || c.ctx.Err() != nil {
 		return
 	}
 	for service := range wanted {
@@ -119,6 +119,11 @@
 // Acquire waits for a grant. Errors are *problem.Problem with the outcome not-run.
 func (c *Client) Acquire(ctx context.Context, r grant.Request) (grant.Grant, error) {
 	ch := c.channel(r.Service)
+	if ch == nil {
+		// The service may have come into force a moment ago.
+		c.follow()
+		ch = c.channel(r.Service)
+	}
 	if ch == nil {
 		return nil, problem.New(problem.Starting, problem.NotRun, "This host does not serve "+r.Service+" yet").After(time.Second)
 	}
--- /dev/null
+++ b/internal/dispatchrpc/follow_test.go
@@ -0,0 +1,64 @@
+package dispatchrpc
+
+import (
+	"context"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/tarragonmux/tarragonmux/internal/backend"
+	"github.com/tarragonmux/tarragonmux/internal/grant"
+	"github.com/tarragonmux/tarragonmux/internal/leadership"
+	"github.com/tarragonmux/tarragonmux/internal/logging"
+	"github.com/tarragonmux/tarragonmux/internal/problem"
+)
+
+// lateSettings has a service from a moment on.
+type lateSettings struct{ known atomic.Bool }
+
+func (l *lateSettings) Services() []string {
+	if l.known.Load() {
+		return []string{"cuefeed"}
+	}
+	return nil
+}
+
+func (l *lateSettings) Service(string) (ServiceSettings, bool) {
+	return ServiceSettings{}, l.known.Load()
+}
+
+type noServers struct{}
+
+func (noServers) Servers(string) []backend.Server                { return nil }
+func (noServers) Announce(context.Context, backend.Server) error { return nil }
+func (noServers) MarkDraining(string, string)                    {}
+
+type noElections struct{}
+
+func (noElections) Held(string) (leadership.Lease, bool)        { return leadership.Lease{}, false }
+func (noElections) Dispatcher(string) (leadership.Holder, bool) { return leadership.Holder{}, false }
+
+// A request for a service that came into force a moment ago was refused as starting, although the host
+// already had the revision that sent it there.
+func TestNewServiceIsFollowedAtOnce(t *testing.T) {
+	g := NewWithT(t)
+	settings := &lateSettings{}
+	c := NewClient(ClientConfig{Node: "n", DataCentre: "a", Settings: settings, Registry: noServers{}, Elections: noElections{}, Logger: logging.Discard()})
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		_ = c.Run(ctx)
+	}()
+	ask := func() problem.Kind {
+		_, err := c.Acquire(ctx, grant.Request{Service: "cuefeed", Deadline: time.Now().Add(50 * time.Millisecond)})
+		return err.(*problem.Problem).Kind
+	}
+	g.Eventually(ask).Should(Equal(problem.Starting))
+	settings.known.Store(true)
+	g.Expect(ask()).To(Equal(problem.DeadlinePassed), "it waits for a dispatcher")
+	cancel()
+	<-done
+}
--- a/internal/entry/filters.go
+++ b/internal/entry/filters.go
@@ -27,8 +27,8 @@
 func Filters() []Step {
 	return []Step{
 		{"recovery", newRecovery},
-		{"in-flight", newInFlight},
 		{"request-id", newRequestID},
+		{"in-flight", newInFlight},
 		{"limits", newLimits},
 		{"route", newRouting},
 		{"deadline", newDeadline},
