--- a/internal/dispatchrpc/follow_test.go
+++ b/internal/dispatchrpc/follow_test.go
@@ -56,7 +56,12 @@
 		_, err := c.Acquire(ctx, grant.Request{Service: "cuefeed", Deadline: time.Now().Add(50 * time.Millisecond)})
 		return err.(*problem.Problem).Kind
 	}
-	g.Eventually(ask).Should(Equal(problem.Starting))
+	g.Eventually(func() bool {
+		c.mu.RLock()
+		defer c.mu.RUnlock()
+		return c.ctx != nil
+	}).Should(BeTrue())
+	g.Expect(ask()).To(Equal(problem.Starting))
 	settings.known.Store(true)
 	g.Expect(ask()).To(Equal(problem.DeadlinePassed), "it waits for a dispatcher")
 	cancel()
