--- a/internal/app/discovery.go
+++ b/internal/app/discovery.go
@@ -156,6 +156,7 @@
 	for _, s := range d.document().GetServices() {
 		if s.GetName() == name {
 			settings := serviceSettings(s)
+			settings.MinimumOfStaying = true
 			settings.RetryShare, settings.RetryFloor = d.retryShare, d.retryFloor
 			return settings, true
 		}
--- a/internal/dispatch/config.go
+++ b/internal/dispatch/config.go
@@ -50,6 +50,9 @@
 	MinimumHealthySlots int
 	// MinimumHealthyPercent refers to the highest announced capacity of the last 10 minutes.
 	MinimumHealthyPercent int
+	// MinimumOfStaying leaves servers that drain or have left out of the announced capacity to which the
+	// percentage refers. Without it they count for 10 minutes.
+	MinimumOfStaying bool
 	// Shares are the minimum shares of slot time by priority, 0 to 1.
 	Shares [priority.Count]float64
 	// Targets are the target latencies by priority; 0 means that the priority has none.
--- a/internal/dispatch/ejection.go
+++ b/internal/dispatch/ejection.go
@@ -35,7 +35,7 @@
 func (m *Machine) announcedSlots() int {
 	total := 0
 	for _, s := range m.servers {
-		if s.present && !s.leaving() {
+		if s.present && !(m.config.MinimumOfStaying && s.leaving()) {
 			total += s.Slots
 		}
 	}
@@ -50,6 +50,9 @@
 // forgetLeaving takes the slots of servers that leave on purpose out of the remembered capacity. The
 // minimum guards against losses; what operators remove is none.
 func (m *Machine) forgetLeaving() {
+	if !m.config.MinimumOfStaying {
+		return
+	}
 	for _, s := range m.servers {
 		if !s.leaving() || s.deducted {
 			continue
--- a/internal/dispatchrpc/settings.go
+++ b/internal/dispatchrpc/settings.go
@@ -40,6 +40,8 @@
 	// MinimumHealthySlots is absolute; 0 means that MinimumHealthyPercent holds.
 	MinimumHealthySlots   int
 	MinimumHealthyPercent int
+	// MinimumOfStaying leaves servers that drain or have left out of what the percentage refers to.
+	MinimumOfStaying bool
 	// Shares are the minimum shares of slot time by priority, 0 to 1.
 	Shares [priority.Count]float64
 	// Targets are the target latencies by priority; 0 means none.
@@ -67,6 +69,7 @@
 		Term:                  term,
 		MinimumHealthySlots:   s.MinimumHealthySlots,
 		MinimumHealthyPercent: s.MinimumHealthyPercent,
+		MinimumOfStaying:      s.MinimumOfStaying,
 		Shares:                s.Shares,
 		Targets:               s.Targets,
 		DefaultSlots:          s.DefaultSlots,
