--- a/internal/app/discovery.go
+++ b/internal/app/discovery.go
@@ -92,8 +92,9 @@
 	mu    sync.Mutex
 	from  *configpb.Document
 	epoch uint64
-	// since is when the epoch became known, and formed whether the former group still counts.
-	since  time.Time
+	// since is when the epoch became known.
+	since time.Time
+	// former is set while the group before still counts in elections.
 	former bool
 	fleet  *hostset.Fleet
 }
--- a/internal/dispatch/doc.go
+++ b/internal/dispatch/doc.go
@@ -27,6 +27,13 @@
 // while the evidence comes from one node or from other data centres only (a bad path, which is
 // routed around).
 //
+// A server's recent failures count with a weight that fades. After one failure it gets work that must
+// not repeat only when no other has room; after two in a row it is suspended for 3 s, up to 6 s at
+// repeats. If the minimum forbids that, it is spared: requests wait for another server while their time
+// allows. Requests of the same kind (one route) share a record of their times; by it a request is refused
+// as deadline-unmeetable when the work that waits before it leaves too little time. Shed answers pause a
+// server unless most servers shed at once. Events names each of these decisions for the log.
+//
 // # Settings
 //
 // The minimum healthy capacity, the minimum shares of the priorities, the default slots and
--- a/internal/entry/doc.go
+++ b/internal/entry/doc.go
@@ -19,5 +19,10 @@
 // through 32 KiB buffers and are not retried once a byte was sent. Answers of stated length
 // up to 32 KiB are read whole before the caller sees them; others stream.
 //
+// A dialect (Dialect) says which headers carry id, deadline and outcome, and how refusals are written; the
+// product's own is Native. A keyless route sends each non-idempotent request once and keeps no record. A
+// route's limit of attempts counts those that may have run; a server that reports a failure of its own is
+// followed by another one where the work may run again, and its answer is passed on if none does better.
+//
 // The paths /v1/endpoints and /v1/backends/ are served by the host itself and reach no route.
 package entry
