Keep the retry bounds' margin in the dispatcher's budget

The platform's settings reduced the bounds on retries before the product saw them, which is a decision. The dispatcher's budget does it now, for every deployment that sets retry_share and retry_floor; the defaults are as before. The test that two dispatchers of one span stay below the bound fails (124 of at most 70) when each uses the whole bound.

--- a/internal/dispatch/budget.go
+++ b/internal/dispatch/budget.go
@@ -13,6 +13,10 @@
 	budgetShare = 0.10
 	// budgetFloor is allowed beyond the share.
 	budgetFloor = 3
+	// boundShareUsed and boundFloorUsed are the parts of configured bounds that one dispatcher uses. The
+	// bounds hold for the service, and a change of the dispatcher puts two into one span.
+	boundShareUsed = 0.9
+	boundFloorUsed = 1.0 / 3
 )
 
 type budgetSecond struct {
@@ -30,6 +34,11 @@
 	seconds [budgetSeconds]budgetSecond
 }
 
+// limit takes over the bounds of the configuration; 0 means the default.
+func (b *Budget) limit(c Config) {
+	b.Share, b.Floor = boundShareUsed*c.RetryShare, boundFloorUsed*c.RetryFloor
+}
+
 func (b *Budget) at(now time.Time) *budgetSecond {
 	second := now.Unix()
 	s := &b.seconds[second%budgetSeconds]
--- a/internal/dispatch/machine.go
+++ b/internal/dispatch/machine.go
@@ -76,11 +76,11 @@
 		nodes:     map[string]*node{},
 		crashes:   newCrashTable(),
 		kinds:     map[uint32]*kind{},
-		retries:   Budget{Share: c.RetryShare, Floor: c.RetryFloor},
 		suspected: map[string]bool{},
 		dead:      map[string]memberState{},
 	}
 	m.queue.salt = c.Term
+	m.retries.limit(c)
 	return m
 }
 
@@ -88,7 +88,7 @@
 func (m *Machine) Configure(now time.Time, c Config) {
 	c.Term = m.config.Term
 	m.config = c
-	m.retries.Share, m.retries.Floor = c.RetryShare, c.RetryFloor
+	m.retries.limit(c)
 	m.reserve(now)
 	m.enforceMinimum(now)
 	m.pump(now)
--- a/internal/dispatch/machine_test.go
+++ b/internal/dispatch/machine_test.go
@@ -295,6 +295,30 @@
 	g.Expect(float64(granted)).To(BeNumerically("<=", 0.1*float64(200+granted)+3))
 }
 
+// Two dispatchers that share one span of 10 s after a change of the dispatcher must not exceed the bound.
+func TestTwoDispatchersKeepOneRetryBound(t *testing.T) {
+	g := NewWithT(t)
+	const share, floor = 0.2, 30
+	now := time.Unix(1000, 0)
+	requests, retries := 0, 0
+	for term := range uint64(2) {
+		m := dispatch.New(now, dispatch.Config{Service: "x", Term: term, RetryShare: share, RetryFloor: floor})
+		m.SetServers(now, []backend.Server{{Instance: "s", State: backend.Ready, Slots: 1000, Renewed: now}})
+		m.Connect(now, "n", "dc", 1, nil, nil)
+		now = now.Add(dispatch.CollectFor)
+		m.Tick(now)
+		for id := range uint64(100) {
+			requests++
+			ask(m, now, 2*id+1, nil)
+			if ask(m, now, 2*id+2, func(q *dispatch.Request) { q.Purpose = grant.Retry })[0].Kind == dispatch.Granted {
+				retries++
+			}
+		}
+	}
+	g.Expect(retries).To(BeNumerically(">", floor/2))
+	g.Expect(float64(retries)).To(BeNumerically("<=", share*float64(requests)+floor))
+}
+
 // A full queue must drop the newest request of the team with the most, not those of others.
 func TestFullQueueDropsFromTheLargestTeam(t *testing.T) {
 	g := NewWithT(t)
