--- a/internal/bench/durable/changes.go
+++ b/internal/bench/durable/changes.go
@@ -21,6 +21,10 @@
 	changeTimeout = 400 * time.Millisecond
 	// quietShare is the part of a scenario before the fault begins.
 	quietShare = 0.3
+	// quietChanges must be accepted before the fault begins, or a disk that is slow to sync would leave
+	// nothing to compare with. quietLimit bounds the wait for them.
+	quietChanges = 10
+	quietLimit   = 10 * time.Second
 	retryPause = 5 * time.Millisecond
 )
 
@@ -57,11 +61,10 @@
 	var mu sync.Mutex
 	var accepted []time.Time
 	begin := time.Now()
-	struck := begin.Add(share(length, quietShare))
-	end := begin.Add(length)
-	runCtx, cancel := context.WithDeadline(ctx, end)
+	runCtx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	var running sync.WaitGroup
+	quiet := make(chan struct{})
 	for i := range changeClients {
 		send := c.submitter(fmt.Sprint("client-", i))
 		running.Go(func() {
@@ -69,14 +72,25 @@
 				if send(runCtx) {
 					mu.Lock()
 					accepted = append(accepted, time.Now())
+					if len(accepted) == quietChanges {
+						close(quiet)
+					}
 					mu.Unlock()
 				}
 			}
 		})
 	}
-	time.Sleep(time.Until(struck))
-	struck = time.Now()
+	time.Sleep(time.Until(begin.Add(share(length, quietShare))))
+	select {
+	case <-quiet:
+	case <-time.After(quietLimit):
+	case <-ctx.Done():
+	}
+	struck := time.Now()
+	end := struck.Add(share(length, 1-quietShare))
 	c.faults.set(fault, c.busiest())
+	time.Sleep(time.Until(end))
+	cancel()
 	running.Wait()
 	c.faults.set(NoFault, "")
 	return summarise(design, fault, accepted, begin, struck, end), c.close()
--- a/internal/bench/durable/durable_test.go
+++ b/internal/bench/durable/durable_test.go
@@ -35,6 +35,16 @@
 	t.Logf("%+v", report)
 }
 
+// Guards against a fault that begins before anything was accepted, as on a disk that is slow to sync.
+func TestFaultWaitsForFirstChanges(t *testing.T) {
+	for _, design := range []string{Leaderless, LeaderBased} {
+		g := NewWithT(t)
+		row, err := measureChanges(context.Background(), t.TempDir(), design, NoFault, time.Millisecond)
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(row.Before).To(BeNumerically(">", 1), design)
+	}
+}
+
 // Guards against gaps that are measured across the moment of the fault or not up to the end.
 func TestSummarise(t *testing.T) {
 	g := NewWithT(t)
