Election: name only a holder that has shown its lease

Ruled out: dispatcher overloaded or frozen (it served the others), attach lost (heartbeats went on).

A voter says now whether its holder has shown a lease (a renewal or an announcement); only that is taken for a dispatcher. An entry host gives a term up that no control host has named for three heartbeats. Both have a test that fails without it.

--- a/internal/attach/attach_test.go
+++ b/internal/attach/attach_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	. "github.com/onsi/gomega"
@@ -250,3 +251,34 @@
 	g.Expect(s.Servers("cuefeed")).To(HaveLen(1))
 	g.Expect(s.Announce(context.Background(), backend.Server{})).To(MatchError(attach.ErrNoAnnouncements))
 }
+
+// An entry host that keeps a term that no control host names any longer would refuse the present dispatcher,
+// whose term may be lower, until it is restarted.
+func TestUnconfirmedTermGivesWay(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		name := func(node string, term uint64) *fleetpb.AttachReply {
+			return &fleetpb.AttachReply{Dispatchers: []*fleetpb.Dispatcher{{Service: "cuefeed", Node: node, Address: node + ":1", Term: term}}}
+		}
+		fake := &beats{reply: name("c2", 9)}
+		c := attach.NewClient(attach.ClientOptions{
+			ID: "front-1", Incarnation: 2, DataCentre: "a", Caller: fake, Logger: logging.Discard(),
+			Seeds: func() []string { return []string{"s1:1"} },
+		})
+		ctx, cancel := context.WithCancel(context.Background())
+		done := make(chan struct{})
+		go func() { defer close(done); _ = c.Run(ctx) }()
+		defer func() { cancel(); <-done }()
+		dispatcher := func() string { h, _ := c.Dispatcher("cuefeed"); return h.Node }
+		time.Sleep(100 * time.Millisecond)
+		g.Expect(dispatcher()).To(Equal("c2"))
+		c.Lost("cuefeed")
+		fake.mu.Lock()
+		fake.reply = name("c1", 5)
+		fake.mu.Unlock()
+		time.Sleep(time.Second)
+		g.Expect(dispatcher()).To(Equal("c2"), "late word of a former dispatcher is refused")
+		time.Sleep(time.Second)
+		g.Expect(dispatcher()).To(Equal("c1"))
+	})
+}
--- a/internal/attach/client.go
+++ b/internal/attach/client.go
@@ -22,6 +22,8 @@
 	retryEvery = 50 * time.Millisecond
 	// seekEvery is the pause between heartbeats while a service has no known dispatcher.
 	seekEvery = 100 * time.Millisecond
+	// believedFor is how long a term that was heard keeps out lower ones: three heartbeats.
+	believedFor = 3 * HeartbeatEvery
 )
 
 // Caller sends heartbeats. Tests replace it.
@@ -56,6 +58,8 @@
 	address     string
 	control     []string
 	dispatchers map[string]leadership.Holder
+	// heard is when the term of each dispatcher was heard last.
+	heard map[string]time.Time
 	// broken holds the terms of dispatchers whose stream ended, by service.
 	broken   map[string]uint64
 	attached bool
@@ -73,6 +77,7 @@
 		o:           o,
 		wake:        make(chan struct{}, 1),
 		dispatchers: map[string]leadership.Holder{},
+		heard:       map[string]time.Time{},
 		broken:      map[string]uint64{},
 	}
 }
@@ -187,12 +192,18 @@
 	}
 }
 
-// hear takes word of a dispatcher unless its term is over. The caller holds the mutex.
+// hear takes word of a dispatcher unless its term is over. A control host may name a former dispatcher for a
+// while; a higher term that no control host names any longer gives way. The caller holds the mutex.
 func (c *Client) hear(d *fleetpb.Dispatcher) {
 	known, ok := c.dispatchers[d.GetService()]
-	if ok && d.GetTerm() < known.Term || d.GetTerm() < c.broken[d.GetService()] {
-		return
+	now := time.Now()
+	if ok && d.GetTerm() < known.Term {
+		if now.Sub(c.heard[d.GetService()]) < believedFor {
+			return
+		}
+		delete(c.broken, d.GetService())
 	}
+	c.heard[d.GetService()] = now
 	if known.Node != d.GetNode() || known.Term != d.GetTerm() {
 		c.o.Logger.Info("learned a dispatcher", "service", d.GetService(), "dispatcher", d.GetNode(), "term", d.GetTerm())
 	}
--- a/internal/bench/durable/changes.go
+++ b/internal/bench/durable/changes.go
@@ -25,7 +25,7 @@
 	// nothing to compare with. quietLimit bounds the wait for them.
 	quietChanges = 10
 	quietLimit   = 10 * time.Second
-	retryPause = 5 * time.Millisecond
+	retryPause   = 5 * time.Millisecond
 )
 
 // submit sends one change until it is accepted or the context ends, and reports acceptance.
--- a/internal/election/learn.go
+++ b/internal/election/learn.go
@@ -24,6 +24,7 @@
 	}
 	if request.GetAnnounce() {
 		r.hear(c, request.GetCandidate(), request.GetTerm())
+		c.voter.Confirm(request.GetCandidate(), request.GetTerm())
 	}
 	return r.vote(c, request), nil
 }
@@ -38,13 +39,15 @@
 	if h, ok := r.dispatcher(c, now); ok {
 		reply.Holder = h.Node
 		reply.Term = h.Term
+		reply.Holding = true
 	}
 	return reply
 }
 
-// learn takes in who holds a voter's vote.
+// learn takes in who holds the lease. A candidate that has only got votes so far may fail, and its term
+// may be above that of the holder, who would not be believed afterwards.
 func (r *Runner) learn(c *contest, reply *fleetpb.VoteReply) {
-	if reply.GetHolder() != "" {
+	if reply.GetHolding() {
 		r.hear(c, reply.GetHolder(), reply.GetTerm())
 	}
 }
@@ -115,7 +118,7 @@
 	if lease, held := c.candidate.Held(now); held {
 		return r.holder(r.o.ID, lease.Term), true
 	}
-	if node, term, _, bound := c.voter.Holder(now); bound && term >= c.known.term && node != r.o.ID {
+	if node, term, ok := c.voter.Dispatcher(now); ok && term >= c.known.term && node != r.o.ID {
 		return r.holder(node, term), true
 	}
 	if c.known.node != "" && c.known.node != r.o.ID && now.Sub(c.known.confirmed) < confirmedFor {
--- a/internal/election/runner.go
+++ b/internal/election/runner.go
@@ -296,7 +296,7 @@
 	message := &fleetpb.VoteRequest{Service: c.service, Candidate: r.o.ID, HostsRevision: c.groups.Revision}
 	r.call(ctx, voter, message, func(reply *fleetpb.VoteReply) {
 		r.learn(c, reply)
-		if reply.GetHolder() != "" {
+		if reply.GetHolding() {
 			c.nextPoll = time.Now().Add(jitter(pollKnown))
 		}
 	})
--- a/internal/election/served_test.go
+++ b/internal/election/served_test.go
@@ -1,6 +1,7 @@
 package election_test
 
 import (
+	"context"
 	"fmt"
 	"testing"
 	"testing/synctest"
@@ -8,7 +9,10 @@
 
 	. "github.com/onsi/gomega"
 
+	"github.com/tarragonmux/tarragonmux/internal/election"
 	"github.com/tarragonmux/tarragonmux/internal/hostset"
+	"github.com/tarragonmux/tarragonmux/internal/logging"
+	"github.com/tarragonmux/tarragonmux/proto/fleetpb"
 )
 
 // messages counts the messages of a span, in which all nodes but the holder do what is given.
@@ -116,3 +120,46 @@
 	current, _ := c.Fleet().Groups(hostset.Service{Name: service})
 	return current[0].ID
 }
+
+// A candidate that got a vote and no lease must not be taken for the dispatcher: its term may be above that
+// of the holder, whose word would be refused from then on.
+func TestFailedCandidateIsNoDispatcher(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		c := newCluster(t, 3, "booking")
+		defer c.stop()
+		g.Expect(c.until(func() bool { _, known := c.holder("booking"); return known })).To(BeNumerically("<", 2*time.Second))
+		holder, _ := c.holder("booking")
+		group := c.first("booking")
+		for _, h := range c.Fleet().Hosts {
+			c.kill(h.ID)
+		}
+		voter := election.NewRunner(election.Options{ID: group, Incarnation: 2, Source: c, Caller: c, Logger: logging.Discard()})
+		follower := election.NewRunner(election.Options{ID: "spare", Incarnation: 2, Source: c, Follow: true, Caller: c, Logger: logging.Discard()})
+		c.mu.Lock()
+		c.runners[group], c.runners["spare"] = voter, follower
+		c.mu.Unlock()
+		ctx, cancel := context.WithCancel(context.Background())
+		c.done.Go(func() { _ = follower.Run(ctx) })
+		defer cancel()
+		time.Sleep(election.VoteLease)
+		request := &fleetpb.VoteRequest{Service: "booking", Candidate: holder, Incarnation: 2, Term: 1 << 50, HostsRevision: 1}
+		vote := func() bool {
+			reply, err := voter.Vote(ctx, request)
+			g.Expect(err).NotTo(HaveOccurred())
+			return reply.GetGranted()
+		}
+		knows := func(r *election.Runner) bool { _, ok := r.Dispatcher("booking"); return ok }
+		for range 10 {
+			g.Expect(vote()).To(BeTrue())
+			time.Sleep(100 * time.Millisecond)
+			g.Expect(knows(voter) || knows(follower)).To(BeFalse())
+		}
+		request.Holding = true
+		for range 10 {
+			g.Expect(vote()).To(BeTrue())
+			time.Sleep(100 * time.Millisecond)
+		}
+		g.Expect(knows(voter) && knows(follower)).To(BeTrue())
+	})
+}
--- a/internal/election/voter.go
+++ b/internal/election/voter.go
@@ -62,6 +62,8 @@
 	holder      string
 	incarnation uint64
 	until       time.Time
+	// holding is set once the candidate of the last vote has shown that it has the lease.
+	holding bool
 }
 
 // NewVoter returns a voter of a process that started at the given time.
@@ -82,6 +84,18 @@
 	return v.holder, v.term, v.until.Sub(now), true
 }
 
+// Dispatcher returns the holder of this voter's vote once it has shown that it has the lease.
+func (v *Voter) Dispatcher(now time.Time) (holder string, term uint64, ok bool) {
+	return v.holder, v.term, v.holding && now.Before(v.until)
+}
+
+// Confirm records the announcement of a holder.
+func (v *Voter) Confirm(holder string, term uint64) {
+	if v.holder == holder && v.term == term {
+		v.holding = true
+	}
+}
+
 // Vote answers a request. Requests with term 0 only ask.
 func (v *Voter) Vote(now time.Time, r *fleetpb.VoteRequest) *fleetpb.VoteReply {
 	switch {
@@ -122,6 +136,7 @@
 	valid := now.Before(v.until)
 	invariant.Check(!valid || v.sameHolder(r), "election.one-lease-per-voter",
 		"voter of %s grants term %d to %s while %s holds term %d", r.GetService(), r.GetTerm(), r.GetCandidate(), v.holder, v.term)
+	v.holding = r.GetHolding() || v.holding && v.sameHolder(r)
 	v.holder = r.GetCandidate()
 	v.incarnation = r.GetIncarnation()
 	v.term = r.GetTerm()
@@ -151,5 +166,6 @@
 		Holder:        holder,
 		LeftMs:        left.Milliseconds(),
 		HostsRevision: v.groups.Revision,
+		Holding:       holder != "" && v.holding,
 	}
 }
