dispatch: failing servers get work while requests wait

The lossy ones were withheld, so slots stood idle while requests were refused because their deadlines could not be met. A failing server is no longer spared once the backlog has lasted 250 ms.

Ruled out: sparing no failing server at all (the tests of spared servers hold the bound).

--- a/internal/dispatch/failing.go
+++ b/internal/dispatch/failing.go
@@ -31,6 +31,8 @@
 	growAfterFailing = time.Second
 	// hopelessShare is the share from which on a request is better off waiting to its end.
 	hopelessShare = 0.75
+	// sparedBacklog is how long requests may wait while failing servers have free slots.
+	sparedBacklog = 250 * time.Millisecond
 	// mostlyFailing is the share of failing servers from which on work goes to them all the same.
 	mostlyFailing = 0.75
 	// tryAnyway is how many usual times of its kind a request that must not repeat has left when it is
@@ -182,6 +184,9 @@
 	if s.failing.share(now) >= hopelessShare {
 		return true
 	}
+	if !m.backlogAt.IsZero() && now.Sub(m.backlogAt) >= sparedBacklog {
+		return false
+	}
 	usual := m.needs(&r.Request, false)
 	if r.Idempotent {
 		return now.Before(r.due.Add(-usual))
--- a/internal/dispatch/failing_test.go
+++ b/internal/dispatch/failing_test.go
@@ -26,6 +26,8 @@
 	work map[uint32]time.Duration
 	// resets tells whether a server resets what arrives at the moment.
 	resets func(instance string, now time.Time) bool
+	// loses tells whether a server runs what arrives and breaks the answer off.
+	loses func(instance string) bool
 	// sheds tells whether a server rejects what arrives.
 	sheds   func(instance string) bool
 	asked   map[uint64]dispatch.Request
@@ -49,6 +51,7 @@
 	b := &bench{
 		now:    time.Unix(5_000, 0),
 		resets: func(string, time.Time) bool { return false },
+		loses:  func(string) bool { return false },
 		sheds:  func(string) bool { return false },
 		asked:  map[uint64]dispatch.Request{}, began: map[uint64]time.Time{},
 		failed: map[bool]int{}, served: map[uint32]int{}, refused: map[problem.Kind]int{}, work: map[uint32]time.Duration{},
@@ -92,6 +95,8 @@
 			r := run{id: a.ID, ends: b.now.Add(b.work[q.Kind]), result: grant.OK}
 			if b.resets(a.Instance, b.now) {
 				r.ends, r.result = b.now.Add(2*time.Millisecond), grant.Broken
+			} else if b.loses(a.Instance) {
+				r.result = grant.Broken
 			} else if b.sheds(a.Instance) {
 				r.ends, r.result = b.now.Add(2*time.Millisecond), grant.Shed
 			}
@@ -317,3 +322,39 @@
 	})
 	g.Expect(told).NotTo(BeEmpty())
 }
+
+// When most servers lose 40% of their answers and the sound ones cannot take all the work, the lossy ones
+// must take the rest: withheld, they leave slots idle while requests are refused.
+func TestLossyServersServeWhatTheSoundOnesCannotTake(t *testing.T) {
+	g := NewWithT(t)
+	b := newBench(14, 3)
+	random := rand.New(rand.NewPCG(17, 17))
+	const urgent = 3
+	b.work[repeatable], b.work[single], b.work[urgent] = 300*time.Millisecond, 200*time.Millisecond, 60*time.Millisecond
+	lossy := map[string]bool{}
+	for _, s := range b.servers[:10] {
+		lossy[s.Instance] = true
+	}
+	b.loses = func(instance string) bool { return lossy[instance] && random.Float64() < 0.4 }
+	asked := 0
+	// 24/s of 0.3 s, 88/s of 0.2 s and 24/s of 60 ms keep 26 of the 42 slots busy.
+	b.run(10*time.Second, func() {
+		if random.Float64() < 24*benchStep.Seconds() {
+			asked++
+			b.ask(repeatable, priority.Normal, true, 1200*time.Millisecond, 2*time.Second, grant.First)
+		}
+		if random.Float64() < 88*benchStep.Seconds() {
+			asked++
+			b.ask(single, priority.Normal, false, 600*time.Millisecond, 1500*time.Millisecond, grant.First)
+		}
+		if random.Float64() < 24*benchStep.Seconds() {
+			asked++
+			b.ask(urgent, priority.Urgent, true, 200*time.Millisecond, 500*time.Millisecond, grant.First)
+		}
+	})
+	b.run(1500*time.Millisecond, func() {})
+	// The sound servers do 12 of the 26, and the lossy ones answer 60% of the other 14.
+	best := float64(asked) * (12 + 0.6*14) / 26
+	served := b.served[repeatable] + b.served[single] + b.served[urgent]
+	g.Expect(served).To(BeNumerically(">", 0.9*best), "of %d, refused %v, lost %v", asked, b.refused, b.failed)
+}
