configuration: a starting host fetches one document, not one from each control host

Load pattern: all hosts of a large deployment start at once on links of 2 Mbit/s.

Cause: a starting host asked all 11 control hosts at once, each answered with the whole log as entries, every one of which holds a whole document, and each question ended after 900 ms and was asked again. Ruled out: the dispatchers (no change of one after second 32.3), control hosts too busy (0.11 of 0.24 cores at most).

Now all are asked for the revision only, and the document comes from one, from the next as well after 700 ms. The feed sends the document where it is smaller than the entries. Tests fail without: 696 KB for a document of 40 KB; a start on a shared link of 2 Mbit/s does not end in 20 s, and now in less than 2 s.

--- a/internal/configuration/feed/tail.go
+++ b/internal/configuration/feed/tail.go
@@ -18,12 +18,16 @@
 	maxEntries = 1024
 	// maxEntryBytes bounds the remembered entries in bytes, since one entry can replace a whole document.
 	maxEntryBytes = 8 << 20
+	// differenceBytes is up to how many bytes of entries are sent although the document is smaller.
+	differenceBytes = 4 << 10
 )
 
 // Tail is the newest document with the newest entries. It is safe for concurrent use.
 type Tail struct {
 	mu       sync.Mutex
 	document *configpb.Document
+	// documentBytes is the encoded size of the document.
+	documentBytes int
 	// entries end with the entry of the document's revision, if there are any.
 	entries []*configpb.Entry
 	sizes   []int
@@ -66,7 +70,7 @@
 		return
 	}
 	t.remember(d, e)
-	t.document = d
+	t.document, t.documentBytes = d, proto.Size(d)
 	close(t.changed)
 	t.changed = make(chan struct{})
 }
@@ -109,7 +113,7 @@
 	if wait > 0 {
 		t.await(ctx, r.GetRevision(), wait)
 	}
-	return t.since(r.GetRevision())
+	return t.since(r)
 }
 
 // await returns when there is something newer, the wait is over, or the context ends.
@@ -131,19 +135,32 @@
 	}
 }
 
-func (t *Tail) since(revision uint64) *configpb.FetchReply {
+func (t *Tail) since(r *configpb.FetchRequest) *configpb.FetchReply {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	newest := t.document.GetRevision()
 	reply := &configpb.FetchReply{Revision: newest}
-	if revision >= newest {
+	if r.GetRevision() >= newest || r.GetBrief() {
 		return reply
 	}
-	missing := newest - revision
-	if missing <= uint64(len(t.entries)) {
-		reply.Entries = append(reply.Entries, t.entries[uint64(len(t.entries))-missing:]...)
+	if first, ok := t.difference(newest - r.GetRevision()); ok {
+		reply.Entries = append(reply.Entries, t.entries[first:]...)
 		return reply
 	}
 	reply.Document = t.document
 	return reply
 }
+
+// difference returns the first of the newest entries, as many as are missing. ok is false if they are not
+// remembered, or if the document is smaller: each of them can hold a whole document.
+func (t *Tail) difference(missing uint64) (first int, ok bool) {
+	if missing > uint64(len(t.entries)) {
+		return 0, false
+	}
+	first = len(t.entries) - int(missing)
+	bytes := 0
+	for _, size := range t.sizes[first:] {
+		bytes += size
+	}
+	return first, bytes <= max(t.documentBytes, differenceBytes)
+}
--- a/internal/configuration/feed/tail_test.go
+++ b/internal/configuration/feed/tail_test.go
@@ -6,6 +6,7 @@
 	"testing"
 
 	. "github.com/onsi/gomega"
+	"google.golang.org/protobuf/proto"
 
 	"github.com/tarragonmux/tarragonmux/internal/configuration/feed"
 	"github.com/tarragonmux/tarragonmux/internal/invariant"
@@ -47,3 +48,24 @@
 	g.Expect(invariant.Total()).To(Equal(violations + 1))
 	g.Expect(tail.Revision()).To(BeEquivalentTo(1999))
 }
+
+// Entries that each replace the whole document add up to many times its size, which fills the link of a
+// small host that starts.
+func TestFetchSendsTheSmallerOfDifferenceAndDocument(t *testing.T) {
+	g := NewWithT(t)
+	tail := feed.NewTail()
+	large := strings.Repeat("x", 40<<10)
+	for revision := uint64(1); revision <= 17; revision++ {
+		tail.Publish(
+			&configpb.Document{Revision: revision, Source: []byte(large)},
+			&configpb.Entry{Revision: revision, Author: large},
+		)
+	}
+	reply := tail.Fetch(context.Background(), &configpb.FetchRequest{})
+	g.Expect(proto.Size(reply)).To(BeNumerically("<", 41<<10))
+	g.Expect(reply.GetDocument().GetRevision()).To(BeEquivalentTo(17))
+	g.Expect(tail.Fetch(context.Background(), &configpb.FetchRequest{Revision: 16}).GetEntries()).To(HaveLen(1))
+	brief := tail.Fetch(context.Background(), &configpb.FetchRequest{Brief: true})
+	g.Expect(brief.GetRevision()).To(BeEquivalentTo(17))
+	g.Expect(brief.GetDocument()).To(BeNil())
+}
--- a/internal/configuration/store/start.go
+++ b/internal/configuration/store/start.go
@@ -1,7 +1,10 @@
 package store
 
 import (
+	"cmp"
 	"context"
+	"slices"
+	"sync"
 	"time"
 
 	"golang.org/x/sync/errgroup"
@@ -16,6 +19,10 @@
 	startInterval = 200 * time.Millisecond
 	// startTimeout bounds one question of a starting node.
 	startTimeout = 900 * time.Millisecond
+	// obtainTimeout bounds the transfer of a document to a starting node, and obtainNext is after how
+	// long it is asked of the next process as well.
+	obtainTimeout = 3 * time.Second
+	obtainNext    = 700 * time.Millisecond
 	// startFanOut bounds the questions in flight of a starting node.
 	startFanOut = 32
 )
@@ -58,24 +65,115 @@
 	return true
 }
 
-// ask questions the control replicas, and after a while the peers as well. It returns when
-// all have answered or failed, or as soon as the newest revision was confirmed.
+// ask questions the control replicas, and after a while the peers as well, and obtains the newest document
+// that they know of. The document comes from one of them: sent by all, it would fill the link of a small host.
 func (s *Store) ask(ctx context.Context) {
-	ctx, cancel := context.WithCancel(ctx)
+	answers := s.question(ctx, s.startAddresses(time.Now()))
+	s.obtain(ctx, answers)
+	s.writing.Lock()
+	defer s.writing.Unlock()
+	for _, a := range answers {
+		s.starting.answer(a.address, a.revision, a.confirmed)
+	}
+}
+
+// startAnswer is what a process told about the revision that it knows.
+type startAnswer struct {
+	address   string
+	revision  uint64
+	confirmed bool
+}
+
+// question asks all for their revision. It returns when all have answered or failed, or as soon as one
+// revision was confirmed to be the newest. The most useful answers are first.
+func (s *Store) question(ctx context.Context, addresses []string) []startAnswer {
+	ctx, cancel := context.WithTimeout(ctx, startTimeout)
 	defer cancel()
+	request := s.request(0, 0)
+	request.Brief = true
 	var group errgroup.Group
 	group.SetLimit(startFanOut)
-	for _, address := range s.startAddresses(time.Now()) {
+	var mu sync.Mutex
+	var answers []startAnswer
+	for _, address := range addresses {
+		group.Go(func() error {
+			reply, err := s.options.Client.Fetch(ctx, address, request)
+			if err != nil {
+				return nil
+			}
+			mu.Lock()
+			defer mu.Unlock()
+			answers = append(answers, startAnswer{address, reply.GetRevision(), reply.GetConfirmed()})
+			if reply.GetConfirmed() {
+				cancel()
+			}
+			return nil
+		})
+	}
+	_ = group.Wait()
+	slices.SortStableFunc(answers, func(a, b startAnswer) int {
+		if a.confirmed != b.confirmed {
+			if a.confirmed {
+				return -1
+			}
+			return 1
+		}
+		return cmp.Compare(b.revision, a.revision)
+	})
+	return answers
+}
+
+// obtain fetches the newest document that the answers tell of, from one process after the other.
+func (s *Store) obtain(ctx context.Context, answers []startAnswer) {
+	if len(answers) == 0 {
+		return
+	}
+	newest := answers[0].revision
+	ctx, cancel := context.WithTimeout(ctx, obtainTimeout)
+	defer cancel()
+	var group errgroup.Group
+	for _, a := range answers {
+		if a.revision < newest || s.startDocument().GetRevision() >= newest {
+			break
+		}
+		done := make(chan struct{})
 		group.Go(func() error {
-			if s.askOne(ctx, address) {
+			defer close(done)
+			s.obtainFrom(ctx, a.address)
+			if s.startDocument().GetRevision() >= newest {
 				cancel()
 			}
 			return nil
 		})
+		timer := time.NewTimer(obtainNext)
+		select {
+		case <-done:
+		case <-timer.C:
+		case <-ctx.Done():
+		}
+		timer.Stop()
 	}
 	_ = group.Wait()
 }
 
+// obtainFrom fetches what one process has that is newer. A failure is made good by the next one.
+func (s *Store) obtainFrom(ctx context.Context, address string) {
+	base := s.startDocument()
+	reply, err := s.options.Client.Fetch(ctx, address, s.request(base.GetRevision(), 0))
+	if err != nil {
+		return
+	}
+	newest := base
+	if d := reply.GetDocument(); d != nil {
+		newest = d
+	} else if documents, _, err := replay(base, reply.GetEntries()); err == nil && len(documents) > 0 {
+		newest = documents[len(documents)-1]
+	}
+	s.writing.Lock()
+	defer s.writing.Unlock()
+	s.starting.given(newest)
+}
+
 // startAddresses lists whom to ask: the control replicas, then hints, configured peers and
 // the hosts of the newest document.
 func (s *Store) startAddresses(now time.Time) []string {
@@ -98,28 +196,6 @@
 	return addresses.list
 }
 
-// askOne asks one process and tells whether the newest revision is confirmed.
-func (s *Store) askOne(ctx context.Context, address string) bool {
-	ctx, cancel := context.WithTimeout(ctx, startTimeout)
-	defer cancel()
-	base := s.startDocument()
-	reply, err := s.options.Client.Fetch(ctx, address, s.request(base.GetRevision(), 0))
-	if err != nil {
-		return false
-	}
-	newest := base
-	if d := reply.GetDocument(); d != nil {
-		newest = d
-	} else if documents, _, err := replay(base, reply.GetEntries()); err == nil && len(documents) > 0 {
-		newest = documents[len(documents)-1]
-	}
-	s.writing.Lock()
-	defer s.writing.Unlock()
-	s.starting.given(newest)
-	s.starting.answer(address, reply.GetRevision(), reply.GetConfirmed())
-	return s.starting.confirmed
-}
-
 // startDocument returns the newest document of a starting node, or the empty one.
 func (s *Store) startDocument() *configpb.Document {
 	s.writing.Lock()
--- a/internal/configuration/store/store_test.go
+++ b/internal/configuration/store/store_test.go
@@ -14,8 +14,10 @@
 	"github.com/google/uuid"
 	. "github.com/onsi/gomega"
 	"github.com/pkg/errors"
+	"google.golang.org/protobuf/proto"
 
 	"github.com/tarragonmux/tarragonmux/internal/configuration/control"
+	"github.com/tarragonmux/tarragonmux/internal/configuration/feed"
 	"github.com/tarragonmux/tarragonmux/internal/configuration/store"
 	"github.com/tarragonmux/tarragonmux/internal/invariant"
 	"github.com/tarragonmux/tarragonmux/internal/logging"
@@ -287,3 +289,68 @@
 		f.inForce(3, 5*time.Second, upTo(3)...)
 	})
 }
+
+// slowLink is the network of a host that all replies reach over one link of 2 Mbit/s.
+type slowLink struct {
+	tail *feed.Tail
+	mu   sync.Mutex
+	free time.Time
+}
+
+func (l *slowLink) Fetch(ctx context.Context, _ string, r *configpb.FetchRequest) (*configpb.FetchReply, error) {
+	reply := l.tail.Fetch(ctx, r)
+	reply.Confirmed = r.GetWaitMs() == 0
+	for left := proto.Size(reply); left > 0; left -= packetBytes {
+		select {
+		case <-time.After(time.Until(l.packet(min(left, packetBytes)))):
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		}
+	}
+	return reply, nil
+}
+
+const packetBytes = 1400
+
+// packet returns when a packet arrives that is sent now. Transfers share the link packet by packet.
+func (l *slowLink) packet(bytes int) time.Time {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if now := time.Now(); l.free.Before(now) {
+		l.free = now
+	}
+	l.free = l.free.Add(time.Duration(bytes) * 8 * time.Second / 2_000_000)
+	return l.free
+}
+
+// A starting host that is sent the document by every control host at once waits for its link until each
+// question has timed out, and asks again, for ever.
+func TestStartOnASlowLink(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		ctx, stop := context.WithCancel(background)
+		defer func() {
+			stop()
+			time.Sleep(5 * time.Second)
+		}()
+		link := &slowLink{tail: feed.NewTail()}
+		for revision := uint64(1); revision <= 17; revision++ {
+			d := &configpb.Document{Revision: revision, Source: make([]byte, 60<<10)}
+			link.tail.Publish(d, &configpb.Entry{Revision: revision, Change: &configpb.Change{
+				Kind: &configpb.Change_ReplaceAll{ReplaceAll: &configpb.ReplaceAll{Document: d}},
+			}})
+		}
+		var control []string
+		for i := range 11 {
+			control = append(control, fmt.Sprint("c", i))
+		}
+		s := store.New(store.Options{ID: "h", Address: address(0), Control: control, Client: link, Logger: logging.Discard()})
+		go func() { _ = s.Run(ctx) }()
+		began := time.Now()
+		for !s.Ready() && time.Since(began) < 20*time.Second {
+			time.Sleep(10 * time.Millisecond)
+		}
+		// A change of the configuration is to be in force within 2 s.
+		g.Expect(time.Since(began)).To(BeNumerically("<", 2*time.Second))
+	})
+}
--- a/internal/dispatch/failing_test.go
+++ b/internal/dispatch/failing_test.go
@@ -369,7 +369,9 @@
 			b := newBench(servers, 3)
 			random := rand.New(rand.NewPCG(19, 19))
 			b.work[repeatable], b.work[single] = 460*time.Millisecond, 530*time.Millisecond
-			b.resets = func(instance string, _ time.Time) bool { return instance < fmt.Sprintf("s%02d", servers/2) && random.Float64() < 0.8 }
+			b.resets = func(instance string, _ time.Time) bool {
+				return instance < fmt.Sprintf("s%02d", servers/2) && random.Float64() < 0.8
+			}
 			began := time.Now()
 			// The sound half can do 2.9 requests a second for each server of the service.
 			perStep := 5 * float64(servers) * benchStep.Seconds()
