configuration: share the reads of the log, ask control hosts one after the other

Load pattern: all hosts of a large deployment start at once while the control group is not complete. Ruled out: the group itself (three of five voted from second 31.4).

A control replica runs one read at a time; those that ask meanwhile share the next, so nobody gets what was read before it asked. A starting host asks two control hosts and one more every 50 ms, each host in its own order, until one answer is confirmed.

--- a/internal/configuration/control/log.go
+++ b/internal/configuration/control/log.go
@@ -87,6 +87,7 @@
 	wake    chan struct{}
 	// proposing serialises the proposals of this replica, so that they do not compete.
 	proposing chan struct{}
+	reads     reads
 
 	mu      sync.Mutex
 	ledger  *ledger
@@ -170,6 +171,10 @@
 // readOn applies what a majority knows to be decided, and tells whether the next register has
 // votes without a known decision.
 func (l *Log) readOn(ctx context.Context) (undecided bool, err error) {
+	return l.reads.wait(ctx, l.read)
+}
+
+func (l *Log) read(ctx context.Context) (undecided bool, err error) {
 	ctx, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
 	for {
--- a/internal/configuration/store/start.go
+++ b/internal/configuration/store/start.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"golang.org/x/sync/errgroup"
 
 	"github.com/tarragonmux/tarragonmux/internal/configuration"
@@ -19,6 +20,10 @@
 	startInterval = 200 * time.Millisecond
 	// startTimeout bounds one question of a starting node.
 	startTimeout = 900 * time.Millisecond
+	// startAtOnce is how many are asked at once, and startNext after how long one more is: any one that
+	// answers is enough, and each question makes a control replica read from a majority.
+	startAtOnce = 2
+	startNext   = 50 * time.Millisecond
 	// obtainTimeout bounds the transfer of a document to a starting node, and obtainNext is after how
 	// long it is asked of the next process as well.
 	obtainTimeout = 3 * time.Second
@@ -37,7 +42,7 @@
 	s.starting = newStartup(s.options.Address, stored, time.Now())
 	s.writing.Unlock()
 	for round := 0; ; round++ {
-		s.ask(ctx)
+		s.ask(ctx, round)
 		if s.finishStart(time.Now()) {
 			return nil
 		}
@@ -67,8 +72,14 @@
 
 // ask questions the control replicas, and after a while the peers as well, and obtains the newest document
 // that they know of. The document comes from one of them: sent by all, it would fill the link of a small host.
-func (s *Store) ask(ctx context.Context) {
-	answers := s.question(ctx, s.startAddresses(time.Now()))
+func (s *Store) ask(ctx context.Context, round int) {
+	addresses := s.startAddresses(time.Now())
+	if len(addresses) > 0 {
+		// Hosts that start together begin with different control replicas.
+		turn := (round + int(xxhash.Sum64String(s.options.ID)%uint64(len(addresses)))) % len(addresses)
+		addresses = slices.Concat(addresses[turn:], addresses[:turn])
+	}
+	answers := s.question(ctx, addresses)
 	s.obtain(ctx, answers)
 	s.writing.Lock()
 	defer s.writing.Unlock()
@@ -84,8 +95,8 @@
 	confirmed bool
 }
 
-// question asks all for their revision. It returns when all have answered or failed, or as soon as one
-// revision was confirmed to be the newest. The most useful answers are first.
+// question asks one after the other for their revision. It returns when all have answered or failed, or as
+// soon as one revision was confirmed to be the newest. The most useful answers are first.
 func (s *Store) question(ctx context.Context, addresses []string) []startAnswer {
 	ctx, cancel := context.WithTimeout(ctx, startTimeout)
 	defer cancel()
@@ -95,7 +106,13 @@
 	group.SetLimit(startFanOut)
 	var mu sync.Mutex
 	var answers []startAnswer
-	for _, address := range addresses {
+	for i, address := range addresses {
+		if i >= startAtOnce {
+			pause(ctx, startNext)
+		}
+		if ctx.Err() != nil {
+			break
+		}
 		group.Go(func() error {
 			reply, err := s.options.Client.Fetch(ctx, address, request)
 			if err != nil {
