--- a/internal/attach/doc.go
+++ b/internal/attach/doc.go
@@ -5,7 +5,8 @@
 // and readiness, and learns the control hosts, the dispatchers and the newest configuration revision.
 // When that host does not answer, it turns to the next one. So an idle entry host costs two small
 // messages per second, however many hosts and backend servers there are, and the control hosts know of
-// a lost entry host after DirectoryAge.
+// a lost entry host after DirectoryAge. Word of a dispatcher with a lower term is refused until no control
+// host has named the higher one for three heartbeats.
 //
 // The backend servers that an entry host may use while no dispatcher answers come with the stream of
 // the dispatcher, as changes only.
--- a/internal/configuration/control/doc.go
+++ b/internal/configuration/control/doc.go
@@ -6,7 +6,8 @@
 // revision. An operator's change with expected revision r is validated against the
 // document at r and proposed to register r+1, so of racing operators with equal expected
 // revisions exactly one wins. The replica follows the chain by reading it from a majority
-// every 250 ms, and at once after a notification. Every 1,024 revisions the replica
+// every 250 ms, and at once after a notification. One read runs at a time, and those that
+// ask while it runs share the next one. Every 1,024 revisions the replica
 // replaces the older registers by a snapshot that carries the document, the table of
 // request ids and the newest entries.
 //
--- a/internal/configuration/store/doc.go
+++ b/internal/configuration/store/doc.go
@@ -16,6 +16,10 @@
 // half of the other hosts listed in the newest document that it was given, two at the
 // least. A node that stored its last document uses the newest document it knows after 3 s.
 //
+// It asks for the revision only, two control replicas first and one more every 50 ms until one has
+// confirmed it, and then fetches the document from one of those that answered, and from the next
+// as well if that takes longer than 700 ms.
+//
 // # Settings and refusals
 //
 // With a data folder each document is stored and synced before it is applied. If storing
--- a/internal/dispatch/doc.go
+++ b/internal/dispatch/doc.go
@@ -15,7 +15,7 @@
 // announced slot, at least 256); the team with the most queued requests loses its newest.
 // deadline-unmeetable means that too little time is left; no-capacity that no server may serve the
 // request, or that a retry or hedge exceeds the budget of 10% of the granted requests plus 3 over
-// 10 s; poison-request that two servers crashed while they ran the same request in the last 10 min.
+// 10 s, or of 90% and a third of the configured bounds, so that two dispatchers in turn keep them; poison-request that two servers crashed while they ran the same request in the last 10 min.
 //
 // Servers that stall, fail or are slow are ejected for 5 s, twice as long at each repeat, up to
 // 5 min, and return after one successful request, which is idempotent unless none came for 10 s.
@@ -30,7 +30,8 @@
 // A server's recent failures count with a weight that fades. After one failure it gets work that must
 // not repeat only when no other has room; after two in a row it is suspended for 3 s, up to 6 s at
 // repeats. If the minimum forbids that, it is spared: requests wait for another server while their time
-// allows. Requests of the same kind (one route) share a record of their times; by it a request is refused
+// allows, until requests have waited for 250 ms; then only servers that fail nearly everything are
+// spared. Requests of the same kind (one route) share a record of their times; by it a request is refused
 // as deadline-unmeetable when the work that waits before it leaves too little time. Shed answers pause a
 // server unless most servers shed at once. Events names each of these decisions for the log.
 //
--- a/internal/election/doc.go
+++ b/internal/election/doc.go
@@ -16,6 +16,10 @@
 // voter refuses requests that are based on another hosts revision than its own. A restarted
 // voter does not vote for one lease, since it may have forgotten a vote.
 //
+// A vote alone makes no dispatcher: a voter names its candidate to others only once that has shown its
+// lease, by a renewal or an announcement. The term of a candidate that failed may be above that of the
+// holder, who would not be believed afterwards.
+//
 // The new dispatcher tells the members of the host set directly. Nodes that miss this ask a voter
 // once a second, and five times a second while they know no dispatcher or lost the stream to it. A
 // node whose dispatcher answers on its stream does not ask.
