--- a/internal/dispatch/doc.go
+++ b/internal/dispatch/doc.go
@@ -15,7 +15,9 @@
 // announced slot, at least 256); the team with the most queued requests loses its newest.
 // deadline-unmeetable means that too little time is left; no-capacity that no server may serve the
 // request, or that a retry or hedge exceeds the budget of 10% of the granted requests plus 3 over
-// 10 s, or of 90% and a third of the configured bounds, so that two dispatchers in turn keep them; poison-request that two servers crashed while they ran the same request in the last 10 min.
+// 10 s; poison-request that two servers crashed while they ran the same request in the last 10 min.
+// Of configured bounds on retries a dispatcher uses 90% of the share and a third of the rest, so that
+// two dispatchers in turn keep them.
 //
 // Servers that stall, fail or are slow are ejected for 5 s, twice as long at each repeat, up to
 // 5 min, and return after one successful request, which is idempotent unless none came for 10 s.
