e2e: soak of real processes by seed

Overlapping kills, graceful stops, pauses, lost disks of control replicas and faults of backend servers, while callers check whole and own answers, truthful refusals and single runs, and an operator checks that no confirmed change is lost. Delays and one-way cuts between real processes are not in it: the binary has no proxy for them yet.

--- a/e2e/e2e_test.go
+++ b/e2e/e2e_test.go
@@ -301,4 +301,12 @@
 			Eventually(f.answers).WithTimeout(20 * time.Second).WithPolling(50 * time.Millisecond).Should(Succeed())
 		}
 	})
+
+	// Faults that overlap must not make the fleet lie to callers, run work twice or lose a confirmed change.
+	It("keeps its promises while processes are killed, paused and restarted", func() {
+		for _, seed := range soakSeeds() {
+			By(fmt.Sprintf("seed %d", seed))
+			f.soak(seed)
+		}
+	})
 })
--- /dev/null
+++ b/e2e/soak_test.go
@@ -0,0 +1,214 @@
+package e2e_test
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"github.com/onsi/gomega/gexec"
+
+	"github.com/tarragonmux/tarragonmux/internal/standin"
+)
+
+const (
+	// soakSeedsVariable lists seeds, such as 1-50 or 7; by default one short run is made.
+	soakSeedsVariable = "TARRAGONMUX_SOAK_SEEDS"
+	defaultSoakSeeds  = "1"
+	soakFor           = 8 * time.Second
+	// recoverWithin is how long the fleet may take to serve at every host after the last fault.
+	recoverWithin = 20 * time.Second
+)
+
+// faultKind is what happens to one process.
+type faultKind int
+
+const (
+	faultKill faultKind = iota
+	faultTerminate
+	faultPause
+	faultLoseDisk
+	faultBackend
+	faultKinds
+)
+
+// soakFault is one fault of a schedule, which the seed determines.
+type soakFault struct {
+	at, lasts time.Duration
+	kind      faultKind
+	target    int
+	standin   standin.Faults
+}
+
+func (s soakFault) String() string {
+	name := [...]string{"kill", "terminate", "pause", "lose the disk", "backend fault"}[s.kind]
+	return fmt.Sprintf("%v for %v: %s %d %+v", s.at, s.lasts, name, s.target, s.standin)
+}
+
+// soakSchedule draws faults that overlap. Control replicas fail one at a time, as a majority has to remain.
+func soakSchedule(seed uint64) []soakFault {
+	random := rand.New(rand.NewPCG(seed, seed))
+	var faults []soakFault
+	var controlFree time.Duration
+	for at := 300 * time.Millisecond; at < soakFor; at += time.Duration(200+random.IntN(600)) * time.Millisecond {
+		s := soakFault{at: at, lasts: time.Duration(300+random.IntN(1500)) * time.Millisecond, kind: faultKind(random.IntN(int(faultKinds)))}
+		switch {
+		case s.kind == faultBackend:
+			s.target = random.IntN(backends)
+			s.standin = []standin.Faults{
+				{RefuseInbound: true}, {DropAnswers: true}, {ErrorShare: 0.7}, {TruncateShare: 0.5}, {SlowFactor: 20}, {StallWork: true}, {RefuseOutbound: true},
+			}[random.IntN(7)]
+		case s.kind == faultLoseDisk || random.IntN(2) == 0:
+			if at < controlFree {
+				continue
+			}
+			s.target = random.IntN(controls)
+			// A replica without its disk is swapped in again before the next one fails.
+			controlFree = at + s.lasts + 3*time.Second
+		default:
+			s.target = controls + random.IntN(nodes)
+		}
+		faults = append(faults, s)
+	}
+	return faults
+}
+
+// soakOperator changes the configuration during the faults and remembers what was confirmed.
+type soakOperator struct {
+	fleet     *fleet
+	confirmed uint64
+}
+
+func (o *soakOperator) change(round int) {
+	document := o.fleet.write(fmt.Sprintf("team-%d.json", round), map[string]any{
+		"put_team": map[string]any{"id": "default", "in_flight_quota": 1000 + round},
+	})
+	command := exec.Command(o.fleet.binary, "config", "apply", "--change", document, "--json", "--control", o.fleet.address(100+round%controls, 7000))
+	data, err := command.Output()
+	var result struct {
+		Verdict  string `json:"verdict"`
+		Revision uint64 `json:"revision"`
+	}
+	if err != nil || json.Unmarshal(data, &result) != nil || result.Verdict != "accepted" {
+		return
+	}
+	o.confirmed = max(o.confirmed, result.Revision)
+}
+
+// expectKept checks that the configuration is not older than what was confirmed.
+func (o *soakOperator) expectKept() {
+	Eventually(func(g Gomega) {
+		data, err := exec.Command(o.fleet.binary, "config", "get", "--control", o.fleet.address(100, 7000)).Output()
+		g.Expect(err).NotTo(HaveOccurred())
+		var document struct {
+			Revision uint64 `json:"revision"`
+		}
+		g.Expect(json.Unmarshal(data, &document)).To(Succeed())
+		g.Expect(document.Revision).To(BeNumerically(">=", o.confirmed))
+	}).WithTimeout(recoverWithin).WithPolling(200 * time.Millisecond).Should(Succeed())
+}
+
+// soak plays the faults of a seed while callers and an operator go on.
+func (f *fleet) soak(seed uint64) {
+	w := f.watch(seed)
+	operator := &soakOperator{fleet: f}
+	began := time.Now()
+	var group sync.WaitGroup
+	busy := make([]sync.Mutex, len(f.hosts))
+	for _, s := range soakSchedule(seed) {
+		_, _ = fmt.Fprintln(GinkgoWriter, s)
+		group.Go(func() {
+			defer GinkgoRecover()
+			time.Sleep(time.Until(began.Add(s.at)))
+			f.strike(s, &busy[s.target])
+		})
+	}
+	group.Go(func() {
+		defer GinkgoRecover()
+		for round := 0; time.Since(began) < soakFor; round++ {
+			operator.change(round)
+			time.Sleep(500 * time.Millisecond)
+		}
+	})
+	group.Wait()
+	Eventually(f.answers).WithTimeout(recoverWithin).WithPolling(50 * time.Millisecond).Should(Succeed())
+	operator.expectKept()
+	outcomes := w.stop()
+	f.expectTruthful(outcomes)
+	Expect(operator.confirmed).NotTo(BeZero(), "no change was confirmed")
+	Expect(len(outcomes)).To(BeNumerically(">", loadRate))
+}
+
+// strike plays one fault. The mutex keeps two faults from the same process.
+func (f *fleet) strike(s soakFault, busy *sync.Mutex) {
+	if s.kind == faultBackend {
+		f.setFaults(s.target, s.standin)
+		time.Sleep(s.lasts)
+		f.setFaults(s.target, standin.Faults{})
+		return
+	}
+	busy.Lock()
+	defer busy.Unlock()
+	h := f.hosts[s.target]
+	if s.kind == faultPause {
+		h.session.Signal(syscall.SIGSTOP)
+		time.Sleep(s.lasts)
+		h.session.Signal(syscall.SIGCONT)
+		return
+	}
+	if s.kind == faultTerminate {
+		h.session.Terminate()
+		Eventually(h.session, processTimeout).Should(gexec.Exit(0), h.name)
+	} else {
+		h.session.Signal(syscall.SIGKILL)
+		Eventually(h.session, processTimeout).Should(gexec.Exit())
+	}
+	if s.kind == faultLoseDisk {
+		Expect(os.RemoveAll(filepath.Join(f.folder, h.name))).To(Succeed())
+	}
+	time.Sleep(s.lasts)
+	h.start(f.binary)
+}
+
+func (f *fleet) setFaults(backend int, faults standin.Faults) {
+	data, err := json.Marshal(faults)
+	Expect(err).NotTo(HaveOccurred())
+	request, err := http.NewRequest(http.MethodPut, "http://"+f.address(50+backend, 9000)+"/standin/faults", bytes.NewReader(data))
+	Expect(err).NotTo(HaveOccurred())
+	response, err := http.DefaultClient.Do(request)
+	Expect(err).NotTo(HaveOccurred())
+	Expect(response.Body.Close()).To(Succeed())
+	Expect(response.StatusCode).To(BeNumerically("<", 300))
+}
+
+// soakSeeds reads the seeds to play.
+func soakSeeds() (seeds []uint64) {
+	text := os.Getenv(soakSeedsVariable)
+	if text == "" {
+		text = defaultSoakSeeds
+	}
+	first, last, ranged := strings.Cut(text, "-")
+	if !ranged {
+		last = first
+	}
+	low, lowErr := strconv.ParseUint(first, 10, 32)
+	high, highErr := strconv.ParseUint(last, 10, 32)
+	if lowErr != nil || highErr != nil {
+		Fail(soakSeedsVariable + " must be a seed or a range such as 1-50")
+	}
+	for seed := low; seed <= high; seed++ {
+		seeds = append(seeds, seed)
+	}
+	return seeds
+}
