e2e: disturb the links between the soak's processes

Each host's calls go through a proxy of the test that delays them, resets connections, holds one direction or both. The soak has its own fleet, so that the specs of single stops and kills keep plain connections.

The soak waits now until a started process listens; exit code 0 stays the check.

--- a/e2e/e2e_test.go
+++ b/e2e/e2e_test.go
@@ -63,6 +63,9 @@
 	folder string
 	prefix string
 	hosts  []*host
+	// proxied is set if the calls between hosts go through proxies, which are in the order of hosts.
+	proxied bool
+	proxies []*proxy
 }
 
 // freeNetwork finds a loopback network without listeners on the fleet's port.
@@ -101,6 +104,9 @@
 		Peers: []string{f.fleetOf(0), f.fleetOf(1), f.fleetOf(2)},
 		Log:   settings.Log{Level: "warn"},
 	}
+	if f.proxied {
+		s.Fleet = settings.Listener{Address: f.address(n, 7001), Advertise: f.address(n, 7000)}
+	}
 	for c := range controls {
 		s.ControlReplicas = append(s.ControlReplicas, settings.Replica{ID: fmt.Sprintf("control-%d", c), Address: f.address(100+c, 7000)})
 	}
@@ -113,7 +119,37 @@
 	h.start(f.binary)
 }
 
+// begin builds the binary and starts all processes, which end with the container.
+func (f *fleet) begin() {
+	binary, err := gexec.Build("github.com/tarragonmux/tarragonmux/cmd/tarragonmux")
+	Expect(err).NotTo(HaveOccurred())
+	DeferCleanup(gexec.CleanupBuildArtifacts)
+	f.binary, f.folder, f.prefix = binary, GinkgoT().TempDir(), freeNetwork()
+	DeferCleanup(func() {
+		for _, h := range f.hosts {
+			h.session.Kill().Wait(processTimeout)
+		}
+	})
+	f.startAll()
+}
+
+// connect starts the proxies between hosts.
+func (f *fleet) connect() {
+	for i := range controls + nodes {
+		n := 100 + i
+		if i >= controls {
+			n = 10 + i - controls
+		}
+		p, listener := newProxy(f.address(n, 7000), f.address(n, 7001))
+		DeferCleanup(listener.Close)
+		f.proxies = append(f.proxies, p)
+	}
+}
+
 func (f *fleet) startAll() {
+	if f.proxied {
+		f.connect()
+	}
 	for c := range controls {
 		id := fmt.Sprintf("control-%d", c)
 		s := f.settings(id, 100+c, c)
@@ -255,18 +291,7 @@
 var _ = Describe("The binary", Ordered, func() {
 	f := &fleet{}
 
-	BeforeAll(func() {
-		binary, err := gexec.Build("github.com/tarragonmux/tarragonmux/cmd/tarragonmux")
-		Expect(err).NotTo(HaveOccurred())
-		DeferCleanup(gexec.CleanupBuildArtifacts)
-		f.binary, f.folder, f.prefix = binary, GinkgoT().TempDir(), freeNetwork()
-		DeferCleanup(func() {
-			for _, h := range f.hosts {
-				h.session.Kill().Wait(processTimeout)
-			}
-		})
-		f.startAll()
-	})
+	BeforeAll(f.begin)
 
 	// A shutdown that closes its listener or drops its grants too early would cut requests.
 	It("shuts every process down gracefully without cutting a request", func() {
@@ -301,6 +326,12 @@
 			Eventually(f.answers).WithTimeout(20 * time.Second).WithPolling(50 * time.Millisecond).Should(Succeed())
 		}
 	})
+})
+
+var _ = Describe("The binary under faults", Ordered, func() {
+	f := &fleet{proxied: true}
+
+	BeforeAll(f.begin)
 
 	// Faults that overlap must not make the fleet lie to callers, run work twice or lose a confirmed change.
 	It("keeps its promises while processes are killed, paused and restarted", func() {
--- /dev/null
+++ b/e2e/proxy_test.go
@@ -0,0 +1,144 @@
+package e2e_test
+
+import (
+	"io"
+	"net"
+	"sync"
+	"time"
+
+	. "github.com/onsi/gomega"
+)
+
+// linkFault is what a proxy does to all connections to one process.
+type linkFault int
+
+const (
+	linkDelay linkFault = iota
+	linkReset
+	linkCutIn
+	linkCutOut
+	linkSilent
+	linkFaults
+)
+
+const (
+	// linkLatency is added to each direction by linkDelay.
+	linkLatency = 60 * time.Millisecond
+	// heldPoll is how often a held direction looks whether its cut has ended.
+	heldPoll = 5 * time.Millisecond
+)
+
+// proxy carries the connections to one process, so that they can be disturbed.
+type proxy struct {
+	target string
+
+	mu    sync.Mutex
+	fault map[linkFault]bool
+	open  map[*net.TCPConn]bool
+}
+
+// newProxy listens at the address and carries connections to the target.
+func newProxy(address, target string) (*proxy, net.Listener) {
+	listener, err := net.Listen("tcp", address)
+	Expect(err).NotTo(HaveOccurred())
+	p := &proxy{target: target, fault: map[linkFault]bool{}, open: map[*net.TCPConn]bool{}}
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go p.carry(conn.(*net.TCPConn))
+		}
+	}()
+	return p, listener
+}
+
+func (p *proxy) set(fault linkFault, on bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if fault != linkReset {
+		p.fault[fault] = on
+		return
+	}
+	for conn := range p.open {
+		// Closing with unsent data discarded sends a reset.
+		_ = conn.SetLinger(0)
+		_ = conn.Close()
+	}
+}
+
+func (p *proxy) has(faults ...linkFault) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, fault := range faults {
+		if p.fault[fault] {
+			return true
+		}
+	}
+	return false
+}
+
+// reach fails unless the process listens.
+func (p *proxy) reach() error {
+	conn, err := net.DialTimeout("tcp", p.target, time.Second)
+	if err != nil {
+		return err
+	}
+	return conn.Close()
+}
+
+func (p *proxy) carry(caller *net.TCPConn) {
+	dialled, err := net.DialTimeout("tcp", p.target, time.Second)
+	if err != nil {
+		// Nobody listens, as at a process that is down.
+		_ = caller.SetLinger(0)
+		_ = caller.Close()
+		return
+	}
+	process := dialled.(*net.TCPConn)
+	p.note(true, caller, process)
+	defer p.note(false, caller, process)
+	done := make(chan struct{}, 2)
+	go p.copy(process, caller, linkCutIn, done)
+	go p.copy(caller, process, linkCutOut, done)
+	<-done
+	_ = caller.Close()
+	_ = process.Close()
+	<-done
+}
+
+func (p *proxy) note(open bool, conns ...*net.TCPConn) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, conn := range conns {
+		if open {
+			p.open[conn] = true
+		} else {
+			delete(p.open, conn)
+		}
+	}
+}
+
+// copy moves one direction. A cut holds bytes, as TCP would send them again after its end.
+func (p *proxy) copy(to io.Writer, from io.Reader, cut linkFault, done chan<- struct{}) {
+	defer func() { done <- struct{}{} }()
+	buffer := make([]byte, 16<<10)
+	for {
+		n, err := from.Read(buffer)
+		if p.has(linkDelay) {
+			time.Sleep(linkLatency)
+		}
+		for p.has(cut, linkSilent) {
+			time.Sleep(heldPoll)
+		}
+		if n > 0 {
+			if _, err := to.Write(buffer[:n]); err != nil {
+				return
+			}
+		}
+		if err != nil {
+			return
+		}
+	}
+}
--- a/e2e/soak_test.go
+++ b/e2e/soak_test.go
@@ -40,6 +40,7 @@
 	faultPause
 	faultLoseDisk
 	faultBackend
+	faultLink
 	faultKinds
 )
 
@@ -49,11 +50,12 @@
 	kind      faultKind
 	target    int
 	standin   standin.Faults
+	link      linkFault
 }
 
 func (s soakFault) String() string {
-	name := [...]string{"kill", "terminate", "pause", "lose the disk", "backend fault"}[s.kind]
-	return fmt.Sprintf("%v for %v: %s %d %+v", s.at, s.lasts, name, s.target, s.standin)
+	name := [...]string{"kill", "terminate", "pause", "lose the disk", "backend fault", "link fault"}[s.kind]
+	return fmt.Sprintf("%v for %v: %s %d, backend %+v, link %d", s.at, s.lasts, name, s.target, s.standin, s.link)
 }
 
 // soakSchedule draws faults that overlap. Control replicas fail one at a time, as a majority has to remain.
@@ -79,6 +81,7 @@
 		default:
 			s.target = controls + random.IntN(nodes)
 		}
+		s.link = linkFault(random.IntN(int(linkFaults)))
 		faults = append(faults, s)
 	}
 	return faults
@@ -158,6 +161,12 @@
 		f.setFaults(s.target, standin.Faults{})
 		return
 	}
+	if s.kind == faultLink {
+		f.proxies[s.target].set(s.link, true)
+		time.Sleep(s.lasts)
+		f.proxies[s.target].set(s.link, false)
+		return
+	}
 	busy.Lock()
 	defer busy.Unlock()
 	h := f.hosts[s.target]
@@ -179,6 +188,8 @@
 	}
 	time.Sleep(s.lasts)
 	h.start(f.binary)
+	// A process that does not listen yet has not begun to handle signals either.
+	Eventually(f.proxies[s.target].reach).WithTimeout(processTimeout).WithPolling(10*time.Millisecond).Should(Succeed(), h.name)
 }
 
 func (f *fleet) setFaults(backend int, faults standin.Faults) {
