dispatch: only later answers elsewhere show a bad path

A server whose first two failures came from one data centre was taken for a bad path if another one had an answer within the sample window, also from before the failures. The path was blocked, nobody tried the server from elsewhere, and it stayed in rotation. The answers elsewhere must be newer than the first of the failures; the test fails without that.

--- a/internal/dispatch/failing.go
+++ b/internal/dispatch/failing.go
@@ -46,6 +46,8 @@
 	at    time.Time
 	// failedAt is when the latest failure was noted. Later answers to what was sent before say nothing.
 	failedAt time.Time
+	// since is when the present failures began.
+	since time.Time
 }
 
 // share returns the share as it has faded by now.
@@ -64,6 +66,9 @@
 	}
 	value := f.share(now) * (1 - failureWeight)
 	if failed {
+		if value < doubtfulShare {
+			f.since = now
+		}
 		value += failureWeight
 	}
 	f.value, f.at = value, now
@@ -106,16 +111,17 @@
 	return false
 }
 
-// onlyCentreFails tells whether the server fails for the nodes of one data centre while it works for
-// those of another.
+// onlyCentreFails tells whether the server fails for the nodes of one data centre while it has answered
+// those of another since.
 func (m *Machine) onlyCentreFails(now time.Time, s *server, n *node) bool {
 	others := false
+	since := s.path(n.centreKey).failing.since
 	for _, other := range m.nodes {
 		if other.centreKey == n.centreKey {
 			continue
 		}
 		p := s.paths[other.centreKey]
-		if p == nil || now.Sub(p.lastAnswer) > sampleWindow {
+		if p == nil || p.lastAnswer.Before(since) {
 			continue
 		}
 		if p.failing.share(now) >= doubtfulShare {
--- a/internal/dispatch/failing_test.go
+++ b/internal/dispatch/failing_test.go
@@ -388,3 +388,48 @@
 	// Linear is 6; the rest is left to noise.
 	g.Expect(float64(many)/float64(few)).To(BeNumerically("<", 12), "%v a request at 24 servers, %v at 144", few, many)
 }
+
+// Old answers to another data centre must not make the failures of a server look like a bad path: the server
+// would stay in rotation while nobody tries it from elsewhere.
+func TestOnlyLaterAnswersElsewhereShowABadPath(t *testing.T) {
+	for name, c := range map[string]struct {
+		answered time.Duration
+		state    string
+	}{
+		"answered before": {0, dispatch.ViewEjected},
+		"answered since":  {20 * time.Millisecond, dispatch.ViewSuspect},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			b := newBench(4, 3)
+			b.machine.Connect(b.now, "far", "b", 1, nil, nil)
+			b.now = b.now.Add(dispatch.CollectFor)
+			b.machine.Tick(b.now)
+			id := uint64(0)
+			end := func(node string, result grant.Result) {
+				id++
+				b.machine.Acquire(b.now, node, dispatch.Request{
+					ID: id, Priority: priority.Normal, Idempotent: true, Deadline: b.now.Add(time.Second), Exclude: []string{"s01", "s02", "s03"},
+				})
+				g.Expect(b.machine.Take()).To(HaveLen(1))
+				b.now = b.now.Add(5 * time.Millisecond)
+				b.machine.Complete(b.now, node, id, grant.Completion{Result: result, FirstByte: 5 * time.Millisecond, Total: 5 * time.Millisecond})
+			}
+			if c.answered == 0 {
+				end("far", grant.OK)
+			}
+			b.now = b.now.Add(100 * time.Millisecond)
+			end("n0", grant.Error)
+			if c.answered > 0 {
+				b.now = b.now.Add(c.answered)
+				end("far", grant.OK)
+			}
+			b.now = b.now.Add(10 * time.Millisecond)
+			end("n1", grant.Error)
+			if c.answered > 0 {
+				end("n1", grant.Error)
+			}
+			g.Expect(b.machine.View(b.now).Servers[0].State).To(Equal(c.state))
+		})
+	}
+}
