dispatch: idle servers take turns

Load pattern: a service with many more slots than work. Of equally used servers the first by name got the request, so that 31 of 100 servers took all the work of 40 slots. The one that has waited longest is next; the test has 31 used servers of 100 without the change, 70 are the least.

--- a/internal/dispatch/failing_test.go
+++ b/internal/dispatch/failing_test.go
@@ -433,3 +433,23 @@
 		})
 	}
 }
+
+// At low load the servers that come first took all the work. Nothing was known of the others, and sound ones
+// got nothing while the work of failing ones was lost.
+func TestIdleServersTakeTurns(t *testing.T) {
+	g := NewWithT(t)
+	b := newBench(100, 3)
+	random := rand.New(rand.NewPCG(23, 23))
+	b.work[repeatable], b.work[single] = 200*time.Millisecond, 200*time.Millisecond
+	used := map[string]bool{}
+	b.loses = func(instance string) bool { used[instance] = true; return false }
+	ask := func() {
+		if random.Float64() < 200*benchStep.Seconds() {
+			b.ask(uint32(1+b.nextID%2), priority.Normal, b.nextID%2 == 0, time.Second, 2*time.Second, grant.First)
+		}
+	}
+	b.run(4*time.Second, ask)
+	clear(used)
+	b.run(2*time.Second, ask)
+	g.Expect(len(used)).To(BeNumerically(">=", 70), "of 100")
+}
--- a/internal/dispatch/placement.go
+++ b/internal/dispatch/placement.go
@@ -182,13 +182,22 @@
 			// A server that begins to fail is found by work that may repeat.
 			use += unprovenUse
 		}
-		if best == nil || rank < bestRank || rank == bestRank && (use < bestUse || use == bestUse && s.Load < best.Load) {
+		if best == nil || rank < bestRank || rank == bestRank && (use < bestUse || use == bestUse && s.before(best)) {
 			best, bestRank, bestUse = s, rank, use
 		}
 	}
 	return best, true
 }
 
+// before tells which of two equally used servers gets the next request: the less loaded by its own word,
+// then the one that has waited longest, so that none goes without work for long.
+func (s *server) before(other *server) bool {
+	if s.Load != other.Load {
+		return s.Load < other.Load
+	}
+	return s.lastGrant.Before(other.lastGrant)
+}
+
 // proven tells whether the server took a request a moment ago and has not failed it since. A server that
 // resets its requests does so within milliseconds.
 func (s *server) proven(now time.Time) bool {
