dispatchrpc: verdicts of a lost dispatcher end, hosts alone remember failures

The last view counts for 5 s, the time of a first ejection, and a host alone prefers servers that have not failed it for 3 s.

--- a/internal/dispatchrpc/alone.go
+++ b/internal/dispatchrpc/alone.go
@@ -22,6 +22,11 @@
 	// attachedShare is how many slots of a server a host may use alone if it does not know the other
 	// hosts. Requests beyond the slots of a server wait in its own queue.
 	attachedShare = 1
+	// verdictFor is how long the last view of a lost dispatcher keeps servers out: the time of a first
+	// ejection, after which the dispatcher would have tried them again.
+	verdictFor = 5 * time.Second
+	// avoidAlone is how long a host without a dispatcher prefers other servers to one that failed it.
+	avoidAlone = 3 * time.Second
 )
 
 // alone is the state of the autonomous mode.
@@ -29,6 +34,8 @@
 	shares     map[string]int
 	computedAt time.Time
 	budget     dispatch.Budget
+	// failed is when a server failed a request of this host that no dispatcher placed.
+	failed map[string]time.Time
 	// unreported is set by a grant between the hello of a stream and its first answer.
 	unreported bool
 	// noted is the autonomy that was logged last.
@@ -121,21 +128,42 @@
 	}
 }
 
-// placeAlone chooses the server with the most free slots of this node's share. A server is used
-// only while its announcement is fresh in this node's own view and it was not ejected and had not crashed.
+// judgedOut tells whether the last view keeps the server out.
+func (c *channel) judgedOut(now time.Time, instance string) bool {
+	return (c.ejected[instance] || c.crashed[instance]) && now.Sub(c.heard) < verdictFor
+}
+
+// noteAlone remembers how a request ended that no dispatcher placed. The caller holds the mutex.
+func (c *channel) noteAlone(now time.Time, instance string, result grant.Result) {
+	switch result {
+	case grant.OK:
+		delete(c.alone.failed, instance)
+	case grant.Error, grant.Broken, grant.ConnectFailed, grant.Timeout:
+		if c.alone.failed == nil {
+			c.alone.failed = map[string]time.Time{}
+		}
+		c.alone.failed[instance] = now
+	}
+}
+
+// placeAlone chooses the server with the most free slots of this node's share, one that has not failed it
+// lately if there is any. A server is used only while its announcement is fresh in this node's own view and
+// it was not judged out.
 func (c *channel) placeAlone(now time.Time, r *grant.Request) (best grant.Server, ok bool) {
-	most, ties := 0, 0
+	most, ties, bestAvoided := 0, 0, false
 	for _, s := range c.client.config.Registry.Servers(c.service) {
-		if !s.Usable(now) || c.ejected[s.Instance] || c.crashed[s.Instance] || slices.Contains(r.Exclude, s.Instance) {
+		if !s.Usable(now) || c.judgedOut(now, s.Instance) || slices.Contains(r.Exclude, s.Instance) {
 			continue
 		}
 		free := c.alone.shares[s.Instance] - c.heldAt(s.Instance)
-		if free <= 0 || free < most {
+		failed, known := c.alone.failed[s.Instance]
+		avoided := known && now.Sub(failed) < avoidAlone
+		if free <= 0 || most > 0 && (avoided && !bestAvoided || avoided == bestAvoided && free < most) {
 			continue
 		}
 		ties++
-		if free > most {
-			most, ties = free, 1
+		if free > most || avoided != bestAvoided {
+			most, ties, bestAvoided = free, 1, avoided
 		}
 		// Hosts that choose the same server among equals would fill it first.
 		if rand.IntN(ties) == 0 {
@@ -184,7 +212,7 @@
 func (c *channel) hasShare(now time.Time) bool {
 	c.refreshShares(now)
 	for _, s := range c.client.config.Registry.Servers(c.service) {
-		if s.Usable(now) && !c.ejected[s.Instance] && c.alone.shares[s.Instance] > 0 {
+		if s.Usable(now) && !c.judgedOut(now, s.Instance) && c.alone.shares[s.Instance] > 0 {
 			return true
 		}
 	}
--- a/internal/dispatchrpc/channel.go
+++ b/internal/dispatchrpc/channel.go
@@ -296,6 +296,9 @@
 		hello.Outstanding = append(hello.Outstanding, l.outstanding(now))
 	}
 	for instance := range c.ejected {
+		if !c.judgedOut(now, instance) {
+			continue
+		}
 		hello.Ejected = append(hello.Ejected, instance)
 	}
 	c.linked = true
--- a/internal/dispatchrpc/lease.go
+++ b/internal/dispatchrpc/lease.go
@@ -89,6 +89,9 @@
 	}
 	l.completed = true
 	delete(c.held, l.id)
+	if l.server.Alone {
+		c.noteAlone(time.Now(), l.server.Instance, done.Result)
+	}
 	if c.linked {
 		c.out.Completes = append(c.out.Completes, completeMessage(l.id, done))
 		c.signal()
