--- a/internal/dispatch/failing.go
+++ b/internal/dispatch/failing.go
@@ -48,6 +48,9 @@
 	failedAt time.Time
 	// since is when the present failures began.
 	since time.Time
+	// faded is the share as of fadedAt. It is asked for many times at one moment.
+	faded   float64
+	fadedAt time.Time
 }
 
 // share returns the share as it has faded by now.
@@ -55,7 +58,11 @@
 	if f.value == 0 {
 		return 0
 	}
-	return f.value * math.Exp2(-now.Sub(f.at).Seconds()/failureHalfLife.Seconds())
+	if !f.fadedAt.Equal(now) {
+		f.faded = f.value * math.Exp2(-now.Sub(f.at).Seconds()/failureHalfLife.Seconds())
+		f.fadedAt = now
+	}
+	return f.faded
 }
 
 func (f *failures) add(now, sent time.Time, failed bool) {
@@ -71,7 +78,7 @@
 		}
 		value += failureWeight
 	}
-	f.value, f.at = value, now
+	f.value, f.at, f.fadedAt = value, now, time.Time{}
 }
 
 // noteOutcome counts the end of a request that the server answered or broke off.
