attach: a host that lost its dispatcher asks other control hosts

Load pattern: control hosts are cut in two parts while entry hosts reach all of them. Entry hosts that were attached to a control host on the smaller side lost the dispatcher at second 6.28 and heard of no successor until second 10.06; they placed requests alone with a list that still had a server whose drain was confirmed at second 7.745, and sent it requests at 9.978 and 10.124. Ruled out: the dispatcher (it was told before the drain was confirmed) and slow links (the requests were sent 3 ms before they arrived).

After two heartbeats without word of a successor the next control host is asked. The test, five control hosts of which one knows, fails without; its bound is the 2 s after which a drained server gets nothing.

--- a/internal/attach/attach_test.go
+++ b/internal/attach/attach_test.go
@@ -282,3 +282,45 @@
 		g.Expect(dispatcher()).To(Equal("c1"))
 	})
 }
+
+// split answers for control hosts of which only one knows the present dispatcher, as in a cut among them.
+type split struct {
+	knows string
+	reply *fleetpb.AttachReply
+}
+
+func (s *split) Attach(_ context.Context, address string, _ *fleetpb.AttachRequest) (*fleetpb.AttachReply, error) {
+	if address == s.knows {
+		return s.reply, nil
+	}
+	return &fleetpb.AttachReply{}, nil
+}
+
+// An entry host that stays with a control host on the smaller side of a cut never hears of the new dispatcher,
+// and goes on with a list that still has servers that have drained meanwhile.
+func TestClientThatSeeksTurnsToOtherControlHosts(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		seeds := []string{"s1:1", "s2:1", "s3:1", "s4:1", "s5:1"}
+		reply := &fleetpb.AttachReply{Dispatchers: []*fleetpb.Dispatcher{{Service: "cuefeed", Node: "c1", Address: "c1:1", Term: 5}}}
+		fake := &split{knows: seeds[2], reply: reply}
+		c := attach.NewClient(attach.ClientOptions{
+			ID: "front-1", Incarnation: 2, DataCentre: "a", Caller: fake, Logger: logging.Discard(), Seeds: func() []string { return seeds },
+		})
+		ctx, cancel := context.WithCancel(context.Background())
+		done := make(chan struct{})
+		go func() { defer close(done); _ = c.Run(ctx) }()
+		defer func() { cancel(); <-done }()
+		time.Sleep(100 * time.Millisecond)
+		h, _ := c.Dispatcher("cuefeed")
+		g.Expect(h.Node).To(Equal("c1"))
+		// The control host of this entry host is cut off now, and another one knows the successor.
+		fake.knows = seeds[1]
+		fake.reply = &fleetpb.AttachReply{Dispatchers: []*fleetpb.Dispatcher{{Service: "cuefeed", Node: "c2", Address: "c2:1", Term: 9}}}
+		c.Lost("cuefeed")
+		// A server that drains gets nothing 2 s later, and the drain may be confirmed at once.
+		time.Sleep(2 * time.Second)
+		h, _ = c.Dispatcher("cuefeed")
+		g.Expect(h.Node).To(Equal("c2"))
+	})
+}
--- a/internal/attach/client.go
+++ b/internal/attach/client.go
@@ -22,6 +22,9 @@
 	retryEvery = 50 * time.Millisecond
 	// seekEvery is the pause between heartbeats while a service has no known dispatcher.
 	seekEvery = 100 * time.Millisecond
+	// seekTries is how often one control host is asked for a dispatcher that was lost, before the next one
+	// is: a control host that is cut off from the others does not hear of the successor.
+	seekTries = 2
 	// believedFor is how long a term that was heard keeps out lower ones: three heartbeats.
 	believedFor = 3 * HeartbeatEvery
 )
@@ -84,12 +87,18 @@
 
 // Run sends heartbeats until the context ends.
 func (c *Client) Run(ctx context.Context) error {
+	tries := 0
 	for ctx.Err() == nil {
 		pause := HeartbeatEvery
 		if !c.heartbeat(ctx) {
 			pause = retryEvery
 		} else if c.seeking() {
 			pause = seekEvery
+			if tries++; tries%seekTries == 0 {
+				c.turn()
+			}
+		} else {
+			tries = 0
 		}
 		timer := time.NewTimer(pause)
 		select {
@@ -160,6 +169,13 @@
 	return list
 }
 
+// turn makes the next heartbeat go to the next control host.
+func (c *Client) turn() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.address = c.next(c.address)
+}
+
 func (c *Client) lost(address string, err error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
