Log when and from how old a list a request was placed, and how long heartbeats take

The logs could not tell a request that was placed from an outdated list from one that was held up on its way, and wrote nothing of those that succeeded. Heartbeats have a histogram, and their time in the lines of a lost and a found control host. Decisions are unchanged.

--- a/internal/app/attached.go
+++ b/internal/app/attached.go
@@ -57,7 +57,11 @@
 	store *store.Store
 }
 
-func newAttachClient(lc fx.Lifecycle, b *background, s *settings.Settings, live *settings.Live, i incarnation, pool *transport.Pool, logger *log.Logger) (*attach.Client, *hinter) {
+func newAttachClient(lc fx.Lifecycle, b *background, s *settings.Settings, live *settings.Live, i incarnation, pool *transport.Pool, registry *prometheus.Registry, logger *log.Logger) (*attach.Client, *hinter, error) {
+	metrics, err := attach.NewMetrics(registry)
+	if err != nil {
+		return nil, nil, err
+	}
 	hints := &hinter{}
 	client := attach.NewClient(attach.ClientOptions{
 		ID:           s.ID,
@@ -68,10 +72,11 @@
 		Seeds:        seedAddresses(live),
 		Caller:       attach.NewCaller(pool),
 		OnRevision:   func(address string, revision uint64) { hints.store.Hint(address, revision) },
+		Metrics:      metrics,
 		Logger:       logger,
 	})
 	start(lc, b, "attach", client.Run)
-	return client, hints
+	return client, hints, nil
 }
 
 func newAttachedStore(lc fx.Lifecycle, b *background, s *settings.Settings, a *attach.Client, hints *hinter, client feed.Client, logger *log.Logger) *store.Store {
--- a/internal/attach/client.go
+++ b/internal/attach/client.go
@@ -46,7 +46,9 @@
 	Caller Caller
 	// OnRevision is told the newest revision that a control host knows, and its address.
 	OnRevision func(address string, revision uint64)
-	Logger     *log.Logger
+	// Metrics may be nil.
+	Metrics *Metrics
+	Logger  *log.Logger
 }
 
 // Client keeps an entry host attached. It implements leadership.Elections for a host that holds no
@@ -119,12 +121,15 @@
 	}
 	bounded, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
+	sent := time.Now()
 	reply, err := c.o.Caller.Attach(bounded, address, request)
+	took := time.Since(sent)
+	c.o.Metrics.heartbeat(took, err)
 	if err != nil {
-		c.lost(address, err)
+		c.lost(address, took, err)
 		return false
 	}
-	c.learn(address, reply)
+	c.learn(address, took, reply)
 	return true
 }
 
@@ -176,21 +181,22 @@
 	c.address = c.next(c.address)
 }
 
-func (c *Client) lost(address string, err error) {
+func (c *Client) lost(address string, took time.Duration, err error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.attached {
 		c.attached = false
-		c.o.Logger.Warn("lost the control host", "address", address, "err", logging.Err(err))
+		c.o.Logger.Warn("lost the control host", "address", address, "waited_ms", took.Milliseconds(), "err", logging.Err(err))
 	}
 	c.address = c.next(address)
 }
 
-func (c *Client) learn(address string, reply *fleetpb.AttachReply) {
+func (c *Client) learn(address string, took time.Duration, reply *fleetpb.AttachReply) {
 	c.mu.Lock()
 	if !c.attached {
 		c.attached = true
-		c.o.Logger.Info("attached to a control host", "address", address, "control_hosts", len(reply.GetControl()))
+		c.o.Logger.Info("attached to a control host", "address", address, "answered_ms", took.Milliseconds(),
+			"control_hosts", len(reply.GetControl()))
 	}
 	if known := reply.GetKnownIncarnation(); known >= c.o.Incarnation && known > 0 {
 		c.o.Incarnation = known + 1
--- /dev/null
+++ b/internal/attach/metrics.go
@@ -0,0 +1,40 @@
+package attach
+
+import (
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/prometheus/client_golang/prometheus"
+)
+
+// heartbeatBuckets are in seconds; the deadline of a heartbeat and the bound of a drain lie between them.
+var heartbeatBuckets = []float64{.005, .02, .05, .1, .2, .4, .8, 1.5, 2.5}
+
+// Metrics counts the heartbeats of an entry host. A nil *Metrics counts nothing.
+type Metrics struct {
+	heartbeats *prometheus.HistogramVec
+}
+
+// NewMetrics registers the metrics.
+func NewMetrics(r prometheus.Registerer) (*Metrics, error) {
+	m := &Metrics{heartbeats: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+		Name:    "tarragonmux_attach_heartbeat_seconds",
+		Help:    "Time from a heartbeat to its answer, or to its failure, by result.",
+		Buckets: heartbeatBuckets,
+	}, []string{"result"})}
+	if err := r.Register(m.heartbeats); err != nil {
+		return nil, errors.Wrap(err, "attach: cannot register metrics; use one registry per process")
+	}
+	return m, nil
+}
+
+func (m *Metrics) heartbeat(took time.Duration, err error) {
+	if m == nil {
+		return
+	}
+	result := "answered"
+	if err != nil {
+		result = "failed"
+	}
+	m.heartbeats.WithLabelValues(result).Observe(took.Seconds())
+}
--- a/internal/dispatchrpc/alone.go
+++ b/internal/dispatchrpc/alone.go
@@ -167,7 +167,10 @@
 		}
 		// Hosts that choose the same server among equals would fill it first.
 		if rand.IntN(ties) == 0 {
-			best = grant.Server{Service: c.service, Instance: s.Instance, Address: s.Address, DataCentre: s.DataCentre, Alone: true}
+			best = grant.Server{
+				Service: c.service, Instance: s.Instance, Address: s.Address, DataCentre: s.DataCentre,
+				Alone: true, ListAge: now.Sub(c.heard),
+			}
 		}
 	}
 	return best, most > 0
--- a/internal/entry/forward.go
+++ b/internal/entry/forward.go
@@ -273,7 +273,7 @@
 		return
 	}
 	x.completed = true
-	x.tries.add(x.grant.Server(), result, time.Since(x.sent))
+	x.tries.add(x.grant.Server(), result, x.sent.Sub(x.arrived), time.Since(x.sent))
 	if x.answer != nil {
 		x.answer.Close()
 	}
--- a/internal/entry/recovery.go
+++ b/internal/entry/recovery.go
@@ -87,10 +87,10 @@
 	f.logEnd(x, o, refusal)
 }
 
-// logEnd writes one line for each request that did not get a good answer, and at the level debug for
-// the others. The number of lines per second is bounded.
+// logEnd writes one line for each request that did not get a good answer or was placed from an outdated list,
+// and at the level debug for the others. The number of lines per second is bounded.
 func (f *recovery) logEnd(x *Exchange, o Observation, refusal *problem.Problem) {
-	good := o.Outcome == OutcomeAnswered && o.Status < 500
+	good := o.Outcome == OutcomeAnswered && o.Status < 500 && !x.tries.fromOutdatedList()
 	if good && f.cfg.Log.GetLevel() > log.DebugLevel {
 		return
 	}
--- a/internal/grant/grant.go
+++ b/internal/grant/grant.go
@@ -50,6 +50,8 @@
 	DataCentre string
 	// Alone is set if the node chose the server without a dispatcher.
 	Alone bool
+	// ListAge is how long ago the list was known to be current from which the node chose alone.
+	ListAge time.Duration
 }
 
 // Result tells how the granted request ended.
