attach: ask all control hosts in turn, not only those on one side of a cut

Cause: an entry host without its dispatcher asks the next control host of a list that each answer replaced, with the answering host first and only those that it sees alive after it. In a cut among the control hosts the second of the list is always on the same side, so the turn goes around within that side.

Ruled out: a dispatcher that grants drained servers (all late requests were placed alone); hosts that ask too rarely (heartbeats went on, answered in time).

The client now keeps every control host that was named in the last minute, and asks them in one order that does not depend on who answered.

--- a/internal/attach/attach_test.go
+++ b/internal/attach/attach_test.go
@@ -283,6 +283,63 @@
 	})
 }
 
+// halves answers for control hosts that are cut into two halves: each names only its own half as alive.
+type halves struct {
+	mu      sync.Mutex
+	of      map[string][]string
+	replies map[string]*fleetpb.AttachReply
+}
+
+func (h *halves) Attach(_ context.Context, address string, _ *fleetpb.AttachRequest) (*fleetpb.AttachReply, error) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	reply := &fleetpb.AttachReply{Control: []string{address}, Dispatchers: h.replies[address].GetDispatchers()}
+	for _, other := range h.of[address] {
+		if other != address {
+			reply.Control = append(reply.Control, other)
+		}
+	}
+	return reply, nil
+}
+
+// The control hosts of the half without a majority name each other only; an entry host that asks in turn just
+// those that the last answer named never leaves their half, and never hears of the new dispatcher.
+func TestClientThatSeeksLeavesTheHalfOfItsControlHost(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		dispatched := func(by string, term uint64) *fleetpb.AttachReply {
+			return &fleetpb.AttachReply{Dispatchers: []*fleetpb.Dispatcher{{Service: "cuefeed", Node: by, Address: by, Term: term}}}
+		}
+		all := []string{"c1:1", "c2:1", "c3:1", "c4:1", "c5:1"}
+		fake := &halves{of: map[string][]string{}, replies: map[string]*fleetpb.AttachReply{}}
+		for _, c := range all {
+			fake.of[c], fake.replies[c] = all, dispatched("c1:1", 5)
+		}
+		client := attach.NewClient(attach.ClientOptions{
+			ID: "front-1", Incarnation: 3, DataCentre: "a", Caller: fake, Logger: logging.Discard(),
+			Seeds: func() []string { return []string{"c1:1", "c4:1", "c5:1"} },
+		})
+		ctx, cancel := context.WithCancel(context.Background())
+		done := make(chan struct{})
+		go func() { defer close(done); _ = client.Run(ctx) }()
+		defer func() { cancel(); <-done }()
+		time.Sleep(100 * time.Millisecond)
+		fake.mu.Lock()
+		minority, majority := all[:2], all[2:]
+		for _, c := range minority {
+			fake.of[c], fake.replies[c] = minority, &fleetpb.AttachReply{}
+		}
+		for _, c := range majority {
+			fake.of[c], fake.replies[c] = majority, dispatched("c4:1", 9)
+		}
+		fake.mu.Unlock()
+		client.Lost("cuefeed")
+		time.Sleep(1500 * time.Millisecond)
+		h, _ := client.Dispatcher("cuefeed")
+		g.Expect(h.Node).To(Equal("c4:1"))
+	})
+}
+
 // split answers for control hosts of which only one knows the present dispatcher, as in a cut among them.
 type split struct {
 	knows string
--- a/internal/attach/client.go
+++ b/internal/attach/client.go
@@ -25,6 +25,8 @@
 	// seekTries is how often one control host is asked for a dispatcher that was lost, before the next one
 	// is: a control host that is cut off from the others does not hear of the successor.
 	seekTries = 2
+	// controlKeptFor is how long a control host that no answer names any longer is still asked in turn.
+	controlKeptFor = time.Minute
 	// believedFor is how long a term that was heard keeps out lower ones: three heartbeats.
 	believedFor = 3 * HeartbeatEvery
 )
@@ -57,11 +59,12 @@
 	o    ClientOptions
 	wake chan struct{}
 
-	mu          sync.Mutex
-	ready       bool
-	leaving     bool
-	address     string
-	control     []string
+	mu      sync.Mutex
+	ready   bool
+	leaving bool
+	address string
+	// control is when each control host was named last.
+	control     map[string]time.Time
 	dispatchers map[string]leadership.Holder
 	// heard is when the term of each dispatcher was heard last.
 	heard map[string]time.Time
@@ -81,6 +84,7 @@
 	return &Client{
 		o:           o,
 		wake:        make(chan struct{}, 1),
+		control:     map[string]time.Time{},
 		dispatchers: map[string]leadership.Holder{},
 		heard:       map[string]time.Time{},
 		broken:      map[string]uint64{},
@@ -159,19 +163,27 @@
 		// Hosts begin at different control hosts, so that the heartbeats are spread.
 		return addresses[c.o.Incarnation%uint64(len(addresses))]
 	}
-	at := slices.Index(addresses, after)
-	return addresses[(at+1)%len(addresses)]
+	at, found := slices.BinarySearch(addresses, after)
+	if found {
+		at++
+	}
+	return addresses[at%len(addresses)]
 }
 
-// addresses lists the control hosts that are known, and the seeds. The caller holds the mutex.
+// addresses lists the control hosts that are known, and the seeds, in an order that does not depend on which
+// of them answered last: in a cut, each names only those on its own side. The caller holds the mutex.
 func (c *Client) addresses() []string {
-	list := slices.Clone(c.control)
-	for _, seed := range c.o.Seeds() {
-		if !slices.Contains(list, seed) {
-			list = append(list, seed)
+	now := time.Now()
+	list := slices.Clone(c.o.Seeds())
+	for address, named := range c.control {
+		if now.Sub(named) >= controlKeptFor {
+			delete(c.control, address)
+			continue
 		}
+		list = append(list, address)
 	}
-	return list
+	slices.Sort(list)
+	return slices.Compact(list)
 }
 
 // turn makes the next heartbeat go to the next control host.
@@ -202,8 +214,9 @@
 		c.o.Incarnation = known + 1
 		c.poke()
 	}
-	if len(reply.GetControl()) > 0 {
-		c.control = reply.GetControl()
+	now := time.Now()
+	for _, known := range reply.GetControl() {
+		c.control[known] = now
 	}
 	for _, d := range reply.GetDispatchers() {
 		c.hear(d)
@@ -272,11 +285,14 @@
 	c.poke()
 }
 
-// Control returns the fleet addresses of the control hosts that are known, and the seeds.
+// Control returns the fleet addresses of the control hosts that are known, and the seeds. The one that this
+// host is attached to comes first, so that hosts which use the list in order spread over the control hosts.
 func (c *Client) Control() []string {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.addresses()
+	list := c.addresses()
+	at := max(slices.Index(list, c.address), 0)
+	return slices.Concat(list[at:], list[:at])
 }
 
 // SetReady records whether this host serves callers; a change is told at once.
