attach: tell entry hosts of drains with their heartbeats, and how current they are

Cause: the confirmation waited for control hosts only, and entry hosts learned of drains on the stream of a dispatcher alone. One without a dispatcher placed from a list that nothing corrected, for as long as it lasted. The class is an acknowledged change that does not cover the readers of a cache.

Ruled out: dispatchers that grant drained servers (all late requests were placed without one).

Control hosts keep the departures of the last minute, ask the control group for them every 300 ms, and send with the answer to a heartbeat those that the host has not seen and the age of their knowledge: a departure is confirmed by a majority, so one who has asked a majority since knows it. An entry host turns to another control host when that age is 0.8 s or more; a host that was cut off from the others, or was just started, says so. A list of a dispatcher that has not heard of a departure no longer brings the server back.

--- a/internal/app/attached.go
+++ b/internal/app/attached.go
@@ -57,7 +57,7 @@
 	store *store.Store
 }
 
-func newAttachClient(lc fx.Lifecycle, b *background, s *settings.Settings, live *settings.Live, i incarnation, pool *transport.Pool, registry *prometheus.Registry, logger *log.Logger) (*attach.Client, *hinter, error) {
+func newAttachClient(lc fx.Lifecycle, b *background, s *settings.Settings, live *settings.Live, i incarnation, servers *attach.Servers, pool *transport.Pool, registry *prometheus.Registry, logger *log.Logger) (*attach.Client, *hinter, error) {
 	metrics, err := attach.NewMetrics(registry)
 	if err != nil {
 		return nil, nil, err
@@ -72,6 +72,7 @@
 		Seeds:        seedAddresses(live),
 		Caller:       attach.NewCaller(pool),
 		OnRevision:   func(address string, revision uint64) { hints.store.Hint(address, revision) },
+		Servers:      servers,
 		Metrics:      metrics,
 		Logger:       logger,
 	})
@@ -117,6 +118,7 @@
 		Elections:   a,
 		Pool:        pool,
 		Sink:        servers,
+		ListAsOf:    servers.CurrentAsOf,
 		Logger:      logger.WithPrefix("grants"),
 	})
 	start(lc, b, "grants", client.Run)
--- a/internal/app/discovery.go
+++ b/internal/app/discovery.go
@@ -169,17 +169,20 @@
 	return newDispatcher(lc, b, s, newDocumentSettings(holder.document, s), m, e, registry, logger)
 }
 
-func newAttachServer(s *settings.Settings, m *membership.Runner, e *election.Runner, source hostset.Source, holder *logHolder, pool *transport.Pool, logger *log.Logger) *attach.Server {
-	return attach.NewServer(attach.ServerOptions{
-		ID:        s.ID,
-		Address:   s.Fleet.Advertise,
-		Registry:  m,
-		Elections: e,
-		Source:    source,
-		Revision:  func() uint64 { return holder.document().GetRevision() },
-		Marker:    attach.NewMarker(pool),
-		Logger:    logger,
+func newAttachServer(lc fx.Lifecycle, b *background, i incarnation, s *settings.Settings, m *membership.Runner, e *election.Runner, source hostset.Source, holder *logHolder, pool *transport.Pool, logger *log.Logger) *attach.Server {
+	server := attach.NewServer(attach.ServerOptions{
+		ID:          s.ID,
+		Address:     s.Fleet.Advertise,
+		Registry:    m,
+		Elections:   e,
+		Source:      source,
+		Revision:    func() uint64 { return holder.document().GetRevision() },
+		Peers:       attach.NewPeers(pool),
+		Incarnation: uint64(i),
+		Logger:      logger,
 	})
+	start(lc, b, "departures", server.Run)
+	return server
 }
 
 func registerControlHost(lc fx.Lifecycle, mux *transport.Mux, s *settings.Settings, m *membership.Runner, e *election.Runner, d *dispatchrpc.Server, a *attach.Server, source hostset.Source, holder *logHolder, gossip *gossipHolder, parts *controlParts, b *background) error {
--- a/internal/app/fleet.go
+++ b/internal/app/fleet.go
@@ -83,6 +83,14 @@
 	return f.attach.Mark(ctx, r)
 }
 
+// ListDepartures answers another control host that keeps its departures current.
+func (f *fleetService) ListDepartures(ctx context.Context, r *fleetpb.DeparturesRequest) (*fleetpb.Departures, error) {
+	if f.attach == nil {
+		return nil, errNoControl
+	}
+	return f.attach.ListDepartures(ctx, r)
+}
+
 // Burn returns the service-level counts.
 func (f *fleetService) Burn(context.Context, *fleetpb.BurnRequest) (*fleetpb.BurnReply, error) {
 	if f.recorder == nil {
--- a/internal/attach/attach_test.go
+++ b/internal/attach/attach_test.go
@@ -49,6 +49,14 @@
 
 func (r *registry) Members() []membership.Member { return nil }
 
+func (r *registry) Each(f func(backend.Server)) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, s := range r.servers {
+		f(s)
+	}
+}
+
 func (r *registry) Mark(instance string, _ uint64, state backend.State) []string {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -94,6 +102,15 @@
 	return nil
 }
 
+func (m *marker) Departures(_ context.Context, address string, _ *fleetpb.DeparturesRequest) (*fleetpb.Departures, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if !m.up[address] {
+		return nil, errors.New("unreachable")
+	}
+	return &fleetpb.Departures{}, nil
+}
+
 func newServer(dispatcher string, up ...string) (*attach.Server, *registry, *marker) {
 	r := &registry{servers: map[string]backend.Server{}}
 	m := &marker{up: map[string]bool{}, calls: map[string]int{}}
@@ -101,7 +118,7 @@
 		m.up[address] = true
 	}
 	s := attach.NewServer(attach.ServerOptions{
-		ID: "a", Address: "a:1", Registry: r, Source: source{}, Marker: m, Logger: logging.Discard(),
+		ID: "a", Address: "a:1", Registry: r, Source: source{}, Peers: m, Logger: logging.Discard(),
 		Elections: elections{leadership.Holder{Node: dispatcher, Address: dispatcher + ":1", Term: 3}},
 		Revision:  func() uint64 { return 9 },
 	})
--- a/internal/attach/caller.go
+++ b/internal/attach/caller.go
@@ -16,8 +16,8 @@
 	return poolCaller{pool}
 }
 
-// NewMarker returns a marker that uses the pool.
-func NewMarker(pool *transport.Pool) Marker {
+// NewPeers returns peers that are reached through the pool.
+func NewPeers(pool *transport.Pool) Peers {
 	return poolCaller{pool}
 }
 
@@ -30,8 +30,13 @@
 	return c.client(ctx, address).Attach(ctx, r)
 }
 
-// Mark implements Marker.
+// Mark implements Peers.
 func (c poolCaller) Mark(ctx context.Context, address string, r *fleetpb.MarkRequest) error {
 	_, err := c.client(ctx, address).Mark(ctx, r)
 	return err
 }
+
+// Departures implements Peers.
+func (c poolCaller) Departures(ctx context.Context, address string, r *fleetpb.DeparturesRequest) (*fleetpb.Departures, error) {
+	return c.client(ctx, address).ListDepartures(ctx, r)
+}
--- a/internal/attach/client.go
+++ b/internal/attach/client.go
@@ -48,6 +48,8 @@
 	Caller Caller
 	// OnRevision is told the newest revision that a control host knows, and its address.
 	OnRevision func(address string, revision uint64)
+	// Servers takes the departures of backend servers; nil if this host has another registry.
+	Servers *Servers
 	// Metrics may be nil.
 	Metrics *Metrics
 	Logger  *log.Logger
@@ -71,6 +73,10 @@
 	// broken holds the terms of dispatchers whose stream ended, by service.
 	broken   map[string]uint64
 	attached bool
+	// departures is what this host has of the departures of the control host that answered last, and
+	// outdated is set if those were not current.
+	departures fleetpb.DeparturesRequest
+	outdated   bool
 }
 
 var (
@@ -93,18 +99,25 @@
 
 // Run sends heartbeats until the context ends.
 func (c *Client) Run(ctx context.Context) error {
-	tries := 0
+	tries, outdated := 0, 0
 	for ctx.Err() == nil {
 		pause := HeartbeatEvery
-		if !c.heartbeat(ctx) {
+		switch {
+		case !c.heartbeat(ctx):
 			pause = retryEvery
-		} else if c.seeking() {
+		case c.seeking():
 			pause = seekEvery
 			if tries++; tries%seekTries == 0 {
 				c.turn()
 			}
-		} else {
-			tries = 0
+		case c.isOutdated():
+			// Once all were asked, none is current, and asking sooner finds no better one.
+			if outdated++; outdated <= len(c.Control()) {
+				pause = seekEvery
+			}
+			c.turn()
+		default:
+			tries, outdated = 0, 0
 		}
 		timer := time.NewTimer(pause)
 		select {
@@ -133,7 +146,7 @@
 		c.lost(address, took, err)
 		return false
 	}
-	c.learn(address, took, reply)
+	c.learn(address, sent, reply)
 	return true
 }
 
@@ -147,10 +160,14 @@
 	if c.leaving {
 		state = fleetpb.NodeState_NODE_STATE_LEAVING
 	}
-	return c.address, &fleetpb.AttachRequest{Host: &fleetpb.Node{
-		Id: c.o.ID, Incarnation: c.o.Incarnation, DataCentre: c.o.DataCentre, State: state,
-		EntryAddress: c.o.EntryAddress, FleetAddress: c.o.FleetAddress, Ready: c.ready && !c.leaving,
-	}}
+	return c.address, &fleetpb.AttachRequest{
+		Host: &fleetpb.Node{
+			Id: c.o.ID, Incarnation: c.o.Incarnation, DataCentre: c.o.DataCentre, State: state,
+			EntryAddress: c.o.EntryAddress, FleetAddress: c.o.FleetAddress, Ready: c.ready && !c.leaving,
+		},
+		DeparturesLog:  c.departures.GetLog(),
+		DeparturesSeen: c.departures.GetSeen(),
+	}
 }
 
 // next returns the control host after the given one. The caller holds the mutex.
@@ -203,11 +220,13 @@
 	c.address = c.next(address)
 }
 
-func (c *Client) learn(address string, took time.Duration, reply *fleetpb.AttachReply) {
+// learn takes the answer to a heartbeat that was sent at the given time.
+func (c *Client) learn(address string, sent time.Time, reply *fleetpb.AttachReply) {
+	c.takeDepartures(sent, reply)
 	c.mu.Lock()
 	if !c.attached {
 		c.attached = true
-		c.o.Logger.Info("attached to a control host", "address", address, "answered_ms", took.Milliseconds(),
+		c.o.Logger.Info("attached to a control host", "address", address, "answered_ms", time.Since(sent).Milliseconds(),
 			"control_hosts", len(reply.GetControl()))
 	}
 	if known := reply.GetKnownIncarnation(); known >= c.o.Incarnation && known > 0 {
@@ -227,6 +246,30 @@
 	}
 }
 
+// takeDepartures takes what the control host knows of departures. They are as old as it says when it answers,
+// which is after the heartbeat was sent.
+func (c *Client) takeDepartures(sent time.Time, reply *fleetpb.AttachReply) {
+	old := time.Duration(reply.GetDeparturesAgeMs()) * time.Millisecond
+	asOf := sent.Add(-old)
+	if old < 0 {
+		asOf = time.Time{}
+	}
+	if c.o.Servers != nil {
+		c.o.Servers.TakeDepartures(time.Now(), asOf, reply.GetDepartures().GetList())
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.departures.Log, c.departures.Seen = reply.GetDepartures().GetLog(), reply.GetDepartures().GetSeen()
+	c.outdated = old < 0 || old >= currentFor
+}
+
+// isOutdated tells whether the control host that answered last may have missed departures.
+func (c *Client) isOutdated() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.outdated
+}
+
 // hear takes word of a dispatcher unless its term is over. A control host may name a former dispatcher for a
 // while; a higher term that no control host names any longer gives way. The caller holds the mutex.
 func (c *Client) hear(d *fleetpb.Dispatcher) {
--- /dev/null
+++ b/internal/attach/departures_test.go
@@ -0,0 +1,115 @@
+package attach
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"github.com/tarragonmux/tarragonmux/internal/hostset"
+	"github.com/tarragonmux/tarragonmux/proto/dispatchpb"
+	"github.com/tarragonmux/tarragonmux/proto/fleetpb"
+)
+
+// A receiver that turns to another control host, or to one that was restarted, must not miss a departure, and
+// a later start of the same server must not be taken out by the departure of the former one.
+func TestDeparturesReachEveryReceiver(t *testing.T) {
+	g := NewWithT(t)
+	now := time.Unix(1000, 0)
+	d := newDepartures(7)
+	g.Expect(d.record(now, "i-1", 5)).To(BeTrue())
+	g.Expect(d.record(now, "i-1", 5)).To(BeFalse())
+	g.Expect(d.record(now, "i-2", 3)).To(BeTrue())
+	g.Expect(d.covers("i-1", 5)).To(BeTrue())
+	g.Expect(d.covers("i-1", 6)).To(BeFalse(), "a later start")
+	g.Expect(d.since(7, 1).GetList()).To(HaveLen(1))
+	g.Expect(d.since(7, 2).GetList()).To(BeEmpty())
+	g.Expect(d.since(8, 2).GetList()).To(HaveLen(2), "the numbers of another host mean nothing")
+	g.Expect(d.record(now.Add(time.Second), "i-1", 6)).To(BeTrue())
+	g.Expect(d.since(7, 2).GetList()).To(HaveLen(1))
+	d.expire(now.Add(departureKeptFor))
+	g.Expect(d.covers("i-2", 3)).To(BeFalse())
+	g.Expect(d.covers("i-1", 6)).To(BeTrue())
+}
+
+// A control host that calls its departures current without having asked a majority after the confirmation lets
+// entry hosts go on with servers that drain.
+func TestCurrentDeparturesContainEveryConfirmedOne(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		members := rapid.SliceOfNDistinct(rapid.StringMatching(`[a-g]`), 1, 7, rapid.ID[string]).Draw(t, "members")
+		fleet := &hostset.Fleet{}
+		for _, m := range members {
+			fleet.Hosts = append(fleet.Hosts, hostset.Host{ID: m, FleetAddress: m})
+		}
+		at := func(ms int) time.Time { return time.Unix(1000, 0).Add(time.Duration(ms) * time.Millisecond) }
+		// The members in told know the departure from the second confirmed on; the host asked each at some time.
+		told := map[string]bool{}
+		for _, m := range rapid.Permutation(members).Draw(t, "told")[:len(members)/2+1] {
+			told[m] = true
+		}
+		confirmed := rapid.IntRange(0, 1000).Draw(t, "confirmed")
+		var c currency
+		knows := false
+		for _, m := range members {
+			if !rapid.Bool().Draw(t, "answers") {
+				continue
+			}
+			asked := rapid.IntRange(1, 1000).Draw(t, "asked")
+			c.answered(m, at(asked))
+			knows = knows || told[m] && asked >= confirmed
+		}
+		if asOf := c.asOf(fleet); !asOf.IsZero() && !asOf.Before(at(confirmed)) && !knows {
+			t.Fatalf("departures count as current as of %v without the one confirmed at %v", asOf, at(confirmed))
+		}
+	})
+}
+
+// While the group changes, the members of the former one may still confirm; a majority of the new one alone
+// need not have heard of it.
+func TestFormerGroupCountsWhileItMayConfirm(t *testing.T) {
+	g := NewWithT(t)
+	hosts := func(names ...string) (list []hostset.Host) {
+		for _, n := range names {
+			list = append(list, hostset.Host{ID: n, FleetAddress: n})
+		}
+		return list
+	}
+	var c currency
+	now := time.Unix(1000, 0)
+	for _, m := range []string{"c", "d", "e"} {
+		c.answered(m, now)
+	}
+	fleet := &hostset.Fleet{Hosts: hosts("a", "b", "c", "d", "e")}
+	g.Expect(c.asOf(fleet)).To(Equal(now))
+	fleet.PreviousHosts = hosts("a", "b", "c")
+	g.Expect(c.asOf(fleet).IsZero()).To(BeTrue())
+	g.Expect(c.asOf(nil).IsZero()).To(BeTrue())
+}
+
+// A dispatcher that has not heard of a departure must not bring the server back on an entry host that has, and
+// a host that was cut off for longer than departures are kept must not call its list current.
+func TestDeparturesOutliveTheListsOfDispatchers(t *testing.T) {
+	g := NewWithT(t)
+	s := NewServers()
+	entry := func(name string, incarnation uint64) *dispatchpb.ServerEntry {
+		return &dispatchpb.ServerEntry{Instance: name, Address: name + ":1", Slots: 6, Incarnation: incarnation}
+	}
+	names := func() (list []string) {
+		for _, b := range s.Servers("cuefeed") {
+			list = append(list, b.Instance)
+		}
+		return list
+	}
+	now := time.Now()
+	s.TakeNews("cuefeed", &dispatchpb.ServerNews{Reset_: true, Changed: []*dispatchpb.ServerEntry{entry("a", 5), entry("b", 5)}})
+	s.TakeDepartures(now, now, []*fleetpb.Departure{{Instance: "a", Incarnation: 5}})
+	g.Expect(names()).To(Equal([]string{"b"}))
+	s.TakeNews("cuefeed", &dispatchpb.ServerNews{Reset_: true, Changed: []*dispatchpb.ServerEntry{entry("a", 5), entry("b", 5)}})
+	g.Expect(names()).To(Equal([]string{"b"}), "the list of a dispatcher that has not heard of it")
+	s.TakeNews("cuefeed", &dispatchpb.ServerNews{Changed: []*dispatchpb.ServerEntry{entry("a", 6)}})
+	g.Expect(names()).To(Equal([]string{"a", "b"}), "a later start")
+	g.Expect(s.CurrentAsOf()).To(Equal(now))
+	s.TakeDepartures(now.Add(time.Hour), now.Add(time.Hour), nil)
+	g.Expect(s.CurrentAsOf()).To(Equal(now), "departures of the time between are forgotten")
+}
--- a/internal/attach/doc.go
+++ b/internal/attach/doc.go
@@ -14,4 +14,9 @@
 // A backend server that drains or leaves tells a control host, which answers once the dispatcher of
 // the service and a majority of the control group have taken it out. So the answer binds also if the
 // host that gave it fails a moment later.
+//
+// Departures reach entry hosts with the answers to their heartbeats, so also those without a dispatcher. Each
+// control host asks the members of the control group every 300 ms for the departures that it has not seen. One
+// that has asked a majority knows all that were confirmed before, and says how old its knowledge is; an entry
+// host turns to another control host if that is 0.8 s or older.
 package attach
--- a/internal/attach/server.go
+++ b/internal/attach/server.go
@@ -37,11 +37,14 @@
 	Servers(service string) []backend.Server
 	Members() []membership.Member
 	Mark(instance string, incarnation uint64, state backend.State) []string
+	// Each calls the function for every entry; the function must not call the registry.
+	Each(func(backend.Server))
 }
 
-// Marker sends marks to control hosts.
-type Marker interface {
+// Peers sends messages to other control hosts.
+type Peers interface {
 	Mark(ctx context.Context, address string, r *fleetpb.MarkRequest) error
+	Departures(ctx context.Context, address string, r *fleetpb.DeparturesRequest) (*fleetpb.Departures, error)
 }
 
 // ServerOptions configure a Server.
@@ -53,20 +56,28 @@
 	// Source has the members of the control group as its hosts.
 	Source   hostset.Source
 	Revision func() uint64
-	Marker   Marker
-	Logger   *log.Logger
+	Peers    Peers
+	// Incarnation is the start time of the process in milliseconds.
+	Incarnation uint64
+	Logger      *log.Logger
 }
 
 // Server is the control hosts' side: it knows the entry hosts and takes backend servers out. It is
 // safe for concurrent use.
 type Server struct {
-	o ServerOptions
+	o         ServerOptions
+	departing *departing
 }
 
 // NewServer returns a server.
 func NewServer(o ServerOptions) *Server {
 	o.Logger = o.Logger.WithPrefix("attach")
-	return &Server{o: o}
+	return &Server{o: o, departing: newDeparting(&o)}
+}
+
+// Run keeps the departures current until the context ends.
+func (s *Server) Run(ctx context.Context) error {
+	return s.departing.run(ctx)
 }
 
 // Attach records the heartbeat of an entry host and tells it what it needs.
@@ -91,15 +102,16 @@
 			return nil, err
 		}
 		// The host's clock was set back before it started.
-		reply := s.reply()
+		reply := s.reply(r)
 		reply.KnownIncarnation = superseded.Known
 		return reply, nil
 	}
-	return s.reply(), nil
+	return s.reply(r), nil
 }
 
-func (s *Server) reply() *fleetpb.AttachReply {
+func (s *Server) reply(r *fleetpb.AttachRequest) *fleetpb.AttachReply {
 	reply := &fleetpb.AttachReply{Revision: s.o.Revision(), Control: []string{s.o.Address}}
+	reply.Departures, reply.DeparturesAgeMs = s.departing.news(time.Now(), r.GetDeparturesLog(), r.GetDeparturesSeen())
 	for _, m := range s.o.Registry.Members() {
 		if m.State == fleetpb.NodeState_NODE_STATE_ALIVE && m.FleetAddress != s.o.Address {
 			reply.Control = append(reply.Control, m.FleetAddress)
@@ -133,16 +145,25 @@
 // Mark records the mark of another control host.
 func (s *Server) Mark(_ context.Context, r *fleetpb.MarkRequest) (*fleetpb.MarkReply, error) {
 	services := s.o.Registry.Mark(r.GetInstance(), r.GetIncarnation(), backend.State(r.GetState()))
+	s.departing.sync(time.Now())
 	s.o.Logger.Info("marked a backend server for another control host", "instance", r.GetInstance(), "incarnation", r.GetIncarnation(),
 		"state", backend.State(r.GetState()).String(), "services", services)
 	return &fleetpb.MarkReply{}, nil
 }
 
-// TakeOut marks a backend server as draining or gone and returns nil once every host that may place
-// work on it knows: the dispatchers of its services, and a majority of the control group, from which
-// a next dispatcher would learn it. Errors: ErrNotBinding.
+// ListDepartures answers another control host that keeps its departures current.
+func (s *Server) ListDepartures(_ context.Context, r *fleetpb.DeparturesRequest) (*fleetpb.Departures, error) {
+	news, _ := s.departing.news(time.Now(), r.GetLog(), r.GetSeen())
+	return news, nil
+}
+
+// TakeOut marks a backend server as draining or gone and returns nil once the dispatchers of its services and a
+// majority of the control group know. Every other control host asks a majority before it tells an entry host
+// that its departures are current, so within askEvery and a heartbeat all hosts that may place work know, too.
+// Errors: ErrNotBinding.
 func (s *Server) TakeOut(ctx context.Context, instance string, incarnation uint64, state backend.State) error {
 	services := s.o.Registry.Mark(instance, incarnation, state)
+	s.departing.sync(time.Now())
 	request := &fleetpb.MarkRequest{Instance: instance, Incarnation: incarnation, State: fleetpb.ServerState(state)}
 	t := &takeOut{server: s, request: request, services: services, told: map[string]bool{s.o.Address: true}}
 	for {
@@ -177,16 +198,7 @@
 // binding tells whether the hosts that have answered are enough.
 func (t *takeOut) binding() bool {
 	fleet := t.server.o.Source.Fleet()
-	if fleet == nil || len(fleet.Hosts) == 0 {
-		return false
-	}
-	count := 0
-	for _, h := range fleet.Hosts {
-		if t.told[h.FleetAddress] {
-			count++
-		}
-	}
-	if 2*count <= len(fleet.Hosts) {
+	if fleet == nil || !t.majority(fleet.Hosts) || len(fleet.PreviousHosts) > 0 && !t.majority(fleet.PreviousHosts) {
 		return false
 	}
 	for _, service := range t.services {
@@ -197,6 +209,16 @@
 	return true
 }
 
+func (t *takeOut) majority(group []hostset.Host) bool {
+	count := 0
+	for _, h := range group {
+		if t.told[h.FleetAddress] {
+			count++
+		}
+	}
+	return 2*count > len(group)
+}
+
 // round marks the server at every control host that has not answered. It returns as soon as the marks
 // are enough, or when all calls have ended.
 func (t *takeOut) round(ctx context.Context) {
@@ -207,7 +229,7 @@
 			// A mark goes on when the answer was given, so that the other control hosts know soon.
 			bounded, cancel := context.WithTimeout(context.WithoutCancel(ctx), markTimeout)
 			defer cancel()
-			if err := t.server.o.Marker.Mark(bounded, address, t.request); err != nil {
+			if err := t.server.o.Peers.Mark(bounded, address, t.request); err != nil {
 				t.server.o.Logger.Debug("a control host could not be told of a backend server", "address", address, "err", logging.Err(err))
 				address = ""
 			}
@@ -238,7 +260,7 @@
 		}
 	}
 	if fleet := t.server.o.Source.Fleet(); fleet != nil {
-		for _, h := range fleet.Hosts {
+		for _, h := range slices.Concat(fleet.Hosts, fleet.PreviousHosts) {
 			add(h.FleetAddress)
 		}
 	}
--- a/internal/dispatchrpc/alone.go
+++ b/internal/dispatchrpc/alone.go
@@ -169,13 +169,22 @@
 		if rand.IntN(ties) == 0 {
 			best = grant.Server{
 				Service: c.service, Instance: s.Instance, Address: s.Address, DataCentre: s.DataCentre,
-				Alone: true, ListAge: now.Sub(c.heard),
+				Alone: true, ListAge: c.listAge(now),
 			}
 		}
 	}
 	return best, most > 0
 }
 
+// listAge is how long ago the node last knew of every drain of a server.
+func (c *channel) listAge(now time.Time) time.Duration {
+	asOf := c.heard
+	if known := c.client.config.ListAsOf; known != nil {
+		asOf = later(asOf, known())
+	}
+	return now.Sub(asOf)
+}
+
 func (c *channel) heldAt(instance string) int {
 	count := 0
 	for _, l := range c.held {
--- a/internal/dispatchrpc/client.go
+++ b/internal/dispatchrpc/client.go
@@ -27,8 +27,11 @@
 	// Local is the dispatcher of this process; streams to this node itself skip the network. May be nil.
 	Local *Server
 	// Sink takes the dispatchers' lists of backend servers; nil if the node has a registry of its own.
-	Sink   ServerSink
-	Logger *log.Logger
+	Sink ServerSink
+	// ListAsOf is the time by which drains and departures of backend servers are known without a dispatcher;
+	// nil if the node learns of them from dispatchers only.
+	ListAsOf func() time.Time
+	Logger   *log.Logger
 }
 
 // Client is the node's source of grants. It keeps one stream per service to its dispatcher.
--- a/internal/dispatchrpc/news.go
+++ b/internal/dispatchrpc/news.go
@@ -26,7 +26,7 @@
 		}
 		list = append(list, &dispatchpb.ServerEntry{
 			Instance: s.Instance, Address: s.Address, DataCentre: s.DataCentre,
-			Slots: uint32(max(s.Slots, 0)), Connections: uint32(max(s.Connections, 0)),
+			Slots: uint32(max(s.Slots, 0)), Connections: uint32(max(s.Connections, 0)), Incarnation: s.Incarnation,
 		})
 	}
 	slices.SortFunc(list, func(a, b *dispatchpb.ServerEntry) int { return cmp.Compare(a.Instance, b.Instance) })
--- a/internal/membership/serve.go
+++ b/internal/membership/serve.go
@@ -83,6 +83,15 @@
 	return services
 }
 
+// Each calls the function for every entry of a backend server. The function must not call the runner.
+func (r *Runner) Each(f func(backend.Server)) {
+	r.locked(func(s *State, _ time.Time) {
+		for _, e := range s.servers {
+			f(e.Server)
+		}
+	})
+}
+
 // Announce records an announcement that a backend server made to this node now. A node outside
 // the host set of the service forwards it to a member.
 // Errors: MalformedError, SupersededError, UnknownServiceError, UnreachableSetError.
