attach: take heartbeat answers that come late

Cause: an answer after the deadline was dropped, so a host whose round trip is longer than that learns nothing at all. Ruled out: control hosts that are slow for all (the other 104 hosts stayed attached).

After 400 ms another control host is asked as well, and an answer counts for 2 s. TestLateHeartbeatAnswersCount failed before: with answers after 900 ms the host knew no dispatcher after 3 s.

--- a/internal/attach/client.go
+++ b/internal/attach/client.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/charmbracelet/log"
+	"github.com/pkg/errors"
 
 	"github.com/tarragonmux/tarragonmux/internal/leadership"
 	"github.com/tarragonmux/tarragonmux/internal/logging"
@@ -16,8 +17,12 @@
 const (
 	// HeartbeatEvery is the time between two heartbeats of an entry host.
 	HeartbeatEvery = 500 * time.Millisecond
-	// callTimeout bounds a heartbeat, so that a silent control host is passed over within a second.
+	// callTimeout is how long an answer is awaited before another control host is asked as well, so that a
+	// silent one is passed over within a second.
 	callTimeout = 400 * time.Millisecond
+	// lateTimeout bounds a heartbeat. A late answer still tells what has changed; one that is later than the
+	// 2 s of a drain is of no use.
+	lateTimeout = 2 * time.Second
 	// retryEvery is the pause before the next control host is tried.
 	retryEvery = 50 * time.Millisecond
 	// seekEvery is the pause between heartbeats while a service has no known dispatcher.
@@ -99,11 +104,13 @@
 
 // Run sends heartbeats until the context ends.
 func (c *Client) Run(ctx context.Context) error {
+	var late sync.WaitGroup
+	defer late.Wait()
 	tries, outdated := 0, 0
 	for ctx.Err() == nil {
 		pause := HeartbeatEvery
 		switch {
-		case !c.heartbeat(ctx):
+		case !c.heartbeat(ctx, &late):
 			pause = retryEvery
 		case c.seeking():
 			pause = seekEvery
@@ -130,24 +137,43 @@
 	return nil
 }
 
-// heartbeat sends one heartbeat and turns to another control host if it fails.
-func (c *Client) heartbeat(ctx context.Context) bool {
+// errLate means that a control host has not answered in time; its answer still counts when it comes.
+var errLate = errors.New("the control host has not answered in time; check its load and the links of both hosts")
+
+// heartbeat sends one heartbeat, and turns to another control host if it fails or is late.
+func (c *Client) heartbeat(ctx context.Context, late *sync.WaitGroup) bool {
 	address, request := c.request()
 	if address == "" {
 		return false
 	}
-	bounded, cancel := context.WithTimeout(ctx, callTimeout)
+	sent := time.Now()
+	answered := make(chan error, 1)
+	late.Go(func() { answered <- c.call(ctx, address, request) })
+	timer := time.NewTimer(callTimeout)
+	defer timer.Stop()
+	err := errLate
+	select {
+	case err = <-answered:
+	case <-timer.C:
+	}
+	if err != nil {
+		c.lost(address, time.Since(sent), err)
+	}
+	return err == nil
+}
+
+// call sends one heartbeat and takes its answer.
+func (c *Client) call(ctx context.Context, address string, request *fleetpb.AttachRequest) error {
+	ctx, cancel := context.WithTimeout(ctx, lateTimeout)
 	defer cancel()
 	sent := time.Now()
-	reply, err := c.o.Caller.Attach(bounded, address, request)
-	took := time.Since(sent)
-	c.o.Metrics.heartbeat(took, err)
+	reply, err := c.o.Caller.Attach(ctx, address, request)
+	c.o.Metrics.heartbeat(time.Since(sent), err)
 	if err != nil {
-		c.lost(address, took, err)
-		return false
+		return err
 	}
 	c.learn(address, sent, reply)
-	return true
+	return nil
 }
 
 func (c *Client) request() (string, *fleetpb.AttachRequest) {
@@ -217,7 +243,10 @@
 		c.attached = false
 		c.o.Logger.Warn("lost the control host", "address", address, "waited_ms", took.Milliseconds(), "err", logging.Err(err))
 	}
-	c.address = c.next(address)
+	// A late answer may have come from another one meanwhile.
+	if c.address == address {
+		c.address = c.next(address)
+	}
 }
 
 // learn takes the answer to a heartbeat that was sent at the given time.
@@ -226,6 +255,7 @@
 	c.mu.Lock()
 	if !c.attached {
 		c.attached = true
+		c.address = address
 		c.o.Logger.Info("attached to a control host", "address", address, "answered_ms", time.Since(sent).Milliseconds(),
 			"control_hosts", len(reply.GetControl()))
 	}
--- a/internal/attach/departing_test.go
+++ b/internal/attach/departing_test.go
@@ -174,3 +174,50 @@
 		g.Expect(reply.GetDeparturesAgeMs()).To(BeNumerically("~", 150, 350))
 	})
 }
+
+// slow answers after a while, as through the full link of a small host.
+type slow struct {
+	*controls
+	after time.Duration
+}
+
+func (s slow) Attach(ctx context.Context, address string, r *fleetpb.AttachRequest) (*fleetpb.AttachReply, error) {
+	reply, err := s.controls.Attach(ctx, address, r)
+	select {
+	case <-time.After(s.after):
+		return reply, err
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+}
+
+// A host whose link is full gets every answer late. If late answers were dropped, it would go on with its last
+// list for as long as its link is full, and leave the directory's control hosts without its state.
+func TestLateHeartbeatAnswersCount(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		ctx, cancel := context.WithCancel(context.Background())
+		var running sync.WaitGroup
+		defer running.Wait()
+		defer cancel()
+		c := startControls(ctx, &running)
+		time.Sleep(5 * time.Second)
+		servers := attach.NewServers()
+		servers.TakeNews("cuefeed", &dispatchpb.ServerNews{Reset_: true, Changed: []*dispatchpb.ServerEntry{{Instance: "i-1", Incarnation: 5}}})
+		client := attach.NewClient(attach.ClientOptions{
+			ID: "front-1", Incarnation: 3, DataCentre: "a", Caller: slow{c, 900 * time.Millisecond}, Servers: servers, Logger: logging.Discard(),
+			Seeds: func() []string { return []string{"a:1", "b:1", "c:1"} },
+		})
+		running.Go(func() { _ = client.Run(ctx) })
+		time.Sleep(3 * time.Second)
+		_, known := client.Dispatcher("cuefeed")
+		g.Expect(known).To(BeTrue())
+		g.Expect(c.servers["b:1"].Announce(ctx, drained(backend.Ready))).To(Succeed())
+		g.Expect(c.servers["b:1"].Announce(ctx, drained(backend.Draining))).To(Succeed())
+		confirmed := time.Now()
+		for len(servers.Servers("cuefeed")) > 0 {
+			time.Sleep(10 * time.Millisecond)
+			g.Expect(time.Since(confirmed)).To(BeNumerically("<", 2*time.Second), "the bound on drains")
+		}
+	})
+}
--- a/internal/attach/doc.go
+++ b/internal/attach/doc.go
@@ -3,7 +3,7 @@
 // In a fleet that discovers its hosts, only the control hosts gossip with each other, vote and
 // dispatch. An entry host attaches to them: every HeartbeatEvery it tells one control host its address
 // and readiness, and learns the control hosts, the dispatchers and the newest configuration revision.
-// When that host does not answer, or does not know the successor of a lost dispatcher, it turns to the next one. So an idle entry host costs two small
+// When that host does not answer within 400 ms, or does not know the successor of a lost dispatcher, it turns to the next one; a late answer still counts. So an idle entry host costs two small
 // messages per second, however many hosts and backend servers there are, and the control hosts know of
 // a lost entry host after DirectoryAge. Word of a dispatcher with a lower term is refused until no control
 // host has named the higher one for three heartbeats.
