attach: keep missed entry hosts in the directory when most are missed at once

Cause: the directory dropped all 97 hosts that it no longer heard, although they served, and sent all callers to 11 hosts with a link of 3.1 Mbit/s each. Their full links delayed heartbeats by more than 0.4 s, and most of the failed requests up to second 28 were still theirs.

If more hosts are missed than heard, and more than two, the missed ones are listed for 30 s as well: the control hosts have lost their links. Hosts that leave are never meant. The test failed before with 2 of 10 hosts listed.

--- a/internal/attach/attach_test.go
+++ b/internal/attach/attach_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -197,6 +198,39 @@
 	g.Expect(beat(fleetpb.NodeState_NODE_STATE_ALIVE, true).GetKnownIncarnation()).To(BeEquivalentTo(77))
 }
 
+// Control hosts that lose most entry hosts at once have lost their own links. Callers that are all sent to the
+// few hosts left fill the links of these, although the others still serve.
+func TestDirectoryKeepsHostsWhenMostAreLostAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		s, _, _ := newServer("b")
+		beat := func(from, to int, state fleetpb.NodeState) {
+			for i := from; i < to; i++ {
+				_, err := s.Attach(context.Background(), &fleetpb.AttachRequest{Host: &fleetpb.Node{
+					Id: fmt.Sprint("front-", i), Incarnation: 4, State: state, Ready: true, EntryAddress: fmt.Sprintf("10.0.0.%d:80", i), DataCentre: "a",
+				}})
+				g.Expect(err).NotTo(HaveOccurred())
+			}
+		}
+		listed := func() int { return len(s.Endpoints(time.Now())) }
+		alive, leaving := fleetpb.NodeState_NODE_STATE_ALIVE, fleetpb.NodeState_NODE_STATE_LEAVING
+		beat(0, 10, alive)
+		time.Sleep(attach.DirectoryAge)
+		beat(0, 5, alive)
+		g.Expect(listed()).To(Equal(5), "as many are lost as are left: these have failed")
+		time.Sleep(attach.DirectoryAge)
+		beat(0, 2, alive)
+		g.Expect(listed()).To(Equal(10), "most were lost at once")
+		beat(2, 4, leaving)
+		g.Expect(listed()).To(Equal(8), "hosts that left are not meant")
+		beat(4, 7, alive)
+		g.Expect(listed()).To(Equal(5), "most are there again")
+		time.Sleep(30 * time.Second)
+		beat(0, 1, alive)
+		g.Expect(listed()).To(Equal(1), "hosts that stay away have failed after all")
+	})
+}
+
 // beats is a fake of the control hosts' side.
 type beats struct {
 	mu    sync.Mutex
--- a/internal/attach/server.go
+++ b/internal/attach/server.go
@@ -22,6 +22,11 @@
 	entryHosts = "entry hosts"
 	// DirectoryAge is the age of the last heartbeat at which an entry host is no longer listed.
 	DirectoryAge = 2 * time.Second
+	// missedFor is how long an entry host that is no longer heard counts as one that may still serve. Control
+	// hosts that are cut off are back in less, and callers pass over addresses that fail them.
+	missedFor = 30 * time.Second
+	// fewMissed is up to how many missed hosts may well have failed, one by one.
+	fewMissed = 2
 	// markEvery is the pause between two rounds of marks to control hosts that have not answered.
 	markEvery = 50 * time.Millisecond
 	// markTimeout bounds one mark.
@@ -131,15 +136,25 @@
 	return reply
 }
 
-// Endpoints lists the entry hosts that serve callers at present.
+// Endpoints lists the entry hosts that serve callers at present. If more are missed than heard, the control hosts
+// have lost their own links rather than most entry hosts at once, so the missed ones are listed as well.
 func (s *Server) Endpoints(now time.Time) []hostset.Endpoint {
-	var list []hostset.Endpoint
+	var heard, missed []hostset.Endpoint
 	for _, h := range s.o.Registry.Servers(entryHosts) {
-		if h.State == backend.Ready && now.Sub(h.Renewed) < DirectoryAge {
-			list = append(list, hostset.Endpoint{Node: h.Instance, Address: h.Address, DataCentre: h.DataCentre})
+		endpoint := hostset.Endpoint{Node: h.Instance, Address: h.Address, DataCentre: h.DataCentre}
+		silent := now.Sub(h.Renewed)
+		switch {
+		case h.State != backend.Ready:
+		case silent < DirectoryAge:
+			heard = append(heard, endpoint)
+		case silent < missedFor:
+			missed = append(missed, endpoint)
 		}
 	}
-	return list
+	if len(missed) > max(len(heard), fewMissed) {
+		return append(heard, missed...)
+	}
+	return heard
 }
 
 // Mark records the mark of another control host.
