roundtrip: notice bytes that are no answer at the first one

A backend server in trouble may send bytes that are no answer, in a head or a body, until its caller closes. Callers got 504 after their whole deadline from a server that never ends its first line.

Cause: the head was read up to a line end or 256 KiB, so bytes that come slowly or stop kept the request to its deadline.

Each head must begin with HTTP/1. as its bytes arrive.

--- a/internal/entry/keyless_test.go
+++ b/internal/entry/keyless_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
@@ -86,6 +87,25 @@
 		Expect(runs.Load()).To(BeEquivalentTo(3))
 	})
 
+	// A server in trouble may send bytes that are no answer and never end them; the request must reach another
+	// server while its caller still waits.
+	It("tries another server when bytes that are no answer come without end", func() {
+		garbage := raw(func(c net.Conn) {
+			for {
+				if _, err := io.WriteString(c, "garbage "); err != nil {
+					return
+				}
+				time.Sleep(20 * time.Millisecond)
+			}
+		})
+		var worked atomic.Int64
+		f := start(limited(2), garbage, status(200, &worked))
+		began := time.Now()
+		Expect(f.do("GET", "/read", "").status).To(Equal(200))
+		Expect(worked.Load()).To(BeEquivalentTo(1))
+		Expect(time.Since(began)).To(BeNumerically("<", 500*time.Millisecond))
+	})
+
 	// A server that reports a failure of its own may be followed by one that works; if there is none, the
 	// caller gets the server's answer and not one of the host.
 	It("tries another server after a failure that a server reports", func() {
--- a/internal/entry/roundtrip/conn.go
+++ b/internal/entry/roundtrip/conn.go
@@ -61,6 +61,24 @@
 	return n, err
 }
 
+// headBegins is how each answer begins.
+const headBegins = "HTTP/1."
+
+// expectHead waits for the beginning of an answer. Other bytes are noticed at the first one, since neither a
+// line end nor the end of the connection may ever follow.
+func (c *conn) expectHead() error {
+	for i := range len(headBegins) {
+		begin, err := c.br.Peek(i + 1)
+		if err != nil {
+			return err
+		}
+		if begin[i] != headBegins[i] {
+			return ErrNoAnswer
+		}
+	}
+	return nil
+}
+
 // abort closes the connection under a reader or writer that is blocked on it.
 func (c *conn) abort() {
 	c.closeOnce.Do(func() {
--- a/internal/entry/roundtrip/errors.go
+++ b/internal/entry/roundtrip/errors.go
@@ -55,6 +55,8 @@
 var (
 	// ErrNotStarted means that Request.Start forbade the write.
 	ErrNotStarted = errors.New("the request was withdrawn before it was written; acquire a new grant")
+	// ErrNoAnswer means that the server sent something that is no answer of HTTP/1.
+	ErrNoAnswer = errors.New("the server sent bytes that are no answer; check what listens at its address")
 	// ErrAborted means that Abort was called.
 	ErrAborted = errors.New("the attempt was aborted, since another one answered; no action is needed")
 	// ErrNoConnection means that all connections to the server stayed busy.
--- a/internal/entry/roundtrip/roundtrip.go
+++ b/internal/entry/roundtrip/roundtrip.go
@@ -314,6 +314,9 @@
 		request = headRequest
 	}
 	for range maxInformational {
+		if err := c.expectHead(); err != nil {
+			return &Error{Stage: Head, Err: err}
+		}
 		response, err := http.ReadResponse(c.br, request)
 		if err != nil {
 			return &Error{Stage: Head, Err: err}
