roundtrip: close idle connections on which a server goes on sending

Bytes behind a complete answer stayed in the buffers of the idle connection, and count as memory of the host, until the connection was reused or 15 s old.

Idle connections are looked through every second, and those with bytes to read or closed by the server are closed. The test failed before: the connection was open after 2 s.

--- a/internal/entry/roundtrip/endless_test.go
+++ b/internal/entry/roundtrip/endless_test.go
@@ -105,6 +105,18 @@
 	}
 }
 
+// A server that goes on after the end of its answer fills the buffers of an idle connection, which count as
+// memory of the host.
+func TestIdleConnectionsWithUnaskedBytesAreClosed(t *testing.T) {
+	g := NewWithT(t)
+	p := newPool(t, roundtrip.Config{})
+	f := &flood{begin: "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nright", rest: "and more ", pause: 50 * time.Millisecond}
+	body, err := fetch(context.Background(), p, f.listen(t), "/")
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(body).To(Equal("right"))
+	g.Eventually(f.closed.Load, 2*time.Second).Should(BeTrue())
+}
+
 // A body without end has to stop with the request, also if it is framed well.
 func TestBodiesWithoutEndStopWithTheRequest(t *testing.T) {
 	for name, f := range map[string]*flood{
--- a/internal/entry/roundtrip/pool.go
+++ b/internal/entry/roundtrip/pool.go
@@ -21,8 +21,10 @@
 	MaxHeadBytes = 256 << 10
 
 	bufferBytes = 4 << 10
-	// minSweep bounds how often idle connections are looked through.
+	// minSweep and maxSweep bound the pause between two looks at the idle connections. What a server sends on
+	// them unasked counts as memory of this host until they are closed.
 	minSweep = 10 * time.Millisecond
+	maxSweep = time.Second
 )
 
 // Config sets up a pool. Zero values mean the defaults.
@@ -220,7 +222,7 @@
 
 func (p *Pool) sweepUntilClosed() {
 	defer close(p.done)
-	ticker := time.NewTicker(max(p.cfg.IdleTimeout/4, minSweep))
+	ticker := time.NewTicker(min(max(p.cfg.IdleTimeout/4, minSweep), maxSweep))
 	defer ticker.Stop()
 	for {
 		select {
@@ -232,14 +234,15 @@
 	}
 }
 
-// sweep closes connections that are idle for too long and forgets unused addresses.
+// sweep closes connections that are idle for too long, were closed by the server or hold bytes that nobody asked
+// for, and forgets unused addresses.
 func (p *Pool) sweep(now time.Time) {
 	p.mu.Lock()
 	var expired []*conn
 	for address, s := range p.servers {
 		fresh := s.idle[:0]
 		for _, c := range s.idle {
-			if now.Sub(c.idleSince) >= p.cfg.IdleTimeout {
+			if now.Sub(c.idleSince) >= p.cfg.IdleTimeout || !c.quiet() {
 				expired = append(expired, c)
 				continue
 			}
