grants: forget servers that failed a host alone long ago

A host without its dispatcher kept one entry for each server that ever failed it, also of servers that are gone. Entries that no longer count are dropped when one is added. The test failed before with 1,000 entries.

--- a/internal/dispatchrpc/alone.go
+++ b/internal/dispatchrpc/alone.go
@@ -1,6 +1,7 @@
 package dispatchrpc
 
 import (
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -142,6 +143,7 @@
 		if c.alone.failed == nil {
 			c.alone.failed = map[string]time.Time{}
 		}
+		maps.DeleteFunc(c.alone.failed, func(_ string, at time.Time) bool { return now.Sub(at) >= avoidAlone })
 		c.alone.failed[instance] = now
 	}
 }
--- a/internal/dispatchrpc/alone_test.go
+++ b/internal/dispatchrpc/alone_test.go
@@ -75,3 +75,14 @@
 	g.Expect(c.chosen(now.Add(2*time.Second))).To(HaveLen(4), "rather one that failed than none")
 	g.Expect(c.chosen(now.Add(3500 * time.Millisecond))).To(And(HaveLen(2), HaveKey("s0"), HaveKey("s1")))
 }
+
+// Servers come and go for as long as a host runs; a memory of every one that ever failed it only grows.
+func TestHostsAloneForgetOldFailures(t *testing.T) {
+	g := NewWithT(t)
+	now := time.Unix(1000, 0)
+	c := lonely(now)
+	for i := range 1000 {
+		c.noteAlone(now.Add(time.Duration(i)*time.Second), fmt.Sprint("gone-", i), grant.Broken)
+	}
+	g.Expect(len(c.alone.failed)).To(BeNumerically("<=", 3))
+}
