--- a/internal/attach/departing.go
+++ b/internal/attach/departing.go
@@ -180,7 +180,7 @@
 	defer d.mu.Unlock()
 	old := d.age(now)
 	outdated := old < 0 || old >= currentFor
-	if outdated == d.outdated {
+	if outdated == d.outdated || old < 0 && d.recovering(now) {
 		return
 	}
 	d.outdated = outdated
