--- a/internal/dispatch/crash.go
+++ b/internal/dispatch/crash.go
@@ -217,7 +217,7 @@
 	s.crashedAt = now
 	if s.state == inRotation {
 		m.stats.Crashes++
-		m.hold(now, s)
+		m.hold(now, s, "")
 	}
 }
 
--- a/internal/dispatch/ejection.go
+++ b/internal/dispatch/ejection.go
@@ -159,14 +159,14 @@
 }
 
 // hold takes a server that crashed out of rotation for a short time.
-func (m *Machine) hold(now time.Time, s *server) {
+func (m *Machine) hold(now time.Time, s *server, why string) {
 	if s.state == inRotation && !m.allowed(now, s) {
 		m.limitToOne(now, s)
 		return
 	}
 	s.holds++
 	m.takeOut(now, s, held)
-	m.note(now, s, eventHeld, "")
+	m.note(now, s, eventHeld, why)
 	s.stateUntil = now.Add(min(holdFor<<min(s.holds-1, 10), holdCap))
 }
 
@@ -196,15 +196,15 @@
 			m.putBack(now, s)
 			return
 		}
-		m.failCanary(now, s)
+		m.failCanary(now, s, "canary was slow: "+latency.String())
 	case grant.Error, grant.ConnectFailed, grant.Broken, grant.Timeout:
-		m.failCanary(now, s)
+		m.failCanary(now, s, "canary ended: "+result.String())
 	}
 }
 
-func (m *Machine) failCanary(now time.Time, s *server) {
+func (m *Machine) failCanary(now time.Time, s *server, why string) {
 	if s.crashHeld() {
-		m.hold(now, s)
+		m.hold(now, s, why)
 		return
 	}
 	if s.failed {
