grants: hosts without a dispatcher share the retries of the service

Cause: each host that places alone had a tenth of its requests and three more in 10 s as retries, whatever the service's bounds; 29 hosts have 87 so.

A host alone now uses the bounds of the settings, with its part of the floor by the number of entry hosts, which control hosts tell with heartbeats. Less than one retry a host is given to some of them at random. The test failed before: 97 hosts with 400 requests sent 291 retries, 136 are allowed.

--- a/internal/app/attached.go
+++ b/internal/app/attached.go
@@ -119,6 +119,7 @@
 		Pool:        pool,
 		Sink:        servers,
 		ListAsOf:    servers.CurrentAsOf,
+		Hosts:       a.Hosts,
 		Logger:      logger.WithPrefix("grants"),
 	})
 	start(lc, b, "grants", client.Run)
--- a/internal/attach/client.go
+++ b/internal/attach/client.go
@@ -82,6 +82,8 @@
 	// outdated is set if those were not current.
 	departures fleetpb.DeparturesRequest
 	outdated   bool
+	// hosts is how many entry hosts there are; 0 before it is known.
+	hosts int
 }
 
 var (
@@ -263,6 +265,9 @@
 		c.o.Incarnation = known + 1
 		c.poke()
 	}
+	if count := int(reply.GetEntryHosts()); count > 0 {
+		c.hosts = count
+	}
 	now := time.Now()
 	for _, known := range reply.GetControl() {
 		c.control[known] = now
@@ -368,6 +373,13 @@
 	return slices.Concat(list[at:], list[:at])
 }
 
+// Hosts is how many entry hosts there are, as a control host said last; 0 if none has.
+func (c *Client) Hosts() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.hosts
+}
+
 // SetReady records whether this host serves callers; a change is told at once.
 func (c *Client) SetReady(ready bool) {
 	c.mu.Lock()
--- a/internal/attach/departing.go
+++ b/internal/attach/departing.go
@@ -36,6 +36,8 @@
 	seen map[string]*fleetpb.DeparturesRequest
 	// asking holds the members whose answer is awaited.
 	asking map[string]bool
+	// hosts is how many entry hosts were heard in the last missedFor.
+	hosts int
 	// outdated is whether the last look found the departures too old.
 	outdated bool
 }
@@ -128,9 +130,13 @@
 	var late []backend.Server
 	d.mu.Lock()
 	d.departures.expire(now)
+	d.hosts = 0
 	d.o.Registry.Each(func(b backend.Server) {
 		switch {
 		case b.Service == entryHosts:
+			if b.State == backend.Ready && now.Sub(b.Renewed) < missedFor {
+				d.hosts++
+			}
 		case b.State >= backend.Draining:
 			d.departures.record(now, b.Instance, b.Incarnation)
 		case d.departures.covers(b.Instance, b.Incarnation):
@@ -155,6 +161,13 @@
 	return news, d.age(now).Milliseconds()
 }
 
+// entryHosts is how many entry hosts there are.
+func (d *departing) entryHosts() int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.hosts
+}
+
 func (d *departing) recovering(now time.Time) bool {
 	return now.Sub(d.started) < recoverFor
 }
--- a/internal/attach/server.go
+++ b/internal/attach/server.go
@@ -116,6 +116,7 @@
 
 func (s *Server) reply(r *fleetpb.AttachRequest) *fleetpb.AttachReply {
 	reply := &fleetpb.AttachReply{Revision: s.o.Revision(), Control: []string{s.o.Address}}
+	reply.EntryHosts = uint32(s.departing.entryHosts())
 	reply.Departures, reply.DeparturesAgeMs = s.departing.news(time.Now(), r.GetDeparturesLog(), r.GetDeparturesSeen())
 	for _, m := range s.o.Registry.Members() {
 		if m.State == fleetpb.NodeState_NODE_STATE_ALIVE && m.FleetAddress != s.o.Address {
--- a/internal/dispatch/budget.go
+++ b/internal/dispatch/budget.go
@@ -39,6 +39,25 @@
 	b.Share, b.Floor = boundShareUsed*c.RetryShare, boundFloorUsed*c.RetryFloor
 }
 
+// noFloor is a floor that allows nothing, since 0 means the default.
+const noFloor = 1e-9
+
+// LimitAlone takes over the part of one of several hosts that place without a dispatcher. Together they stay
+// within the bounds of the service. Without a known number of hosts there is only the share. A host with few
+// requests has less than one retry; rounding, from 0 to below 1 and drawn at random by each host, lets some of
+// them have one, and the sum stay the same.
+func (b *Budget) LimitAlone(share, floor float64, hosts int, rounding float64) {
+	b.limit(Config{RetryShare: share, RetryFloor: floor})
+	if b.Floor == 0 {
+		b.Floor = budgetFloor
+	}
+	if hosts <= 0 {
+		b.Floor = noFloor
+		return
+	}
+	b.Floor = b.Floor/float64(hosts) + rounding
+}
+
 func (b *Budget) at(now time.Time) *budgetSecond {
 	second := now.Unix()
 	s := &b.seconds[second%budgetSeconds]
--- a/internal/dispatchrpc/alone.go
+++ b/internal/dispatchrpc/alone.go
@@ -35,6 +35,8 @@
 	shares     map[string]int
 	computedAt time.Time
 	budget     dispatch.Budget
+	// rounding decides whether this host has the retry of which each host has a part.
+	rounding float64
 	// failed is when a server failed a request of this host that no dispatcher placed.
 	failed map[string]time.Time
 	// unreported is set by a grant between the hello of a stream and its first answer.
@@ -206,6 +208,7 @@
 		return
 	}
 	c.alone.computedAt = now
+	c.alone.budget.LimitAlone(settings.RetryShare, settings.RetryFloor, c.hosts(settings), c.alone.rounding)
 	c.alone.shares = map[string]int{}
 	for _, s := range c.client.config.Registry.Servers(c.service) {
 		slots := s.Slots
@@ -223,6 +226,18 @@
 	}
 }
 
+// hosts is how many hosts may place work of the service alone; 0 if it is not known.
+func (c *channel) hosts(settings ServiceSettings) int {
+	switch {
+	case len(settings.Members) > 0:
+		return len(settings.Members)
+	case c.client.config.Hosts != nil:
+		return c.client.config.Hosts()
+	default:
+		return 0
+	}
+}
+
 func (c *channel) hasShare(now time.Time) bool {
 	c.refreshShares(now)
 	for _, s := range c.client.config.Registry.Servers(c.service) {
--- a/internal/dispatchrpc/alone_test.go
+++ b/internal/dispatchrpc/alone_test.go
@@ -86,3 +86,39 @@
 	}
 	g.Expect(len(c.alone.failed)).To(BeNumerically("<=", 3))
 }
+
+// Hosts that lose their dispatcher at once all place alone. If each had the retries of the whole service, they
+// would send several times as many together, at the moment when the servers can bear the least.
+func TestHostsAloneShareTheRetriesOfTheService(t *testing.T) {
+	for _, hosts := range []int{1, 29, 97} {
+		g := NewWithT(t)
+		const share, floor, requests = 0.2, 56.0, 400
+		now := time.Unix(1000, 0)
+		extra := 0
+		for range hosts {
+			c := lonely(now)
+			c.client.config.Settings = bounded{share, floor}
+			c.client.config.Hosts = func() int { return hosts }
+			c.alone.shares = nil
+			c.refreshShares(now)
+			for range requests / hosts {
+				c.alone.budget.Spend(now, false)
+				for c.alone.budget.Allows(now) {
+					c.alone.budget.Spend(now, true)
+					extra++
+				}
+			}
+		}
+		g.Expect(extra).To(BeNumerically("<=", share*requests+floor), "%d hosts", hosts)
+		g.Expect(extra).To(BeNumerically(">", share*requests/2), "%d hosts: the share is used", hosts)
+	}
+}
+
+// bounded sets the bounds of retries.
+type bounded struct{ share, floor float64 }
+
+func (bounded) Services() []string { return []string{"cuefeed"} }
+
+func (b bounded) Service(string) (ServiceSettings, bool) {
+	return ServiceSettings{RetryShare: b.share, RetryFloor: b.floor, DefaultSlots: 6}, true
+}
--- a/internal/dispatchrpc/channel.go
+++ b/internal/dispatchrpc/channel.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -74,6 +75,7 @@
 		out:   &dispatchpb.NodeBatch{},
 		wake:  make(chan struct{}, 1),
 		heard: time.Now(),
+		alone: alone{rounding: rand.Float64()},
 	}
 }
 
--- a/internal/dispatchrpc/client.go
+++ b/internal/dispatchrpc/client.go
@@ -31,7 +31,10 @@
 	// ListAsOf is the time by which drains and departures of backend servers are known without a dispatcher;
 	// nil if the node learns of them from dispatchers only.
 	ListAsOf func() time.Time
-	Logger   *log.Logger
+	// Hosts is how many hosts share the retries of a service while they have no dispatcher, where the
+	// settings do not list them; nil or 0 if it is not known.
+	Hosts  func() int
+	Logger *log.Logger
 }
 
 // Client is the node's source of grants. It keeps one stream per service to its dispatcher.
