--- a/internal/attach/departures_test.go
+++ b/internal/attach/departures_test.go
@@ -49,7 +49,7 @@
 			told[m] = true
 		}
 		confirmed := rapid.IntRange(0, 1000).Draw(t, "confirmed")
-		var c currency
+		var c freshness
 		knows := false
 		for _, m := range members {
 			if !rapid.Bool().Draw(t, "answers") {
@@ -75,7 +75,7 @@
 		}
 		return list
 	}
-	var c currency
+	var c freshness
 	now := time.Unix(1000, 0)
 	for _, m := range []string{"c", "d", "e"} {
 		c.answered(m, now)
--- a/internal/attach/currency.go
+++ b/internal/attach/freshness.go
@@ -7,16 +7,16 @@
 	"github.com/tarragonmux/tarragonmux/internal/hostset"
 )
 
-// currency tells how current the departures of a control host are. A departure is confirmed by a majority of
+// freshness tells how current the departures of a control host are. A departure is confirmed by a majority of
 // the control group, so a host that has asked a majority after that knows it. It is a pure state machine and
 // not safe for concurrent use.
-type currency struct {
+type freshness struct {
 	// asked is when each member was asked that has answered, by fleet address.
 	asked map[string]time.Time
 }
 
 // answered records the answer of a member to a question that was sent at the given time.
-func (c *currency) answered(address string, sent time.Time) {
+func (c *freshness) answered(address string, sent time.Time) {
 	if c.asked == nil {
 		c.asked = map[string]time.Time{}
 	}
@@ -27,7 +27,7 @@
 
 // asOf returns the time up to which all confirmed departures are known, or the zero time. After a change of the
 // group a majority of the former one counts as well, since it may still confirm.
-func (c *currency) asOf(fleet *hostset.Fleet) time.Time {
+func (c *freshness) asOf(fleet *hostset.Fleet) time.Time {
 	if fleet == nil {
 		return time.Time{}
 	}
@@ -41,7 +41,7 @@
 }
 
 // majority returns the latest time by which a majority of the group was asked.
-func (c *currency) majority(group []hostset.Host) time.Time {
+func (c *freshness) majority(group []hostset.Host) time.Time {
 	if len(group) == 0 {
 		return time.Time{}
 	}
--- a/internal/attach/server.go
+++ b/internal/attach/server.go
@@ -70,19 +70,19 @@
 // Server is the control hosts' side: it knows the entry hosts and takes backend servers out. It is
 // safe for concurrent use.
 type Server struct {
-	o         ServerOptions
-	departing *departing
+	o       ServerOptions
+	tracker *tracker
 }
 
 // NewServer returns a server.
 func NewServer(o ServerOptions) *Server {
 	o.Logger = o.Logger.WithPrefix("attach")
-	return &Server{o: o, departing: newDeparting(&o)}
+	return &Server{o: o, tracker: newTracker(&o)}
 }
 
 // Run keeps the departures current until the context ends.
 func (s *Server) Run(ctx context.Context) error {
-	return s.departing.run(ctx)
+	return s.tracker.run(ctx)
 }
 
 // Attach records the heartbeat of an entry host and tells it what it needs.
@@ -116,8 +116,8 @@
 
 func (s *Server) reply(r *fleetpb.AttachRequest) *fleetpb.AttachReply {
 	reply := &fleetpb.AttachReply{Revision: s.o.Revision(), Control: []string{s.o.Address}}
-	reply.EntryHosts = uint32(s.departing.entryHosts())
-	reply.Departures, reply.DeparturesAgeMs = s.departing.news(time.Now(), r.GetDeparturesLog(), r.GetDeparturesSeen())
+	reply.EntryHosts = uint32(s.tracker.entryHosts())
+	reply.Departures, reply.DeparturesAgeMs = s.tracker.news(time.Now(), r.GetDeparturesLog(), r.GetDeparturesSeen())
 	for _, m := range s.o.Registry.Members() {
 		if m.State == fleetpb.NodeState_NODE_STATE_ALIVE && m.FleetAddress != s.o.Address {
 			reply.Control = append(reply.Control, m.FleetAddress)
@@ -161,7 +161,7 @@
 // Mark records the mark of another control host.
 func (s *Server) Mark(_ context.Context, r *fleetpb.MarkRequest) (*fleetpb.MarkReply, error) {
 	services := s.o.Registry.Mark(r.GetInstance(), r.GetIncarnation(), backend.State(r.GetState()))
-	s.departing.sync(time.Now())
+	s.tracker.sync(time.Now())
 	s.o.Logger.Info("marked a backend server for another control host", "instance", r.GetInstance(), "incarnation", r.GetIncarnation(),
 		"state", backend.State(r.GetState()).String(), "services", services)
 	return &fleetpb.MarkReply{}, nil
@@ -169,7 +169,7 @@
 
 // ListDepartures answers another control host that keeps its departures current.
 func (s *Server) ListDepartures(_ context.Context, r *fleetpb.DeparturesRequest) (*fleetpb.Departures, error) {
-	news, _ := s.departing.news(time.Now(), r.GetLog(), r.GetSeen())
+	news, _ := s.tracker.news(time.Now(), r.GetLog(), r.GetSeen())
 	return news, nil
 }
 
@@ -179,7 +179,7 @@
 // Errors: ErrNotBinding.
 func (s *Server) TakeOut(ctx context.Context, instance string, incarnation uint64, state backend.State) error {
 	services := s.o.Registry.Mark(instance, incarnation, state)
-	s.departing.sync(time.Now())
+	s.tracker.sync(time.Now())
 	request := &fleetpb.MarkRequest{Instance: instance, Incarnation: incarnation, State: fleetpb.ServerState(state)}
 	t := &takeOut{server: s, request: request, services: services, told: map[string]bool{s.o.Address: true}}
 	for {
--- a/internal/attach/departing.go
+++ b/internal/attach/tracker.go
@@ -24,14 +24,14 @@
 	recoverFor = 3 * time.Second
 )
 
-// departing keeps the departures of a control host current.
-type departing struct {
+// tracker keeps the departures of a control host current.
+type tracker struct {
 	o       *ServerOptions
 	started time.Time
 
 	mu         sync.Mutex
 	departures *departures
-	currency   currency
+	freshness  freshness
 	// seen is what each member of the group has told, by fleet address.
 	seen map[string]*fleetpb.DeparturesRequest
 	// asking holds the members whose answer is awaited.
@@ -42,145 +42,145 @@
 	outdated bool
 }
 
-func newDeparting(o *ServerOptions) *departing {
-	return &departing{
+func newTracker(o *ServerOptions) *tracker {
+	return &tracker{
 		o: o, started: time.Now(), departures: newDepartures(o.Incarnation),
 		seen: map[string]*fleetpb.DeparturesRequest{}, asking: map[string]bool{},
 	}
 }
 
-func (d *departing) run(ctx context.Context) error {
+func (t *tracker) run(ctx context.Context) error {
 	ticker := time.NewTicker(askEvery)
 	defer ticker.Stop()
 	var running sync.WaitGroup
 	defer running.Wait()
 	for {
-		d.sync(time.Now())
-		for _, address := range d.members() {
-			running.Go(func() { d.ask(ctx, address) })
+		t.sync(time.Now())
+		for _, address := range t.members() {
+			running.Go(func() { t.ask(ctx, address) })
 		}
 		select {
 		case <-ctx.Done():
 			return nil
 		case now := <-ticker.C:
-			d.note(now)
+			t.note(now)
 		}
 	}
 }
 
 // members lists the members of the control group that are to be asked now.
-func (d *departing) members() (list []string) {
-	fleet := d.o.Source.Fleet()
+func (t *tracker) members() (list []string) {
+	fleet := t.o.Source.Fleet()
 	if fleet == nil {
 		return nil
 	}
-	d.mu.Lock()
-	defer d.mu.Unlock()
+	t.mu.Lock()
+	defer t.mu.Unlock()
 	for _, h := range slices.Concat(fleet.Hosts, fleet.PreviousHosts) {
-		if h.FleetAddress != d.o.Address && !d.asking[h.FleetAddress] {
-			d.asking[h.FleetAddress] = true
+		if h.FleetAddress != t.o.Address && !t.asking[h.FleetAddress] {
+			t.asking[h.FleetAddress] = true
 			list = append(list, h.FleetAddress)
 		}
 	}
 	return list
 }
 
-func (d *departing) ask(ctx context.Context, address string) {
-	d.mu.Lock()
-	request := d.seen[address]
-	d.mu.Unlock()
+func (t *tracker) ask(ctx context.Context, address string) {
+	t.mu.Lock()
+	request := t.seen[address]
+	t.mu.Unlock()
 	if request == nil {
 		request = &fleetpb.DeparturesRequest{}
 	}
 	bounded, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
 	sent := time.Now()
-	reply, err := d.o.Peers.Departures(bounded, address, request)
+	reply, err := t.o.Peers.Departures(bounded, address, request)
 	if err != nil {
-		d.o.Logger.Debug("a control host did not tell its departures", "address", address, "err", logging.Err(err))
+		t.o.Logger.Debug("a control host did not tell its departures", "address", address, "err", logging.Err(err))
 	} else {
-		d.merge(time.Now(), reply)
+		t.merge(time.Now(), reply)
 	}
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	delete(d.asking, address)
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	delete(t.asking, address)
 	if err != nil {
 		return
 	}
-	d.seen[address] = &fleetpb.DeparturesRequest{Log: reply.GetLog(), Seen: reply.GetSeen()}
+	t.seen[address] = &fleetpb.DeparturesRequest{Log: reply.GetLog(), Seen: reply.GetSeen()}
 	if !reply.GetRecovering() {
-		d.currency.answered(address, sent)
+		t.freshness.answered(address, sent)
 	}
 }
 
 // merge takes the departures that another control host told.
-func (d *departing) merge(now time.Time, news *fleetpb.Departures) {
+func (t *tracker) merge(now time.Time, news *fleetpb.Departures) {
 	for _, e := range news.GetList() {
-		d.mu.Lock()
-		fresh := d.departures.record(now, e.GetInstance(), e.GetIncarnation())
-		d.mu.Unlock()
+		t.mu.Lock()
+		fresh := t.departures.record(now, e.GetInstance(), e.GetIncarnation())
+		t.mu.Unlock()
 		if fresh {
-			d.o.Registry.Mark(e.GetInstance(), e.GetIncarnation(), backend.Draining)
+			t.o.Registry.Mark(e.GetInstance(), e.GetIncarnation(), backend.Draining)
 		}
 	}
 }
 
 // sync takes departures from the registry, and marks entries that came after their departure.
-func (d *departing) sync(now time.Time) {
+func (t *tracker) sync(now time.Time) {
 	var late []backend.Server
-	d.mu.Lock()
-	d.departures.expire(now)
-	d.hosts = 0
-	d.o.Registry.Each(func(b backend.Server) {
+	t.mu.Lock()
+	t.departures.expire(now)
+	t.hosts = 0
+	t.o.Registry.Each(func(b backend.Server) {
 		switch {
 		case b.Service == entryHosts:
 			if b.State == backend.Ready && now.Sub(b.Renewed) < missedFor {
-				d.hosts++
+				t.hosts++
 			}
 		case b.State >= backend.Draining:
-			d.departures.record(now, b.Instance, b.Incarnation)
-		case d.departures.covers(b.Instance, b.Incarnation):
+			t.departures.record(now, b.Instance, b.Incarnation)
+		case t.departures.covers(b.Instance, b.Incarnation):
 			late = append(late, b)
 		}
 	})
-	d.mu.Unlock()
+	t.mu.Unlock()
 	for _, b := range late {
-		d.o.Registry.Mark(b.Instance, b.Incarnation, backend.Draining)
-		d.o.Logger.Info("took out a backend server that was announced after its departure", "service", b.Service,
+		t.o.Registry.Mark(b.Instance, b.Incarnation, backend.Draining)
+		t.o.Logger.Info("took out a backend server that was announced after its departure", "service", b.Service,
 			"instance", b.Instance, "incarnation", b.Incarnation)
 	}
 }
 
 // news returns what a process has not seen, and the age of the departures in milliseconds; it is negative if
 // no majority of the control group was asked yet.
-func (d *departing) news(now time.Time, log, seen uint64) (news *fleetpb.Departures, ageMs int64) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	news = d.departures.since(log, seen)
-	news.Recovering = d.recovering(now)
-	return news, d.age(now).Milliseconds()
+func (t *tracker) news(now time.Time, log, seen uint64) (news *fleetpb.Departures, ageMs int64) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	news = t.departures.since(log, seen)
+	news.Recovering = t.recovering(now)
+	return news, t.age(now).Milliseconds()
 }
 
 // entryHosts is how many entry hosts there are.
-func (d *departing) entryHosts() int {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	return d.hosts
+func (t *tracker) entryHosts() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.hosts
 }
 
-func (d *departing) recovering(now time.Time) bool {
-	return now.Sub(d.started) < recoverFor
+func (t *tracker) recovering(now time.Time) bool {
+	return now.Sub(t.started) < recoverFor
 }
 
 // unknownAge stands for departures that were never current.
 const unknownAge = -time.Millisecond
 
 // age is how long ago all confirmed departures were known. The caller holds the mutex.
-func (d *departing) age(now time.Time) time.Duration {
-	if !d.recovering(now) {
-		d.currency.answered(d.o.Address, now)
+func (t *tracker) age(now time.Time) time.Duration {
+	if !t.recovering(now) {
+		t.freshness.answered(t.o.Address, now)
 	}
-	asOf := d.currency.asOf(d.o.Source.Fleet())
+	asOf := t.freshness.asOf(t.o.Source.Fleet())
 	if asOf.IsZero() {
 		return unknownAge
 	}
@@ -188,18 +188,18 @@
 }
 
 // note logs when the departures become outdated and current again.
-func (d *departing) note(now time.Time) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	old := d.age(now)
+func (t *tracker) note(now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	old := t.age(now)
 	outdated := old < 0 || old >= currentFor
-	if outdated == d.outdated || old < 0 && d.recovering(now) {
+	if outdated == t.outdated || old < 0 && t.recovering(now) {
 		return
 	}
-	d.outdated = outdated
+	t.outdated = outdated
 	if outdated {
-		d.o.Logger.Warn("no majority of the control group tells its departures; entry hosts should attach elsewhere", "age_ms", old.Milliseconds())
+		t.o.Logger.Warn("no majority of the control group tells its departures; entry hosts should attach elsewhere", "age_ms", old.Milliseconds())
 		return
 	}
-	d.o.Logger.Info("departures are current", "age_ms", old.Milliseconds(), "known", len(d.departures.entries))
+	t.o.Logger.Info("departures are current", "age_ms", old.Milliseconds(), "known", len(t.departures.entries))
 }
