--- a/internal/attach/tracker_test.go
+++ b/internal/attach/tracker_test.go
@@ -83,6 +83,31 @@
 	return c
 }
 
+// startEntryHost starts an entry host that knows one backend server and is attached to the first control host.
+func startEntryHost(ctx context.Context, running *sync.WaitGroup, caller attach.Caller) (*attach.Client, *attach.Servers) {
+	servers := attach.NewServers()
+	servers.TakeNews("cuefeed", &dispatchpb.ServerNews{Reset_: true, Changed: []*dispatchpb.ServerEntry{{Instance: "i-1", Incarnation: 5}}})
+	client := attach.NewClient(attach.ClientOptions{
+		ID: "front-1", Incarnation: 3, DataCentre: "a", Caller: caller, Servers: servers, Logger: logging.Discard(),
+		Seeds: func() []string { return []string{"a:1", "b:1", "c:1"} },
+	})
+	running.Go(func() { _ = client.Run(ctx) })
+	return client, servers
+}
+
+// drain drains the backend server at the second control host and waits until the entry host has taken it out,
+// within the bound on drains. It returns when the drain was confirmed.
+func (c *controls) drain(ctx context.Context, g *WithT, servers *attach.Servers) time.Time {
+	g.Expect(c.servers["b:1"].Announce(ctx, drained(backend.Ready))).To(Succeed())
+	g.Expect(c.servers["b:1"].Announce(ctx, drained(backend.Draining))).To(Succeed())
+	confirmed := time.Now()
+	for len(servers.Servers("cuefeed")) > 0 {
+		time.Sleep(10 * time.Millisecond)
+		g.Expect(time.Since(confirmed)).To(BeNumerically("<", 2*time.Second))
+	}
+	return confirmed
+}
+
 // An entry host that hears only a control host that is cut off from the others, or that was restarted and has
 // forgotten what it confirmed, must ask another one: its list would never lose a server that drains.
 func TestEntryHostLeavesAControlHostWithoutCurrentDepartures(t *testing.T) {
@@ -94,25 +119,13 @@
 		defer cancel()
 		c := startControls(ctx, &running)
 		time.Sleep(5 * time.Second)
-		servers := attach.NewServers()
-		servers.TakeNews("cuefeed", &dispatchpb.ServerNews{Reset_: true, Changed: []*dispatchpb.ServerEntry{{Instance: "i-1", Incarnation: 5}}})
-		client := attach.NewClient(attach.ClientOptions{
-			ID: "front-1", Incarnation: 3, DataCentre: "a", Caller: c, Servers: servers, Logger: logging.Discard(),
-			Seeds: func() []string { return []string{"a:1", "b:1", "c:1"} },
-		})
-		running.Go(func() { _ = client.Run(ctx) })
+		client, servers := startEntryHost(ctx, &running, c)
 		time.Sleep(time.Second)
 		g.Expect(client.Control()[0]).To(Equal("a:1"), "it is attached to the first")
 		c.mu.Lock()
 		c.cut["a:1"] = true
 		c.mu.Unlock()
-		g.Expect(c.servers["b:1"].Announce(ctx, drained(backend.Ready))).To(Succeed())
-		g.Expect(c.servers["b:1"].Announce(ctx, drained(backend.Draining))).To(Succeed())
-		confirmed := time.Now()
-		for len(servers.Servers("cuefeed")) > 0 {
-			time.Sleep(10 * time.Millisecond)
-			g.Expect(time.Since(confirmed)).To(BeNumerically("<", 2*time.Second), "the bound on drains")
-		}
+		confirmed := c.drain(ctx, g, servers)
 		g.Expect(servers.CurrentAsOf().Before(confirmed)).To(BeFalse())
 	})
 }
@@ -202,22 +215,10 @@
 		defer cancel()
 		c := startControls(ctx, &running)
 		time.Sleep(5 * time.Second)
-		servers := attach.NewServers()
-		servers.TakeNews("cuefeed", &dispatchpb.ServerNews{Reset_: true, Changed: []*dispatchpb.ServerEntry{{Instance: "i-1", Incarnation: 5}}})
-		client := attach.NewClient(attach.ClientOptions{
-			ID: "front-1", Incarnation: 3, DataCentre: "a", Caller: slow{c, 900 * time.Millisecond}, Servers: servers, Logger: logging.Discard(),
-			Seeds: func() []string { return []string{"a:1", "b:1", "c:1"} },
-		})
-		running.Go(func() { _ = client.Run(ctx) })
+		client, servers := startEntryHost(ctx, &running, slow{c, 900 * time.Millisecond})
 		time.Sleep(3 * time.Second)
 		_, known := client.Dispatcher("cuefeed")
 		g.Expect(known).To(BeTrue())
-		g.Expect(c.servers["b:1"].Announce(ctx, drained(backend.Ready))).To(Succeed())
-		g.Expect(c.servers["b:1"].Announce(ctx, drained(backend.Draining))).To(Succeed())
-		confirmed := time.Now()
-		for len(servers.Servers("cuefeed")) > 0 {
-			time.Sleep(10 * time.Millisecond)
-			g.Expect(time.Since(confirmed)).To(BeNumerically("<", 2*time.Second), "the bound on drains")
-		}
+		c.drain(ctx, g, servers)
 	})
 }
