app: a stop that comes during the start is no failure

Cause: the start ends with the context of the stop, and its error was returned. What had been started is stopped by the failing start, as before; the process now says so and ends without an error.

--- a/internal/app/process.go
+++ b/internal/app/process.go
@@ -173,7 +173,12 @@
 	startCtx, cancel := context.WithTimeout(ctx, startTimeout)
 	defer cancel()
 	if err := p.Start(startCtx); err != nil {
-		return err
+		if ctx.Err() == nil {
+			return err
+		}
+		// A start that fails stops what it had started.
+		main.Info("stopped before the start was complete", "err", logging.Err(err))
+		return nil
 	}
 	main.Info("started", "id", s.ID, "data_centre", s.DataCentre)
 	failed := p.await(ctx)
