dispatch: bound retries by the requests, not by their own number

10,361 requests, 2,256 allowed, while all servers reject half of the work.

Cause: the budget was a share of all grants, retries among them.

Only first grants count for the share now.

--- a/internal/dispatch/budget.go
+++ b/internal/dispatch/budget.go
@@ -9,7 +9,7 @@
 const (
 	// budgetSeconds is the span over which retries and hedges are limited.
 	budgetSeconds = 10
-	// budgetShare is the share of granted requests that may be retries or hedges.
+	// budgetShare is how many retries and hedges there may be for each request that was granted.
 	budgetShare = 0.10
 	// budgetFloor is allowed beyond the share.
 	budgetFloor = 3
@@ -19,16 +19,17 @@
 	boundFloorUsed = 1.0 / 3
 )
 
+// budgetSecond counts the grants of one second: first ones, and retries and hedges.
 type budgetSecond struct {
-	second  int64
-	granted int
-	extra   int
+	second int64
+	first  int
+	extra  int
 }
 
 // Budget limits the retries and hedges of a service over the whole fleet.
 type Budget struct {
-	// Share is the share of granted requests that may be retries or hedges, and Floor what is allowed
-	// beyond it; 0 means the default.
+	// Share is how many retries and hedges there may be for each request that was granted, and Floor what
+	// is allowed beyond it; 0 means the default.
 	Share, Floor float64
 
 	seconds [budgetSeconds]budgetSecond
@@ -67,20 +68,20 @@
 	return s
 }
 
-func (b *Budget) sums(now time.Time) (granted, extra int) {
+func (b *Budget) sums(now time.Time) (first, extra int) {
 	oldest := now.Unix() - budgetSeconds
 	for i := range b.seconds {
 		if b.seconds[i].second > oldest {
-			granted += b.seconds[i].granted
+			first += b.seconds[i].first
 			extra += b.seconds[i].extra
 		}
 	}
-	return granted, extra
+	return first, extra
 }
 
 // Allows tells whether one more retry or hedge fits.
 func (b *Budget) Allows(now time.Time) bool {
-	granted, extra := b.sums(now)
+	first, extra := b.sums(now)
 	share, floor := b.Share, b.Floor
 	if share == 0 {
 		share = budgetShare
@@ -88,7 +89,7 @@
 	if floor == 0 {
 		floor = budgetFloor
 	}
-	return float64(extra+1) <= share*float64(granted)+floor
+	return float64(extra+1) <= share*float64(first)+floor
 }
 
 // Spend counts a grant; extra is set for a retry or a hedge.
@@ -96,6 +97,7 @@
 	if extra {
 		invariant.Check(b.Allows(now), "dispatch.retry-budget", "a retry was granted beyond the budget")
 		b.at(now).extra++
+		return
 	}
-	b.at(now).granted++
+	b.at(now).first++
 }
