dispatch: log and export which servers get no work, and for how long

A line a second and service counts them while there are any, three gauges export them, and each judgement names its evidence and the time out.

--- /dev/null
+++ b/internal/dispatch/census.go
@@ -0,0 +1,88 @@
+package dispatch
+
+import (
+	"slices"
+	"time"
+)
+
+// UnusedAfter is how long a usable server must be without a grant to count as unused.
+const UnusedAfter = 2 * time.Second
+
+// Census counts the usable servers of a service by what keeps work from them, for logs and metrics.
+type Census struct {
+	// Usable servers announce themselves as ready for work; Out of them are not in rotation.
+	Usable, Out int
+	// Probation and Held are the servers that wait for the end of an ejection or of a hold after a crash,
+	// and Canary those that are due for a canary or on one.
+	Probation, Held, Canary int
+	// Spared, Limited, Avoided and Doubted servers are in rotation and get work last, or less of it. A
+	// server may count under several.
+	Spared, Limited, Avoided, Doubted int
+	// UnusedOut and UnusedIn are the servers out of rotation and in it without a grant for UnusedAfter.
+	UnusedOut, UnusedIn int
+	// OutLongest and OutMedian are how long the servers that are out have been so.
+	OutLongest, OutMedian time.Duration
+	// Untested is the longest time since the last grant to a server that is out.
+	Untested time.Duration
+}
+
+// Census returns the present counts.
+func (m *Machine) Census(now time.Time) Census {
+	c := Census{}
+	var out []time.Duration
+	for _, s := range m.servers {
+		if !s.usable(now) {
+			continue
+		}
+		c.Usable++
+		unused := now.Sub(s.idleSince()) >= UnusedAfter && len(s.inflight) == 0
+		if s.state == inRotation {
+			c.addInRotation(now, s, unused)
+			continue
+		}
+		c.Out++
+		c.addOut(s, unused)
+		out = append(out, now.Sub(s.outSince))
+		c.Untested = max(c.Untested, now.Sub(s.idleSince()))
+	}
+	c.OutMedian = median(out)
+	if len(out) > 0 {
+		c.OutLongest = slices.Max(out)
+	}
+	return c
+}
+
+func (c *Census) addInRotation(now time.Time, s *server, unused bool) {
+	count := func(n *int, is bool) {
+		if is {
+			*n++
+		}
+	}
+	count(&c.Spared, now.Before(s.failingUntil))
+	count(&c.Limited, now.Before(s.limitedUntil))
+	count(&c.Avoided, now.Before(s.avoidUntil))
+	count(&c.Doubted, s.doubted)
+	count(&c.UnusedIn, unused)
+}
+
+func (c *Census) addOut(s *server, unused bool) {
+	switch s.state {
+	case ejectedServer:
+		c.Probation++
+	case held:
+		c.Held++
+	default:
+		c.Canary++
+	}
+	if unused {
+		c.UnusedOut++
+	}
+}
+
+// idleSince is when the server got its latest request, or when the dispatcher began to use it.
+func (s *server) idleSince() time.Time {
+	if s.lastGrant.After(s.knownSince) {
+		return s.lastGrant
+	}
+	return s.knownSince
+}
--- /dev/null
+++ b/internal/dispatch/census_test.go
@@ -0,0 +1,35 @@
+package dispatch_test
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/tarragonmux/tarragonmux/internal/dispatch"
+	"github.com/tarragonmux/tarragonmux/internal/grant"
+	"github.com/tarragonmux/tarragonmux/internal/priority"
+)
+
+// Nobody could tell from the log how long servers had been out, and how many got no work at all.
+func TestCensusTellsWhoGetsNoWork(t *testing.T) {
+	g := NewWithT(t)
+	b := newBench(14, 6)
+	b.work[repeatable] = 40 * time.Millisecond
+	b.resets = func(instance string, _ time.Time) bool { return instance == "s03" }
+	b.run(3*time.Second, func() { b.ask(repeatable, priority.Normal, true, time.Second, 2*time.Second, grant.First) })
+	c := b.machine.Census(b.now)
+	g.Expect(c.Usable).To(Equal(14))
+	g.Expect(c.Out).To(Equal(1))
+	g.Expect(c.Probation + c.Held + c.Canary).To(Equal(1))
+	g.Expect(c.OutLongest).To(BeNumerically(">", 2*time.Second))
+	g.Expect(c.OutMedian).To(Equal(c.OutLongest))
+	g.Expect(c.Untested).To(BeNumerically("<", c.OutLongest), "its canaries count")
+	g.Expect(c.UnusedIn).To(BeZero())
+
+	b.now = b.now.Add(dispatch.UnusedAfter)
+	b.run(time.Second, func() {})
+	c = b.machine.Census(b.now)
+	g.Expect(c.UnusedIn).To(Equal(13))
+	g.Expect(c.UnusedOut).To(Equal(1))
+}
--- a/internal/dispatch/ejection.go
+++ b/internal/dispatch/ejection.go
@@ -131,6 +131,9 @@
 // takeOut changes the condition of a server and asserts the minimum healthy capacity.
 func (m *Machine) takeOut(now time.Time, s *server, to condition) {
 	wasHealthy := s.healthy(now)
+	if s.state == inRotation {
+		s.outSince = now
+	}
 	s.state = to
 	if !wasHealthy {
 		return
@@ -193,7 +196,7 @@
 	switch result {
 	case grant.OK:
 		if latency <= m.threshold()/2 {
-			m.putBack(now, s)
+			m.putBack(now, s, "canary was answered")
 			return
 		}
 		m.failCanary(now, s, "canary was slow: "+latency.String())
@@ -208,7 +211,7 @@
 		return
 	}
 	if s.failed {
-		m.suspend(now, s)
+		m.suspend(now, s, why)
 		return
 	}
 	m.eject(now, s, causeCanary)
@@ -220,7 +223,7 @@
 }
 
 // putBack returns a server to rotation with one slot.
-func (m *Machine) putBack(now time.Time, s *server) {
+func (m *Machine) putBack(now time.Time, s *server, why string) {
 	quick := s.failed || s.holds > 0
 	s.state = inRotation
 	s.holds = 0
@@ -231,7 +234,8 @@
 		s.growFor = growAfterFailing
 	}
 	s.failed = false
-	m.note(now, s, eventReturned, "")
+	m.note(now, s, eventReturned, why)
+	s.outSince = time.Time{}
 	m.stats.Returns++
 }
 
@@ -252,7 +256,7 @@
 		if least == nil {
 			return
 		}
-		m.putBack(now, least)
+		m.putBack(now, least, "the minimum needs it")
 	}
 }
 
--- a/internal/dispatch/event.go
+++ b/internal/dispatch/event.go
@@ -14,6 +14,8 @@
 	InFlight, Limit int
 	// Healthy and Minimum are the healthy capacity and the least allowed, in slots.
 	Healthy, Minimum int
+	// OutFor is how long the server has been out of rotation; 0 if it was not.
+	OutFor time.Duration
 }
 
 // What can happen to a server.
@@ -40,9 +42,13 @@
 	if len(m.events) >= maxEvents {
 		return
 	}
+	out := time.Duration(0)
+	if !s.outSince.IsZero() {
+		out = now.Sub(s.outSince)
+	}
 	m.events = append(m.events, Event{
 		Instance: s.Instance, What: what, Why: why, Failures: s.failing.share(now),
-		InFlight: len(s.inflight), Limit: s.limit(now), Healthy: m.healthyCapacity(now), Minimum: m.minimum(now),
+		InFlight: len(s.inflight), Limit: s.limit(now), Healthy: m.healthyCapacity(now), Minimum: m.minimum(now), OutFor: out,
 	})
 }
 
--- a/internal/dispatch/failing.go
+++ b/internal/dispatch/failing.go
@@ -103,7 +103,7 @@
 		m.blockPath(now, s, r.node.centreKey)
 		return
 	}
-	if !m.suspend(now, s) && !spared {
+	if !m.suspend(now, s, "failures in a row") && !spared {
 		m.note(now, s, eventSpared, "")
 	}
 }
@@ -141,13 +141,13 @@
 
 // suspend takes a failing server out for a short time, and tells whether the minimum allowed that. If not,
 // the server stays, and gets work only when all others are full.
-func (m *Machine) suspend(now time.Time, s *server) bool {
+func (m *Machine) suspend(now time.Time, s *server, why string) bool {
 	if !m.allowed(now, s) {
 		m.stats.EjectionsDenied++
 		return false
 	}
 	m.takeOut(now, s, ejectedServer)
-	m.note(now, s, eventSuspended, "")
+	m.note(now, s, eventSuspended, why)
 	s.failed = true
 	if now.Sub(s.suspendedUntil) > forgiveAfter {
 		s.suspensions = 0
--- a/internal/dispatch/machine.go
+++ b/internal/dispatch/machine.go
@@ -145,6 +145,7 @@
 	switch {
 	case s == nil:
 		s = newServer(b)
+		s.knownSince = now
 		m.add(s)
 		m.beginWarmUp(now, s)
 	case s.Incarnation != b.Incarnation:
@@ -190,6 +191,7 @@
 	s.limitedUntil = time.Time{}
 	if s.state == held {
 		s.state = inRotation
+		s.outSince = time.Time{}
 	}
 	s.forget(now)
 	m.beginWarmUp(now, s)
@@ -231,7 +233,7 @@
 	s := m.byName[o.Instance]
 	if s == nil {
 		s = newServer(backend.Server{Service: m.config.Service, Instance: o.Instance, Slots: m.config.DefaultSlots})
-		s.lastAnswer = now
+		s.lastAnswer, s.knownSince = now, now
 		m.add(s)
 	}
 	if n.requests[o.ID] != nil {
--- a/internal/dispatch/server.go
+++ b/internal/dispatch/server.go
@@ -50,8 +50,11 @@
 	sharesSlots   int
 	sharesMembers []Member
 
-	state       condition
-	stateUntil  time.Time
+	state      condition
+	stateUntil time.Time
+	// outSince is when the server left rotation, and knownSince when the dispatcher began to use it.
+	outSince, knownSince time.Time
+
 	ejections   int
 	lastEjected time.Time
 
--- a/internal/dispatchmetrics/collector_test.go
+++ b/internal/dispatchmetrics/collector_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	. "github.com/onsi/gomega"
 	"github.com/prometheus/client_golang/prometheus"
@@ -14,7 +15,10 @@
 
 func (v viewer) View(service string) (dispatch.View, dispatch.Stats, bool) {
 	stats, ok := v[service]
-	return dispatch.View{Healthy: 60, Minimum: 36}, stats, ok
+	return dispatch.View{
+		Healthy: 60, Minimum: 36,
+		Census: dispatch.Census{Out: 12, UnusedIn: 6, UnusedOut: 7, Untested: 14 * time.Second},
+	}, stats, ok
 }
 
 // A node that is not the dispatcher of a service must not export its series, since the sum over the
@@ -43,5 +47,6 @@
 		"tarragonmux_dispatch_poison_requests_total": 9, "tarragonmux_dispatch_queued": 10,
 		"tarragonmux_dispatch_returns_total": 11, "tarragonmux_dispatch_overload": 1,
 		"tarragonmux_dispatch_healthy_slots": 60, "tarragonmux_dispatch_minimum_slots": 36,
+		"tarragonmux_dispatch_servers_out": 12, "tarragonmux_dispatch_servers_unused": 13, "tarragonmux_dispatch_servers_untested_seconds": 14,
 	}))
 }
--- a/internal/dispatchrpc/runner.go
+++ b/internal/dispatchrpc/runner.go
@@ -26,6 +26,7 @@
 	sessions  map[string]*session
 	servedAt  time.Time
 	viewAt    time.Time
+	censusAt  time.Time
 	lastStats dispatch.Stats
 	// entries is the list of usable servers as the sessions have it.
 	entries []*dispatchpb.ServerEntry
@@ -302,14 +303,29 @@
 		}
 		r.server.log.Info("judged a server", "service", r.service, "term", r.term, "instance", e.Instance, "what", e.What, "why", e.Why,
 			"failures", math.Round(e.Failures*100)/100, "in_flight", e.InFlight, "limit", e.Limit,
-			"healthy", e.Healthy, "minimum", e.Minimum, "suppressed", suppressed)
+			"healthy", e.Healthy, "minimum", e.Minimum, "out_ms", e.OutFor.Milliseconds(), "suppressed", suppressed)
 	}
 }
 
+// logCensus writes once per censusEvery how many servers get no work and why, while there are such.
+func (r *runner) logCensus(now time.Time, v *dispatch.View) {
+	c := &v.Census
+	if now.Sub(r.censusAt) < censusEvery || c.Out == 0 && c.UnusedIn == 0 && c.Spared == 0 && c.Limited == 0 {
+		return
+	}
+	r.censusAt = now
+	r.server.log.Info("servers without work", "service", r.service, "term", r.term, "usable", c.Usable, "out", c.Out,
+		"probation", c.Probation, "held", c.Held, "canary", c.Canary, "spared", c.Spared, "limited", c.Limited,
+		"avoided", c.Avoided, "doubted", c.Doubted, "unused_out", c.UnusedOut, "unused_in", c.UnusedIn,
+		"out_median_ms", c.OutMedian.Milliseconds(), "out_longest_ms", c.OutLongest.Milliseconds(),
+		"untested_ms", c.Untested.Milliseconds(), "healthy", v.Healthy, "minimum", v.Minimum)
+}
+
 // broadcastView sends the view to the nodes that have another one. A change of the ejected servers or
 // of the overload goes out at once; a new latency goes with the next message.
 func (r *runner) broadcastView(now time.Time) {
 	full := r.machine.View(now)
+	r.logCensus(now, &full)
 	view := r.reduce(full)
 	for _, x := range r.sessions {
 		if now.Sub(x.viewAt) < ViewAgainEvery && proto.Equal(x.view, view) {
--- a/internal/dispatchrpc/settings.go
+++ b/internal/dispatchrpc/settings.go
@@ -29,6 +29,8 @@
 	AutonomousAfter = 300 * time.Millisecond
 	// HedgeFloor is the least delay before a hedge.
 	HedgeFloor = 30 * time.Millisecond
+	// censusEvery is how often a dispatcher logs how many servers get no work.
+	censusEvery = time.Second
 	// serversEvery is how often the dispatcher takes the registry's view.
 	serversEvery = 100 * time.Millisecond
 	// reconnectAfter is the pause before a node tries to reach a dispatcher again.
