dispatch: reproduce sound servers without work

No scripted fault is needed but servers that each reset three quarters of their work for 3.6 s of 12 s, by turns, and fail 1.2% at all times.

--- a/internal/dispatch/failing_test.go
+++ b/internal/dispatch/failing_test.go
@@ -29,7 +29,9 @@
 	// loses tells whether a server runs what arrives and breaks the answer off.
 	loses func(instance string) bool
 	// sheds tells whether a server rejects what arrives.
-	sheds   func(instance string) bool
+	sheds func(instance string) bool
+	// spread multiplies the time of one request of a kind.
+	spread  func(kind uint32) float64
 	asked   map[uint64]dispatch.Request
 	began   map[uint64]time.Time
 	failed  map[bool]int
@@ -42,6 +44,7 @@
 type run struct {
 	id     uint64
 	ends   time.Time
+	took   time.Duration
 	result grant.Result
 }
 
@@ -53,6 +56,7 @@
 		resets: func(string, time.Time) bool { return false },
 		loses:  func(string) bool { return false },
 		sheds:  func(string) bool { return false },
+		spread: func(uint32) float64 { return 1 },
 		asked:  map[uint64]dispatch.Request{}, began: map[uint64]time.Time{},
 		failed: map[bool]int{}, served: map[uint32]int{}, refused: map[problem.Kind]int{}, work: map[uint32]time.Duration{},
 	}
@@ -92,7 +96,8 @@
 		q := b.asked[a.ID]
 		switch a.Kind {
 		case dispatch.Granted:
-			r := run{id: a.ID, ends: b.now.Add(b.work[q.Kind]), result: grant.OK}
+			took := time.Duration(float64(b.work[q.Kind]) * b.spread(q.Kind))
+			r := run{id: a.ID, ends: b.now.Add(took), took: took, result: grant.OK}
 			if b.resets(a.Instance, b.now) {
 				r.ends, r.result = b.now.Add(2*time.Millisecond), grant.Broken
 			} else if b.loses(a.Instance) {
@@ -130,7 +135,7 @@
 
 func (b *bench) finish(r run) {
 	q := b.asked[r.id]
-	b.machine.Complete(b.now, b.node(r.id), r.id, grant.Completion{Result: r.result, FirstByte: b.work[q.Kind], Total: b.work[q.Kind]})
+	b.machine.Complete(b.now, b.node(r.id), r.id, grant.Completion{Result: r.result, FirstByte: r.took, Total: r.took})
 	b.settle()
 	switch {
 	case r.result == grant.OK:
--- /dev/null
+++ b/internal/dispatch/retest_test.go
@@ -0,0 +1,120 @@
+package dispatch_test
+
+import (
+	"math"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/tarragonmux/tarragonmux/internal/grant"
+	"github.com/tarragonmux/tarragonmux/internal/priority"
+)
+
+const (
+	// usedShare is the least share of the sound servers that must get work.
+	usedShare = 0.7
+	// usedSpan is the time within which they must get it.
+	usedSpan = 2 * time.Second
+	// soundAfter is how long ago a sound server has failed a request at least.
+	soundAfter = 2 * time.Second
+	// resetCycle and resetEpisode are how often and how long each server resets most of its requests.
+	resetCycle   = 12 * time.Second
+	resetEpisode = 3600 * time.Millisecond
+	resetShare   = 0.75
+	errorShare   = 0.012
+)
+
+// usage records which servers got requests and which failed them.
+type usage struct {
+	used, failedAt map[string]time.Time
+	// faultyUntil is when the last scripted fault of a server ends.
+	faultyUntil map[string]time.Time
+}
+
+// sound returns how many servers are sound at the time, and how many of them got work within the span.
+func (u *usage) sound(b *bench, now time.Time) (sound, used int) {
+	for _, s := range b.servers {
+		if now.Before(u.faultyUntil[s.Instance]) || now.Sub(u.failedAt[s.Instance]) < soundAfter {
+			continue
+		}
+		sound++
+		if now.Sub(u.used[s.Instance]) < usedSpan {
+			used++
+		}
+	}
+	return sound, used
+}
+
+// resettingFleet is a service whose servers each reset most of their requests for some seconds, by turns.
+type resettingFleet struct {
+	*bench
+	*usage
+	random *rand.Rand
+	phase  map[string]time.Duration
+	began  time.Time
+}
+
+func newResettingFleet(servers, slots int, seed uint64) *resettingFleet {
+	f := &resettingFleet{
+		bench: newBench(servers, slots), random: rand.New(rand.NewPCG(seed, 29)), phase: map[string]time.Duration{},
+		usage: &usage{used: map[string]time.Time{}, failedAt: map[string]time.Time{}, faultyUntil: map[string]time.Time{}},
+	}
+	f.began = f.now
+	for _, s := range f.servers {
+		f.phase[s.Instance] = time.Duration(f.random.Int64N(int64(resetCycle)))
+	}
+	f.resets = func(instance string, now time.Time) bool {
+		f.used[instance] = now
+		inEpisode := (now.Sub(f.began)+f.phase[instance])%resetCycle < resetEpisode
+		if inEpisode && f.random.Float64() < resetShare {
+			f.failedAt[instance] = now
+			return true
+		}
+		return false
+	}
+	f.loses = func(instance string) bool {
+		lost := f.random.Float64() < errorShare
+		if lost {
+			f.failedAt[instance] = f.now
+		}
+		return lost
+	}
+	f.spread = func(uint32) float64 { return math.Exp(0.5 * f.random.NormFloat64()) }
+	return f
+}
+
+// arrive asks for a Poisson stream of one kind.
+func (f *resettingFleet) arrive(kind uint32, p priority.Priority, idempotent bool, rate float64, target, deadline time.Duration) {
+	if f.random.Float64() < rate*benchStep.Seconds() {
+		f.ask(kind, p, idempotent, target, deadline, grant.First)
+	}
+}
+
+// Servers that failed for some seconds stayed out long after they worked again, since each failed canary doubled
+// the wait, while their place in the capacity that may be out was missing for servers that failed at the moment.
+func TestServersThatWorkAgainAreNotLeftWithoutWork(t *testing.T) {
+	const (
+		urgent = 3
+		rounds = 3
+	)
+	for seed := range uint64(rounds) {
+		g := NewWithT(t)
+		f := newResettingFleet(149, 3, seed)
+		f.work[repeatable], f.work[single], f.work[urgent] = 530*time.Millisecond, 270*time.Millisecond, 84*time.Millisecond
+		worst, at := 1.0, time.Duration(0)
+		f.run(40*time.Second, func() {
+			f.arrive(repeatable, priority.Normal, true, 180, 3*time.Second, 4*time.Second)
+			f.arrive(single, priority.Normal, false, 180, time.Second, 2500*time.Millisecond)
+			f.arrive(urgent, priority.Urgent, true, 180, 400*time.Millisecond, 800*time.Millisecond)
+			if f.now.Sub(f.began) < 4*time.Second {
+				return
+			}
+			if sound, used := f.sound(f.bench, f.now); float64(used) < worst*float64(sound) {
+				worst, at = float64(used)/float64(sound), f.now.Sub(f.began)
+			}
+		})
+		g.Expect(worst).To(BeNumerically(">=", usedShare), "seed %d, at %v", seed, at)
+	}
+}
