dispatch: test servers that are out at a fixed pause

Cause: a server that was out came back by one canary after a wait that doubled with each failed one, up to 8 s after a crash, 6 s after failures in a row and 5 min after an ejection. Three tenths of the servers reset three quarters of their work for some seconds, by turns, so a canary mostly came at the wrong moment, and the next one long after the episode. Those servers also used up the capacity that may be out, so that others that failed could not go. Class of fault: a cached verdict without a bound on the age of its evidence.

A failed canary is repeated after 1.5 s, however often it failed, and is no new ejection; the request of one that is not answered is repeated elsewhere at once.

TestProbationGrows asked that a bad server stay out ever longer, which is the fault; TestBadServersStayOutUntilTheyWork asks instead that it never returns while it is bad, gets one request in 1.5 s, that no caller loses a request by that (with the growing wait each canary was lost, and the test fails), and that it is back 3 s after it works.

--- a/internal/dispatch/crash.go
+++ b/internal/dispatch/crash.go
@@ -23,8 +23,6 @@
 	answeredSlots = 4096
 	// holdFor is how long a server that crashed gets no work.
 	holdFor = time.Second
-	// holdCap bounds the hold while the server stays away.
-	holdCap = 8 * time.Second
 	// refusalsNeeded is how many refused connections make a server bad.
 	refusalsNeeded = 2
 )
@@ -217,7 +215,7 @@
 	s.crashedAt = now
 	if s.state == inRotation {
 		m.stats.Crashes++
-		m.hold(now, s, "")
+		m.hold(now, s)
 	}
 }
 
--- a/internal/dispatch/detect.go
+++ b/internal/dispatch/detect.go
@@ -116,7 +116,9 @@
 		}
 		for _, r := range s.inflight {
 			if r.canary && !r.firstByte && r.age(now) >= m.threshold() {
-				m.failCanary(now, s, "canary is not answered")
+				r.canary = false
+				m.failCanary(now, s, "not answered")
+				m.advise(s)
 				break
 			}
 		}
--- a/internal/dispatch/doc.go
+++ b/internal/dispatch/doc.go
@@ -19,10 +19,10 @@
 // Of configured bounds on retries a dispatcher uses 90% of the share and a third of the rest, so that
 // two dispatchers in turn keep them.
 //
-// Servers that stall, fail or are slow are ejected for 5 s, twice as long at each repeat, up to
-// 5 min, and return after one successful request, which is idempotent unless none came for 10 s.
-// A server that crashed is held for 1 s, up to 8 s, until it answers a request again; views show it
-// as crashed, since it is not ejected. A server with unusual delays, too few for an ejection, is
+// Servers that stall, fail or are slow are ejected for 5 s and return after one successful canary, a
+// request that is idempotent unless none came for 10 s. While canaries fail, there is one each 1.5 s
+// and no more work, so that the verdict on a server is never much older. A server that crashed is held
+// for 1 s until its first canary; views show it as crashed, since it is not ejected. A server with unusual delays, too few for an ejection, is
 // shown as suspect and gets work only once requests have waited for 100 ms, for 5 s. Ejections
 // never take the healthy capacity below the minimum of the service; a bad server that must stay
 // gets one slot. Nothing is ejected while more than half of the servers look bad (overload), or
@@ -30,8 +30,8 @@
 // routed around).
 //
 // A server's recent failures count with a weight that fades. After one failure it gets work that must
-// not repeat only when no other has room; after two in a row it is suspended for 3 s, up to 6 s at
-// repeats. If the minimum forbids that, it is spared: requests wait for another server while their time
+// not repeat only when no other has room; after two in a row it is suspended for 3 s until its first
+// canary. If the minimum forbids that, it is spared: requests wait for another server while their time
 // allows, until requests have waited for 250 ms; then only servers that fail nearly everything are
 // spared. Requests of the same kind (one route) share a record of their times; by it a request is refused
 // as deadline-unmeetable when the work that waits before it leaves too little time. Shed answers pause a
--- a/internal/dispatch/ejection.go
+++ b/internal/dispatch/ejection.go
@@ -10,10 +10,11 @@
 )
 
 const (
-	// probation is the time without work after a first ejection.
+	// probation is the time without work after an ejection.
 	probation = 5 * time.Second
-	// probationCap bounds the doubled probation.
-	probationCap = 5 * time.Minute
+	// retestEvery is the pause between a failed canary and the next one. It does not grow: what is known of a
+	// server that is out must not be older than the time within which a sound one should get work again.
+	retestEvery = 1500 * time.Millisecond
 	// repeatWithin is the time within which a further ejection counts as a repeat.
 	repeatWithin = 10 * time.Minute
 	// limitedFor is how long a server that may not be ejected stays at one slot after the last evidence.
@@ -28,7 +29,6 @@
 	causeError
 	causeSlow
 	causeRefused
-	causeCanary
 	causeInherited
 )
 
@@ -155,22 +155,21 @@
 	if s.lastEjected.IsZero() || now.Sub(s.lastEjected) > repeatWithin {
 		s.ejections = 0
 	}
-	wait := min(probation<<min(s.ejections, 10), probationCap)
 	s.ejections++
 	s.lastEjected = now
-	s.stateUntil = now.Add(wait)
+	s.stateUntil = now.Add(probation)
 }
 
 // hold takes a server that crashed out of rotation for a short time.
-func (m *Machine) hold(now time.Time, s *server, why string) {
+func (m *Machine) hold(now time.Time, s *server) {
 	if s.state == inRotation && !m.allowed(now, s) {
 		m.limitToOne(now, s)
 		return
 	}
-	s.holds++
+	s.crashHeld = true
 	m.takeOut(now, s, held)
-	m.note(now, s, eventHeld, why)
-	s.stateUntil = now.Add(min(holdFor<<min(s.holds-1, 10), holdCap))
+	m.note(now, s, eventHeld, "")
+	s.stateUntil = now.Add(holdFor)
 }
 
 // advise tells the nodes to retry the idempotent requests that wait at the server.
@@ -187,7 +186,7 @@
 	}
 }
 
-// judgeCanary returns the server to rotation or ejects it again.
+// judgeCanary returns the server to rotation or keeps it out.
 func (m *Machine) judgeCanary(now time.Time, r *request, result grant.Result, latency time.Duration) {
 	s := r.server
 	if !r.canary || s.state != onCanary {
@@ -199,34 +198,27 @@
 			m.putBack(now, s, "canary was answered")
 			return
 		}
-		m.failCanary(now, s, "canary was slow: "+latency.String())
+		m.failCanary(now, s, "slow: "+latency.String())
 	case grant.Error, grant.ConnectFailed, grant.Broken, grant.Timeout:
-		m.failCanary(now, s, "canary ended: "+result.String())
+		m.failCanary(now, s, "ended: "+result.String())
 	}
 }
 
+// failCanary keeps the server out until its next canary.
 func (m *Machine) failCanary(now time.Time, s *server, why string) {
-	if s.crashHeld() {
-		m.hold(now, s, why)
-		return
-	}
-	if s.failed {
-		m.suspend(now, s, why)
-		return
+	s.state = ejectedServer
+	if s.crashHeld {
+		s.state = held
 	}
-	m.eject(now, s, causeCanary)
-}
-
-// crashHeld tells whether the server left rotation by a crash and not by an ejection.
-func (s *server) crashHeld() bool {
-	return s.holds > 0
+	s.stateUntil = now.Add(retestEvery)
+	m.note(now, s, eventCanaryFailed, why)
 }
 
 // putBack returns a server to rotation with one slot.
 func (m *Machine) putBack(now time.Time, s *server, why string) {
-	quick := s.failed || s.holds > 0
+	quick := s.failed || s.crashHeld
 	s.state = inRotation
-	s.holds = 0
+	s.crashHeld = false
 	s.forget(now)
 	s.grow(now)
 	if quick {
--- a/internal/dispatch/event.go
+++ b/internal/dispatch/event.go
@@ -5,7 +5,7 @@
 // Event is one change of what the dispatcher believes of a server, for the log.
 type Event struct {
 	Instance string
-	// What happened: ejected, suspended, held, spared, limited, path blocked, returned.
+	// What happened: ejected, suspended, held, spared, limited, path blocked, canary failed, returned.
 	What string
 	// Why names the evidence, or the path of a blocked one.
 	Why string
@@ -27,6 +27,8 @@
 	eventLimited   = "limited to one slot, since the minimum keeps it"
 	eventBlocked   = "path blocked"
 	eventReturned  = "returned"
+	// eventCanaryFailed keeps a server out that already was.
+	eventCanaryFailed = "canary failed"
 )
 
 // maxEvents bounds the events between two calls of Events.
@@ -34,7 +36,7 @@
 
 var causeNames = map[cause]string{
 	causeStall: "stall", causeError: "errors", causeSlow: "slow answers", causeRefused: "refused connections",
-	causeCanary: "failed canary", causeInherited: "ejected by the former dispatcher",
+	causeInherited: "ejected by the former dispatcher",
 }
 
 // note records an event.
--- a/internal/dispatch/failing.go
+++ b/internal/dispatch/failing.go
@@ -22,11 +22,8 @@
 	breaksTogether = 40 * time.Millisecond
 	// sparedFor is how long a failing server that the minimum keeps is spared, unless it recovers before.
 	sparedFor = 3 * time.Second
-	// suspendFor is the first time without work; it doubles up to suspendCap with each failed canary.
+	// suspendFor is the time without work after failures in a row.
 	suspendFor = 3 * time.Second
-	suspendCap = 6 * time.Second
-	// forgiveAfter is the time after a suspension from which on the next one is a first one.
-	forgiveAfter = 5 * time.Second
 	// growAfterFailing is how soon a server that was suspended for failures has all its slots again.
 	growAfterFailing = time.Second
 	// hopelessShare is the share from which on a request is better off waiting to its end.
@@ -103,7 +100,7 @@
 		m.blockPath(now, s, r.node.centreKey)
 		return
 	}
-	if !m.suspend(now, s, "failures in a row") && !spared {
+	if !m.suspend(now, s) && !spared {
 		m.note(now, s, eventSpared, "")
 	}
 }
@@ -141,20 +138,15 @@
 
 // suspend takes a failing server out for a short time, and tells whether the minimum allowed that. If not,
 // the server stays, and gets work only when all others are full.
-func (m *Machine) suspend(now time.Time, s *server, why string) bool {
+func (m *Machine) suspend(now time.Time, s *server) bool {
 	if !m.allowed(now, s) {
 		m.stats.EjectionsDenied++
 		return false
 	}
 	m.takeOut(now, s, ejectedServer)
-	m.note(now, s, eventSuspended, why)
+	m.note(now, s, eventSuspended, "failures in a row")
 	s.failed = true
-	if now.Sub(s.suspendedUntil) > forgiveAfter {
-		s.suspensions = 0
-	}
-	s.stateUntil = now.Add(min(suspendFor<<min(s.suspensions, 10), suspendCap))
-	s.suspendedUntil = s.stateUntil
-	s.suspensions++
+	s.stateUntil = now.Add(suspendFor)
 	m.stats.Ejections++
 	return true
 }
--- a/internal/dispatch/machine.go
+++ b/internal/dispatch/machine.go
@@ -191,6 +191,7 @@
 	s.limitedUntil = time.Time{}
 	if s.state == held {
 		s.state = inRotation
+		s.crashHeld = false
 		s.outSince = time.Time{}
 	}
 	s.forget(now)
--- a/internal/dispatch/server.go
+++ b/internal/dispatch/server.go
@@ -61,10 +61,9 @@
 	failing failures
 	// failingUntil is how long the server is spared.
 	failingUntil time.Time
-	// failed is set while the server is out for failures, and suspensions counts how often in a row.
-	failed         bool
-	suspensions    int
-	suspendedUntil time.Time
+	// failed is set while the server is out for failures in a row, and crashHeld while it is out for a crash.
+	failed    bool
+	crashHeld bool
 
 	latency    distribution
 	samples    []sample
@@ -83,7 +82,6 @@
 	breaks     []breakage
 	// answeredSent is when the latest sent of the answered requests was sent.
 	answeredSent time.Time
-	holds        int
 	crashedAt    time.Time
 	suspects     int
 	// grantBefore is the last grant that was old enough to be reported as failed when the next one came.
--- a/internal/dispatch/service_test.go
+++ b/internal/dispatch/service_test.go
@@ -174,21 +174,33 @@
 	g.Expect(w.ejectedAt).To(BeEmpty())
 }
 
-// A server that returns must not be flooded, and one that is still bad must stay out ever longer.
-func TestProbationGrows(t *testing.T) {
+// A server that is still bad must stay out and cost its callers nothing but the time of one retry, and one
+// that returns must not be flooded.
+func TestBadServersStayOutUntilTheyWork(t *testing.T) {
 	t.Parallel()
 	g := NewWithT(t)
 	w := newWorld(sizes[0], 2)
-	mixed(w, 0.2)
+	streams := mixed(w, 0.2)
 	w.run(warmUp)
 	bad := w.servers["s05"]
 	bad.stalled = flap(w.now, time.Hour)
-	w.run(40 * time.Second)
-	// Ejected at once, after 5 s, 10 s and 20 s more.
-	g.Expect(w.machine.Stats().Ejections).To(BeNumerically("~", 4, 1))
+	w.run(2 * time.Second)
+	tested := len(w.exposures["s05"])
+	for _, s := range streams {
+		*w.tallies[s] = tally{}
+	}
+	const stillBad = 38 * time.Second
+	w.run(stillBad)
+	g.Expect(w.machine.Stats().Ejections).To(BeEquivalentTo(1))
+	g.Expect(w.machine.Stats().Returns).To(BeZero())
+	g.Expect(len(w.exposures["s05"])-tested).To(BeNumerically("<=", stillBad/(1500*time.Millisecond)+1), "one canary in 1.5 s")
+	for _, s := range streams {
+		g.Expect(w.tallies[s].failed).To(BeZero(), s.team)
+	}
 	bad.stalled = nil
-	w.run(70 * time.Second)
-	g.Expect(w.machine.Stats().Returns).NotTo(BeZero())
+	w.run(3 * time.Second)
+	g.Expect(w.machine.Stats().Returns).To(BeEquivalentTo(1))
+	w.run(20 * time.Second)
 	for _, s := range w.machine.View(w.now).Servers {
 		g.Expect(s.Limit).To(Equal(6), s.Instance)
 	}
--- a/internal/dispatch/view.go
+++ b/internal/dispatch/view.go
@@ -70,7 +70,7 @@
 		return ViewStarting
 	case s.state == ejectedServer:
 		return ViewEjected
-	case s.state == held || s.state == onCanary && s.crashHeld():
+	case s.state == held || s.state == onCanary && s.crashHeld:
 		return ViewCrashed
 	case s.state == onCanary:
 		return ViewProbation
