dispatch: judge a canary by its kind of work

A server that works stayed out for the next wait.

Cause: the limit was half of the stall threshold, which follows the quantiles of the service but is capped at 700 ms, so 350 ms where short and long work share a service. The limit is now also twice the 90th percentile of the request's kind, and a canary is overdue no sooner.

TestLongWorkIsNoSlowCanary failed before (no return in 6 s); TestSlowCanaryKeepsTheServerOut guards the other side.

--- a/internal/dispatch/detect.go
+++ b/internal/dispatch/detect.go
@@ -115,7 +115,7 @@
 			continue
 		}
 		for _, r := range s.inflight {
-			if r.canary && !r.firstByte && r.age(now) >= m.threshold() {
+			if r.canary && !r.firstByte && r.age(now) >= max(m.threshold(), m.canaryLimit(r)) {
 				r.canary = false
 				m.failCanary(now, s, "not answered")
 				m.advise(s)
--- a/internal/dispatch/ejection.go
+++ b/internal/dispatch/ejection.go
@@ -15,6 +15,8 @@
 	// retestEvery is the pause between a failed canary and the next one. It does not grow: what is known of a
 	// server that is out must not be older than the time within which a sound one should get work again.
 	retestEvery = 1500 * time.Millisecond
+	// canaryFactor is how many times the 90th percentile of its kind a good canary may take.
+	canaryFactor = 2
 	// repeatWithin is the time within which a further ejection counts as a repeat.
 	repeatWithin = 10 * time.Minute
 	// limitedFor is how long a server that may not be ejected stays at one slot after the last evidence.
@@ -194,7 +196,7 @@
 	}
 	switch result {
 	case grant.OK:
-		if latency <= m.threshold()/2 {
+		if latency <= m.canaryLimit(r) {
 			m.putBack(now, s, "canary was answered")
 			return
 		}
@@ -204,6 +206,12 @@
 	}
 }
 
+// canaryLimit is the longest time to the first byte of a good canary: half of the stall threshold of the
+// service, or twice what most requests of the same kind take.
+func (m *Machine) canaryLimit(r *request) time.Duration {
+	return max(m.threshold()/2, canaryFactor*m.kindOf(r.Kind).slow)
+}
+
 // failCanary keeps the server out until its next canary.
 func (m *Machine) failCanary(now time.Time, s *server, why string) {
 	s.state = ejectedServer
--- a/internal/dispatch/retest_test.go
+++ b/internal/dispatch/retest_test.go
@@ -118,3 +118,53 @@
 		g.Expect(worst).To(BeNumerically(">=", usedShare), "seed %d, at %v", seed, at)
 	}
 }
+
+// A service with short and long work failed every canary of the long kind as slow, and servers stayed out.
+func TestLongWorkIsNoSlowCanary(t *testing.T) {
+	g := NewWithT(t)
+	b := newBench(14, 3)
+	const short, long = 3, 4
+	b.work[short], b.work[long] = 84*time.Millisecond, 530*time.Millisecond
+	began := b.now
+	b.resets = func(instance string, now time.Time) bool {
+		return instance == "s03" && now.Sub(began) > 3*time.Second && now.Sub(began) < 4*time.Second
+	}
+	every := func(kind uint32, pause time.Duration) {
+		if b.now.Sub(began)%pause == 0 {
+			b.ask(kind, priority.Normal, true, 3*time.Second, 4*time.Second, grant.First)
+		}
+	}
+	b.run(4*time.Second, func() {
+		every(short, 10*time.Millisecond)
+		every(long, 40*time.Millisecond)
+	})
+	g.Expect(b.machine.Census(b.now).Out).To(Equal(1))
+	b.run(6*time.Second, func() { every(long, 40*time.Millisecond) })
+	g.Expect(b.machine.Stats().Returns).NotTo(BeZero())
+	g.Expect(b.machine.Census(b.now).Out).To(BeZero())
+}
+
+// A server that takes far longer for a request than its kind usually does must not return.
+func TestSlowCanaryKeepsTheServerOut(t *testing.T) {
+	g := NewWithT(t)
+	b := newBench(14, 3)
+	const long = 4
+	b.work[long] = 530 * time.Millisecond
+	began := b.now
+	b.resets = func(instance string, now time.Time) bool {
+		return instance == "s03" && now.Sub(began) > 3*time.Second && now.Sub(began) < 4*time.Second
+	}
+	b.slowness = func(instance string) float64 {
+		if instance == "s03" && b.now.Sub(began) > 4*time.Second {
+			return 4
+		}
+		return 1
+	}
+	b.run(10*time.Second, func() {
+		if b.now.Sub(began)%(40*time.Millisecond) == 0 {
+			b.ask(long, priority.Normal, true, 3*time.Second, 4*time.Second, grant.First)
+		}
+	})
+	g.Expect(b.machine.Stats().Returns).To(BeZero())
+	g.Expect(b.machine.Census(b.now).Out).To(Equal(1))
+}
