--- a/internal/dispatch/machine.go
+++ b/internal/dispatch/machine.go
@@ -13,15 +13,16 @@
 // Machine dispatches one service. It is not safe for concurrent use. Every event takes the
 // current monotonic time; the answers are collected by Take.
 type Machine struct {
-	config  Config
-	started time.Time
-	servers []*server
-	byName  map[string]*server
-	nodes   map[string]*node
-	queue   queue
-	retries Budget
-	crashes *crashTable
-	peaks   [peakMinutes]peak
+	config   Config
+	started  time.Time
+	servers  []*server
+	byName   map[string]*server
+	nodes    map[string]*node
+	queue    queue
+	retries  Budget
+	canaries canaryBudget
+	crashes  *crashTable
+	peaks    [peakMinutes]peak
 
 	latencies latencies
 	kinds     map[uint32]*kind
--- a/internal/dispatch/placement.go
+++ b/internal/dispatch/placement.go
@@ -132,6 +132,7 @@
 	r.state = stateGranted
 	r.sent = now
 	r.canary = s.state == onCanary
+	m.canaries.count(r.canary)
 	s.attach(r)
 	if now.Sub(s.lastGrant) >= survivedAfter {
 		s.grantBefore = s.lastGrant
@@ -173,7 +174,7 @@
 	}
 	bestRank, bestUse := rankNone, 0.0
 	for _, s := range m.open {
-		if len(s.inflight) >= s.openLimit || !reachable(s) || !s.accepts(now, r) || m.withholds(now, s, r) || s.testing(now) || m.spares(now, s, r) {
+		if len(s.inflight) >= s.openLimit || !reachable(s) || !m.accepts(now, s, r) || m.withholds(now, s, r) || s.testing(now) || m.spares(now, s, r) {
 			continue
 		}
 		rank := s.rank(now, r, m.latencies.p50)
@@ -223,8 +224,11 @@
 // accepts tells whether the request suits the server's condition: a canary must be idempotent,
 // unless no such request came for canaryPatience, and paid by no retry budget, and two requests that were on crashed servers never share one, so
 // that the next crash tells which of them causes it.
-func (s *server) accepts(now time.Time, r *request) bool {
+func (m *Machine) accepts(now time.Time, s *server, r *request) bool {
 	if s.state == onCanary {
+		if !m.canaries.allows(now) {
+			return false
+		}
 		safe := r.Idempotent || now.Sub(s.stateUntil) >= canaryPatience
 		if !safe || r.Purpose != grant.First || r.crashSuspect {
 			return false
--- a/internal/dispatch/retest_test.go
+++ b/internal/dispatch/retest_test.go
@@ -168,3 +168,33 @@
 	g.Expect(b.machine.Stats().Returns).To(BeZero())
 	g.Expect(b.machine.Census(b.now).Out).To(Equal(1))
 }
+
+// With many servers out and little work, most requests became canaries, and repeating those that failed used up the
+// retries of the service.
+func TestCanariesAreAFewOfTheRequests(t *testing.T) {
+	g := NewWithT(t)
+	b := newBench(100, 3)
+	random := rand.New(rand.NewPCG(31, 31))
+	b.work[repeatable] = 100 * time.Millisecond
+	bad := 0
+	b.resets = func(instance string, _ time.Time) bool {
+		fails := instance < "s30"
+		if fails {
+			bad++
+		}
+		return fails
+	}
+	ask := func() {
+		if random.Float64() < 60*benchStep.Seconds() {
+			b.ask(repeatable, priority.Normal, true, time.Second, 2*time.Second, grant.First)
+		}
+	}
+	b.run(10*time.Second, ask)
+	g.Expect(b.machine.Census(b.now).Out).To(BeNumerically(">", 25))
+	bad = 0
+	granted := b.machine.Stats().Granted
+	const measured = 20
+	b.run(measured*time.Second, ask)
+	// A tenth of the requests and one a second, and a burst of 20.
+	g.Expect(bad).To(BeNumerically("<=", float64(b.machine.Stats().Granted-granted)/10+measured+20))
+}
