dispatch: test sooner while places outside rotation are scarce

The rule counts a server that failed by itself as sound after 2 s; the first canary after failures in a row comes after 3 s, after an ejection after 5 s, and a failing server that the minimum keeps is spared for up to 3 s.

Ruled out: a shorter first wait at all times. TestBadServerIsFound asks that a single bad server gets no work for 2 s after it was found, and rightly: nobody misses it.

While more than half of the capacity that may be out is out, first canaries come after 1.5 s like later ones, and a failing server that the minimum keeps gets an idempotent request after 1.2 s without work.

--- a/internal/dispatch/ejection.go
+++ b/internal/dispatch/ejection.go
@@ -159,7 +159,7 @@
 	}
 	s.ejections++
 	s.lastEjected = now
-	s.stateUntil = now.Add(probation)
+	s.stateUntil = m.firstTest(now, probation)
 }
 
 // hold takes a server that crashed out of rotation for a short time.
--- a/internal/dispatch/failing.go
+++ b/internal/dispatch/failing.go
@@ -146,7 +146,7 @@
 	m.takeOut(now, s, ejectedServer)
 	m.note(now, s, eventSuspended, "failures in a row")
 	s.failed = true
-	s.stateUntil = now.Add(suspendFor)
+	s.stateUntil = m.firstTest(now, suspendFor)
 	m.stats.Ejections++
 	return true
 }
@@ -168,7 +168,7 @@
 // spares tells whether the request should wait for another server than this failing one: what may
 // repeat while it can meet its target, other work while it can be done at all.
 func (m *Machine) spares(now time.Time, s *server, r *request) bool {
-	if !now.Before(s.failingUntil) || s.state != inRotation || m.mostFail {
+	if !now.Before(s.failingUntil) || s.state != inRotation || m.mostFail || m.tests(now, s, r) {
 		return false
 	}
 	if s.failing.share(now) >= hopelessShare {
--- a/internal/dispatch/placement.go
+++ b/internal/dispatch/placement.go
@@ -132,7 +132,7 @@
 	r.state = stateGranted
 	r.sent = now
 	r.canary = s.state == onCanary
-	m.canaries.count(r.canary)
+	m.canaries.count(r.canary || m.tests(now, s, r))
 	s.attach(r)
 	if now.Sub(s.lastGrant) >= survivedAfter {
 		s.grantBefore = s.lastGrant
@@ -242,6 +242,9 @@
 		return rankConfirm
 	}
 	if now.Before(s.failingUntil) {
+		if m.tests(now, s, r) {
+			return rankConfirm
+		}
 		return rankDoubted
 	}
 	if s.doubted || s.failing.share(now) >= doubtfulShare {
--- a/internal/dispatch/retest_test.go
+++ b/internal/dispatch/retest_test.go
@@ -92,30 +92,61 @@
 	}
 }
 
-// Servers that failed for some seconds stayed out long after they worked again, since each failed canary doubled
-// the wait, while their place in the capacity that may be out was missing for servers that failed at the moment.
+// fleetSize is one service at the size of a user, with requests per second and the usual time of three kinds of work.
+type fleetSize struct {
+	name           string
+	servers, slots int
+	rates          map[uint32]float64
+	work           map[uint32]time.Duration
+}
+
+const urgent = 3
+
+var fleetSizes = []fleetSize{
+	{
+		"catalogue grown", 149, 3, map[uint32]float64{repeatable: 236, urgent: 201},
+		map[uint32]time.Duration{repeatable: 530 * time.Millisecond, urgent: 84 * time.Millisecond},
+	},
+	{
+		"booking grown", 196, 3, map[uint32]float64{repeatable: 271, single: 531},
+		map[uint32]time.Duration{repeatable: 210 * time.Millisecond, single: 270 * time.Millisecond},
+	},
+	{
+		"booking", 20, 3, map[uint32]float64{repeatable: 41, single: 81},
+		map[uint32]time.Duration{repeatable: 140 * time.Millisecond, single: 190 * time.Millisecond},
+	},
+	{
+		"lexview", 10, 6, map[uint32]float64{repeatable: 21, urgent: 15},
+		map[uint32]time.Duration{repeatable: 820 * time.Millisecond, urgent: 130 * time.Millisecond},
+	},
+}
+
+// Servers that failed for some seconds stayed out, or idle, long after they worked again, since each failed canary
+// doubled the wait, while their place in the capacity that may be out was missing for servers that failed at the moment.
 func TestServersThatWorkAgainAreNotLeftWithoutWork(t *testing.T) {
-	const (
-		urgent = 3
-		rounds = 3
-	)
-	for seed := range uint64(rounds) {
-		g := NewWithT(t)
-		f := newResettingFleet(149, 3, seed)
-		f.work[repeatable], f.work[single], f.work[urgent] = 530*time.Millisecond, 270*time.Millisecond, 84*time.Millisecond
-		worst, at := 1.0, time.Duration(0)
-		f.run(40*time.Second, func() {
-			f.arrive(repeatable, priority.Normal, true, 180, 3*time.Second, 4*time.Second)
-			f.arrive(single, priority.Normal, false, 180, time.Second, 2500*time.Millisecond)
-			f.arrive(urgent, priority.Urgent, true, 180, 400*time.Millisecond, 800*time.Millisecond)
-			if f.now.Sub(f.began) < 4*time.Second {
-				return
-			}
-			if sound, used := f.sound(f.bench, f.now); float64(used) < worst*float64(sound) {
-				worst, at = float64(used)/float64(sound), f.now.Sub(f.began)
+	const rounds = 3
+	for _, size := range fleetSizes {
+		t.Run(size.name, func(t *testing.T) {
+			t.Parallel()
+			g := NewWithT(t)
+			for seed := range uint64(rounds) {
+				f := newResettingFleet(size.servers, size.slots, seed)
+				f.work = size.work
+				worst, at := 1.0, time.Duration(0)
+				f.run(40*time.Second, func() {
+					f.arrive(repeatable, priority.Normal, true, size.rates[repeatable], 3*time.Second, 4*time.Second)
+					f.arrive(single, priority.Normal, false, size.rates[single], time.Second, 2500*time.Millisecond)
+					f.arrive(urgent, priority.Urgent, true, size.rates[urgent], 400*time.Millisecond, 800*time.Millisecond)
+					if f.now.Sub(f.began) < 4*time.Second {
+						return
+					}
+					if sound, used := f.sound(f.bench, f.now); float64(used) < worst*float64(sound) {
+						worst, at = float64(used)/float64(sound), f.now.Sub(f.began)
+					}
+				})
+				g.Expect(worst).To(BeNumerically(">=", usedShare), "seed %d, at %v", seed, at)
 			}
 		})
-		g.Expect(worst).To(BeNumerically(">=", usedShare), "seed %d, at %v", seed, at)
 	}
 }
 
