dispatch: test inherited verdicts after 1.5 s

The age of such a verdict is not known, so its server gets a canary after the pause of a failed one. TestInheritedVerdictsAreTestedSoon failed before.

--- a/internal/dispatch/ejection.go
+++ b/internal/dispatch/ejection.go
@@ -124,6 +124,10 @@
 		return
 	}
 	m.setProbation(now, s)
+	if why == causeInherited {
+		// The age of the verdict is not known.
+		s.stateUntil = now.Add(retestEvery)
+	}
 	m.takeOut(now, s, ejectedServer)
 	m.stats.Ejections++
 	m.note(now, s, eventEjected, causeNames[why])
--- a/internal/dispatch/lifecycle_test.go
+++ b/internal/dispatch/lifecycle_test.go
@@ -103,6 +103,25 @@
 	g.Expect(states).To(Equal([]string{dispatch.ViewEjected, dispatch.ViewReady, dispatch.ViewReady, dispatch.ViewReady}))
 }
 
+// A verdict of unknown age must not begin a full probation at each change of the dispatcher.
+func TestInheritedVerdictsAreTestedSoon(t *testing.T) {
+	g := NewWithT(t)
+	now := time.Unix(1000, 0)
+	var servers []backend.Server
+	for _, name := range []string{"a", "b", "c", "d"} {
+		servers = append(servers, backend.Server{Instance: name, State: backend.Ready, Slots: 2, Renewed: now, Cutoff: time.Hour})
+	}
+	m := dispatch.New(now, dispatch.Config{Service: "x", MinimumHealthyPercent: 25})
+	m.SetServers(now, servers)
+	m.Connect(now, "n", "dc", 1, nil, []string{"a"})
+	now = now.Add(dispatch.CollectFor)
+	m.Tick(now)
+	g.Expect(m.View(now).Servers[0].State).To(Equal(dispatch.ViewEjected))
+	now = now.Add(1500 * time.Millisecond)
+	m.Tick(now)
+	g.Expect(m.View(now).Servers[0].State).To(Equal(dispatch.ViewProbation))
+}
+
 // If healthy servers vanish, ejected ones must return at once to keep the minimum.
 func TestEjectedServersReturnWhenOthersVanish(t *testing.T) {
 	g := NewWithT(t)
