--- a/internal/dispatch/doc.go
+++ b/internal/dispatch/doc.go
@@ -20,14 +20,15 @@
 // two dispatchers in turn keep them.
 //
 // Servers that stall, fail or are slow are ejected for 5 s and return after one successful canary, a
-// request that is idempotent unless none came for 10 s. While canaries fail, there is one each 1.5 s
+// request that is idempotent unless none came for 10 s. A canary fails beyond half of the stall
+// threshold and twice what most requests of its kind take. While canaries fail, there is one each 1.5 s
 // and no more work, so that the verdict on a server is never much older. While more than half of the
 // capacity that may be out is out, the first canary comes after 1.5 s, too, and a failing server that the
 // minimum keeps in rotation gets a request after 1.2 s without work. At most a tenth of the granted
-// requests and one a second more are canaries. A server that crashed is held
-// for 1 s until its first canary. A canary is slow beyond half of the stall threshold and twice what
-// most requests of its kind take; views show it as crashed, since it is not ejected. A server with unusual delays, too few for an ejection, is
-// shown as suspect and gets work only once requests have waited for 100 ms, for 5 s. Ejections
+// requests and one a second more are canaries. A server that crashed is held for 1 s until its first
+// canary; views show it as crashed, since it is not ejected. A server with unusual delays, too few for an
+// ejection, is shown as suspect and gets work only once requests have waited for 100 ms, for 5 s, unless
+// more than a quarter of the servers have such delays. Ejections
 // never take the healthy capacity below the minimum of the service; a bad server that must stay
 // gets one slot. Nothing is ejected while more than half of the servers look bad (overload), or
 // while the evidence comes from one node or from other data centres only (a bad path, which is
