dispatch: servers of a quiet data centre get work

Cause: a host's own data centre comes first while one of its servers has room. Where a data centre's hosts get little of a service's work, its servers have none, and nothing is known of them when they are needed.

A server without work for 1.2 s ranks as a local one. TestServersOfAQuietDataCentreGetWork failed before: 20 of 40 servers in use.

--- a/internal/dispatch/placement.go
+++ b/internal/dispatch/placement.go
@@ -256,12 +256,18 @@
 	if m.avoids(now, s) {
 		return rankDoubted
 	}
-	if s.DataCentre == r.node.dataCentre && !s.slower(now, m.latencies.p50) {
+	if (s.DataCentre == r.node.dataCentre || s.forgotten(now)) && !s.slower(now, m.latencies.p50) {
 		return rankLocal
 	}
 	return rankRemote
 }
 
+// forgotten tells whether the server has had no work for so long that it should have some, also from another data
+// centre.
+func (s *server) forgotten(now time.Time) bool {
+	return len(s.inflight) == 0 && now.Sub(s.idleSince()) >= idleBeforeTest
+}
+
 // wantsConfirmation tells whether a doubted server should get the request, so that the doubt is
 // confirmed or cleared soon also at low load. The evidence must come from several nodes. A server
 // that may not be ejected gets no work for that.
--- a/internal/dispatch/retest.go
+++ b/internal/dispatch/retest.go
@@ -9,7 +9,8 @@
 // The pattern that this file answers: so many servers fail by turns that the capacity that may be out is used up.
 // A verdict that is some seconds old then keeps a server out, or idle, that works again, and one in that fails.
 const (
-	// idleBeforeTest is how long a failing server that the minimum keeps may be without work before it gets a request.
+	// idleBeforeTest is how long a server in rotation may be without work before it gets a request although it fails and
+	// the minimum keeps it, or stands in another data centre.
 	idleBeforeTest = 1200 * time.Millisecond
 	// scarceShare is the share of the capacity that may be out from which on places are scarce.
 	scarceShare = 0.5
@@ -33,6 +34,6 @@
 
 // tests tells whether the request should test a failing server that the minimum keeps and that is idle.
 func (m *Machine) tests(now time.Time, s *server, r *request) bool {
-	return r.Idempotent && r.Purpose == grant.First && s.state == inRotation && len(s.inflight) == 0 &&
-		now.Before(s.failingUntil) && now.Sub(s.idleSince()) >= idleBeforeTest && m.canaries.allows(now)
+	return r.Idempotent && r.Purpose == grant.First && s.state == inRotation && s.forgotten(now) &&
+		now.Before(s.failingUntil) && m.canaries.allows(now)
 }
--- a/internal/dispatch/retest_test.go
+++ b/internal/dispatch/retest_test.go
@@ -259,3 +259,35 @@
 	g.Expect(c.Out).To(BeZero())
 	g.Expect(used[true]).To(BeNumerically("~", used[false], used[false]/4))
 }
+
+// Sound servers of a data centre whose hosts get little of the service's work had none, since hosts elsewhere prefer
+// their own servers while these have room.
+func TestServersOfAQuietDataCentreGetWork(t *testing.T) {
+	g := NewWithT(t)
+	b := newBench(40, 3)
+	random := rand.New(rand.NewPCG(37, 37))
+	for i := range b.servers[:20] {
+		b.servers[i].DataCentre = "b"
+	}
+	b.machine.SetServers(b.now, b.servers)
+	b.work[repeatable], b.work[single] = 200*time.Millisecond, 200*time.Millisecond
+	used := map[string]time.Time{}
+	b.resets = func(instance string, now time.Time) bool { used[instance] = now; return false }
+	began, worst := b.now, len(b.servers)
+	b.run(10*time.Second, func() {
+		if random.Float64() < 100*benchStep.Seconds() {
+			b.ask(uint32(1+b.nextID%2), priority.Normal, b.nextID%2 == 0, time.Second, 2*time.Second, grant.First)
+		}
+		if b.now.Sub(began) < 4*time.Second {
+			return
+		}
+		recent := 0
+		for _, at := range used {
+			if b.now.Sub(at) < usedSpan {
+				recent++
+			}
+		}
+		worst = min(worst, recent)
+	})
+	g.Expect(float64(worst)).To(BeNumerically(">=", usedShare*float64(len(b.servers))))
+}
