--- a/internal/dispatch/doc.go
+++ b/internal/dispatch/doc.go
@@ -11,6 +11,9 @@
 // and within a team the earliest deadline goes first. A server never has more requests in flight
 // than its slots and connections.
 //
+// Servers in the data centre of the caller's node come first while one has room; a server without work for
+// 1.2 s counts as one of them.
+//
 // Requests are refused with queue-full when the queue of their priority is full (50 requests per
 // announced slot, at least 256); the team with the most queued requests loses its newest.
 // deadline-unmeetable means that too little time is left; no-capacity that no server may serve the
