Count every run against a route's attempts, also of the attempt that lost the race

Cause: when the second attempt of a race won, or the first one won with a failure while the second ran, the loser was cancelled without being counted, though its server may have run the work. The server of a winning second attempt could also be chosen again.

Change: a race counts each attempt that may have run the work, and excludes the second server always. A failure reported by the first server no longer ends the race while the second attempt may get a response.

The other ways to begin an attempt (retry after a failure, after a rejection, after an expired grant) were read: they count by failure.mayHaveRun.

--- a/internal/entry/dispatch.go
+++ b/internal/entry/dispatch.go
@@ -157,10 +157,15 @@
 // shouldRetryResponse reports whether to try another server after this response. This is the case if
 // the server reported a failure, with a status of 500 or above, and the work may run again.
 func (l *attemptLoop) shouldRetryResponse(candidate *Exchange) bool {
-	return candidate.bodyComplete && candidate.response.Status >= http.StatusInternalServerError &&
+	return candidate.serverFailed() &&
 		l.x.retryable() && l.x.runs+1 < l.maxRuns() && l.x.ctx.Err() == nil
 }
 
+// serverFailed reports whether the attempt got a complete response with which the server reports a failure.
+func (x *Exchange) serverFailed() bool {
+	return x.bodyComplete && x.response.Status >= http.StatusInternalServerError
+}
+
 func (l *attemptLoop) saveFallback(candidate *Exchange) {
 	l.x.runs++
 	l.x.mayHaveRun = true
--- a/internal/entry/fakes_test.go
+++ b/internal/entry/fakes_test.go
@@ -66,6 +66,8 @@
 		m.Priority, m.Idempotent = priority.Urgent, false
 	case "small":
 		m.BodyLimit = 10
+	case "two":
+		m.Attempts = 2
 	case "none":
 		return route.Match{}, false
 	}
--- a/internal/entry/race.go
+++ b/internal/entry/race.go
@@ -20,7 +20,9 @@
 )
 
 // attemptRace is an attempt at retryable work that a second attempt may join. The first response that
-// is complete, or too long to be read before it is relayed, wins. The other attempt is cancelled.
+// is complete, or too long to be read before it is relayed, wins. The other attempt is cancelled. A server
+// failure of the first attempt does not win while the second one may still get a response. Each attempt
+// that may have run the work counts towards the limit of the route, whether it won, failed or was cancelled.
 type attemptRace struct {
 	*attemptLoop
 	// first is the exchange of the first attempt, stored by value to save an allocation.
@@ -84,7 +86,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.firstEnded = true
-	if err == nil && r.winner == nil {
+	if err == nil && r.winner == nil && !(r.hasSecond && r.first.serverFailed()) {
 		r.winner = &r.first
 	}
 	if r.firstDone != nil {
@@ -98,31 +100,45 @@
 	return won, r.hasSecond
 }
 
+// awaitSecond waits for the second attempt, after the first one ended with the error or, if that is nil,
+// with a server failure.
 func (r *attemptRace) awaitSecond(err error) (*Exchange, error) {
 	<-r.secondDone
-	if r.winner != nil {
-		return r.winner, nil
+	if r.secondServer != "" {
+		r.request.Exclude = append(r.request.Exclude, r.secondServer)
+		r.x.attempts++
 	}
-	if second, ok := r.secondErr.(*failure); ok && second.mayHaveRun {
-		if first, ok := err.(*failure); ok && first.mayHaveRun {
-			// Both attempts may have run the work; attemptLoop.handleFailure counts only one of them.
+	if r.winner != nil {
+		if err == nil || mayHaveRun(err) {
 			r.x.runs++
+			r.x.mayHaveRun = true
+			r.reachedServer = true
 		}
+		return r.winner, nil
 	}
-	if r.secondServer != "" {
-		r.request.Exclude = append(r.request.Exclude, r.secondServer)
-		r.x.attempts++
+	if mayHaveRun(r.secondErr) && (err == nil || mayHaveRun(err)) {
+		// Both attempts may have run the work; attemptLoop counts only one of them.
+		r.x.runs++
+	}
+	if err == nil {
+		return &r.first, nil
 	}
 	return nil, combineFailures(err, r.secondErr)
 }
 
+// mayHaveRun reports whether the server of an attempt that ended with the error may have run the work.
+func mayHaveRun(err error) bool {
+	f, ok := err.(*failure)
+	return ok && f.mayHaveRun
+}
+
 // combineFailures merges the failures of both attempts: the work may have run if either may have run it.
 func combineFailures(first, second error) error {
 	firstFailure, ok := first.(*failure)
 	if !ok {
 		return first
 	}
-	if secondFailure, ok := second.(*failure); ok && secondFailure.mayHaveRun {
+	if mayHaveRun(second) {
 		combined := *firstFailure
 		combined.mayHaveRun = true
 		combined.grantExpired = false
--- a/internal/entry/response_test.go
+++ b/internal/entry/response_test.go
@@ -16,6 +16,7 @@
 
 	"github.com/tarragonmux/tarragonmux/internal/entry"
 	"github.com/tarragonmux/tarragonmux/internal/grant"
+	"github.com/tarragonmux/tarragonmux/internal/route"
 	"github.com/tarragonmux/tarragonmux/internal/standin"
 )
 
@@ -227,6 +228,72 @@
 	})
 })
 
+// Operators limit how many servers may run one request. Each way to begin another attempt has to count the
+// former one, also if it never ended by itself.
+var _ = Describe("The limit of attempts", func() {
+	failing := func(ran *atomic.Int64, delay time.Duration) string {
+		return httpServer(func(w http.ResponseWriter, _ *http.Request) {
+			ran.Add(1)
+			time.Sleep(delay)
+			w.WriteHeader(http.StatusInternalServerError)
+		})
+	}
+	stalled := func(ran *atomic.Int64) string {
+		return rawServer(func(c net.Conn) {
+			if _, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
+				ran.Add(1)
+			}
+		})
+	}
+	advise := func(f *fleet) {
+		f.grants.advised = make(chan struct{})
+		time.AfterFunc(150*time.Millisecond, func() { close(f.grants.advised) })
+	}
+
+	It("counts a stalled server whose request an advised retry took over", func() {
+		var ran atomic.Int64
+		f := start(nil, stalled(&ran), failing(&ran, 0), failing(&ran, 0))
+		advise(f)
+		Expect(f.do("GET", "/two", "").status).To(Equal(500))
+		Expect(ran.Load()).To(BeEquivalentTo(2))
+	})
+
+	It("counts an advised retry that runs when the first server reports a failure", func() {
+		var ran atomic.Int64
+		f := start(nil, failing(&ran, 250*time.Millisecond), failing(&ran, 200*time.Millisecond), failing(&ran, 0))
+		advise(f)
+		Expect(f.do("GET", "/two", "").status).To(Equal(500))
+		Expect(ran.Load()).To(BeEquivalentTo(2))
+	})
+
+	It("leaves an advised retry running when the first server reports a failure", func() {
+		var ran atomic.Int64
+		good := newStandin(standin.Config{Instance: "good", WorkTime: 200 * time.Millisecond})
+		f := start(nil, failing(&ran, 250*time.Millisecond), good.Address())
+		advise(f)
+		Expect(f.do("GET", "/two", "").body).To(HavePrefix("instance=good "))
+	})
+
+	It("counts a hedge", func() {
+		var ran atomic.Int64
+		f := start(func(c *entry.Config) { c.Routes = urgentTwice{} }, failing(&ran, 100*time.Millisecond), stalled(&ran), failing(&ran, 0))
+		f.grants.hedgeDelay = 30 * time.Millisecond
+		Expect(f.do("GET", "/urgent", "", "Grpc-Timeout", "1S").status).To(Equal(500))
+		Expect(ran.Load()).To(BeEquivalentTo(2))
+	})
+})
+
+// urgentTwice allows two attempts on each route.
+type urgentTwice struct{ fakeRoutes }
+
+func (u urgentTwice) Current() route.Snapshot { return u }
+
+func (u urgentTwice) Match(host, method, path string) (route.Match, bool) {
+	m, ok := u.fakeRoutes.Match(host, method, path)
+	m.Attempts = 2
+	return m, ok
+}
+
 var _ = Describe("Headers", func() {
 	// Hop-by-hop and internal headers that are passed on break the framing or reveal callers to
 	// each other.
