Cancel pipelined requests of a caller that closes its connection

Cause: net/http notices a close by reading one byte, and stops reading once that byte is the next request.

Weighed: a read of our own on every connection (a goroutine and a copy for each caller), a watch on the socket (a poller of our own, not portable), and reading ahead only after net/http's watch has ended. The last one costs connections without pipelined requests nothing.

Change: internal/entry/readahead wraps accepted connections and cancels the context of their requests. Tracked connections pass CloseWrite on, so that net/http's delayed close works again.

--- a/internal/app/connections.go
+++ b/internal/app/connections.go
@@ -65,6 +65,14 @@
 	return t.Conn.Close()
 }
 
+// CloseWrite closes the sending direction, if the connection supports that.
+func (t *trackedConn) CloseWrite() error {
+	if inner, ok := t.Conn.(interface{ CloseWrite() error }); ok {
+		return inner.CloseWrite()
+	}
+	return nil
+}
+
 func (c *connections) track(conn net.Conn) (net.Conn, error) {
 	tracked := &trackedConn{Conn: conn, owner: c}
 	if !c.add(tracked) {
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -11,6 +11,8 @@
 
 	"github.com/gorilla/mux"
 	"github.com/pkg/errors"
+
+	"github.com/tarragonmux/tarragonmux/internal/entry/readahead"
 )
 
 // hardHeaderFactor multiplied by the configured limit is the size of headers above which net/http itself
@@ -53,6 +55,7 @@
 		IdleTimeout:       cfg.Settings.IdleTimeout.D(),
 		MaxHeaderBytes:    hardHeaderFactor * cfg.Settings.MaxHeaderBytes,
 		ErrorLog:          cfg.Log.StandardLog(),
+		ConnContext:       readahead.Context,
 	}
 	return s, nil
 }
@@ -71,7 +74,7 @@
 
 // Serve accepts connections until Shutdown and then returns nil.
 func (s *Server) Serve(l net.Listener) error {
-	err := s.http.Serve(l)
+	err := s.http.Serve(readahead.NewListener(l))
 	if err == http.ErrServerClosed {
 		return nil
 	}
