Connect the control replica before the node that needs it, in TestRestartWithoutControl

The test started the node first. If the node's first query came before the replica was connected, it waited for its timeout, and the node was not ready within the bound of 500 ms.

--- a/internal/configuration/store/store_test.go
+++ b/internal/configuration/store/store_test.go
@@ -221,8 +221,10 @@
 		f.Expect(f.stores[5].Ready()).To(BeTrue())
 		f.Expect(f.stores[5].Revision()).To(BeEquivalentTo(2))
 		f.stops[4]()
-		f.start(4, "")
+		// The replica responds before the node starts. Otherwise the first query of the node may come before,
+		// and a query has no response for longer than the bound below.
 		f.setUnresponsive(false, controls[1])
+		f.start(4, "")
 		time.Sleep(500 * time.Millisecond)
 		f.Expect(f.stores[4].Ready()).To(BeTrue(), "one control replica that reads from a majority is enough")
 	})
