Divide the work of a large service among several dispatchers

Cause: one dispatcher for 515 servers and 421 entry hosts has a quarter of a core.

Servers and hosts belong to shards by rendezvous hashing; each shard has an election of its own. The number is part of the configuration (SetShards), follows the servers with hysteresis and is kept when a document supersedes another. Voters refuse renewals of former shards once they know the change, and grant no votes for new ones for one lease, so a server never has two owners. Considered: grouping hosts only (evidence stays split over all servers), lending slots to hosts (needs an owner of the whole service), choosing among shards for each request (every host keeps streams to all). The fixed assignment also makes hosts use their connections to servers again.

A removed service is given up at once instead of with the next revision; the wait of its voters is gone, as new voters wait. Hosts seek the successor of a dispatcher for 10 s at most, since it may have none.

--- a/internal/app/discovery.go
+++ b/internal/app/discovery.go
@@ -19,6 +19,7 @@
 	"github.com/tarragonmux/tarragonmux/internal/hostset"
 	"github.com/tarragonmux/tarragonmux/internal/membership"
 	"github.com/tarragonmux/tarragonmux/internal/settings"
+	"github.com/tarragonmux/tarragonmux/internal/shard"
 	"github.com/tarragonmux/tarragonmux/internal/transport"
 	"github.com/tarragonmux/tarragonmux/proto/configpb"
 	"github.com/tarragonmux/tarragonmux/proto/dispatchpb"
@@ -80,12 +81,12 @@
 			newControlDispatcher,
 			newAttachServer,
 		),
-		fx.Invoke(registerControlHost, maintainControlGroup, serveFleet, serveControlAdapter),
+		fx.Invoke(registerControlHost, maintainControlGroup, maintainShards, serveFleet, serveControlAdapter),
 	)
 }
 
-// groupSource derives the hosts that may run dispatchers from the control group, and the services from the
-// document in force.
+// groupSource derives the hosts that may run dispatchers from the control group, and the shards of the
+// services, each of which has an election, from the document in force.
 type groupSource struct {
 	document func() *configpb.Document
 	replica  *agreement.Replica
@@ -127,7 +128,9 @@
 		}
 	}
 	for _, s := range d.GetServices() {
-		g.fleet.Services = append(g.fleet.Services, hostset.Service{Name: s.GetName()})
+		for _, part := range shard.All(s.GetName(), int(s.GetShards())) {
+			g.fleet.Services = append(g.fleet.Services, hostset.Service{Name: part.String()})
+		}
 	}
 	return g.fleet
 }
--- a/internal/app/source.go
+++ b/internal/app/source.go
@@ -119,6 +119,7 @@
 		MinimumHealthyPercent: int(s.GetMinimumHealthyPercent()),
 		DefaultSlots:          int(s.GetSlotLimit()),
 		DefaultConnections:    int(s.GetConnectionLimit()),
+		Shards:                int(s.GetShards()),
 	}
 	for _, t := range s.GetPriorities() {
 		rank := priority.FromProto(t.GetPriority())
--- a/internal/attach/client.go
+++ b/internal/attach/client.go
@@ -79,8 +79,8 @@
 	dispatchers    map[string]leadership.Holder
 	// termHeardAt is when the current term of each dispatcher was last reported, by service.
 	termHeardAt map[string]time.Time
-	// endedTerms holds the terms of dispatchers whose stream ended, by service.
-	endedTerms map[string]uint64
+	// endedTerms holds the dispatchers whose stream ended, by service.
+	endedTerms map[string]endedTerm
 	attached   bool
 	// departures identifies which departures of the control host that responded last this host already
 	// has. departuresOutdated is set if those were not current.
@@ -104,7 +104,7 @@
 		controlNamedAt: map[string]time.Time{},
 		dispatchers:    map[string]leadership.Holder{},
 		termHeardAt:    map[string]time.Time{},
-		endedTerms:     map[string]uint64{},
+		endedTerms:     map[string]endedTerm{},
 	}
 }
 
@@ -332,13 +332,23 @@
 	c.dispatchers[d.GetService()] = leadership.Holder{Node: d.GetNode(), Address: d.GetAddress(), Term: d.GetTerm()}
 }
 
+// endedTerm is the term of a dispatcher whose stream ended at the given time.
+type endedTerm struct {
+	term uint64
+	at   time.Time
+}
+
+// seekPeriod is how long a host asks control hosts in quick succession for the successor of a dispatcher. The
+// service may have been removed, or divided among other dispatchers.
+const seekPeriod = 10 * time.Second
+
 // seeksDispatcher reports whether a dispatcher was lost and its successor is not known, or no
 // dispatcher is known at all.
 func (c *Client) seeksDispatcher() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	for service, term := range c.endedTerms {
-		if c.dispatchers[service].Term <= term {
+	for service, ended := range c.endedTerms {
+		if c.dispatchers[service].Term <= ended.term && time.Since(ended.at) < seekPeriod {
 			return true
 		}
 	}
@@ -360,7 +370,7 @@
 func (c *Client) DispatcherResponded(service, _ string, term uint64) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if term >= c.endedTerms[service] {
+	if term >= c.endedTerms[service].term {
 		delete(c.endedTerms, service)
 	}
 }
@@ -368,7 +378,7 @@
 // DispatcherStreamEnded implements leadership.Observer: the client immediately asks for the successor.
 func (c *Client) DispatcherStreamEnded(service string) {
 	c.mu.Lock()
-	c.endedTerms[service] = c.dispatchers[service].Term
+	c.endedTerms[service] = endedTerm{term: c.dispatchers[service].Term, at: time.Now()}
 	c.mu.Unlock()
 	c.wakeRun()
 }
--- a/internal/attach/server.go
+++ b/internal/attach/server.go
@@ -13,6 +13,7 @@
 	"github.com/tarragonmux/tarragonmux/internal/leadership"
 	"github.com/tarragonmux/tarragonmux/internal/logging"
 	"github.com/tarragonmux/tarragonmux/internal/membership"
+	"github.com/tarragonmux/tarragonmux/internal/shard"
 	"github.com/tarragonmux/tarragonmux/proto/fleetpb"
 )
 
@@ -222,14 +223,23 @@
 	if fleet == nil || !c.hasMajority(fleet.Hosts) || len(fleet.PreviousHosts) > 0 && !c.hasMajority(fleet.PreviousHosts) {
 		return false
 	}
-	for _, service := range c.services {
-		if h, ok := c.server.opts.Elections.Dispatcher(service); ok && !c.confirmedBy[h.Address] {
+	for _, s := range fleet.Services {
+		if !c.concerns(s.Name) {
+			continue
+		}
+		if h, ok := c.server.opts.Elections.Dispatcher(s.Name); ok && !c.confirmedBy[h.Address] {
 			return false
 		}
 	}
 	return true
 }
 
+// concerns reports whether the dispatchers of the shard may send requests to the backend server. All shards
+// of a service count, since the number of shards may be changing.
+func (c *departureConfirmation) concerns(shardName string) bool {
+	return slices.Contains(c.services, shard.ServiceOf(shardName))
+}
+
 func (c *departureConfirmation) hasMajority(group []hostset.Host) bool {
 	count := 0
 	for _, h := range group {
--- a/internal/cli/config.go
+++ b/internal/cli/config.go
@@ -234,6 +234,10 @@
 		return "delete team " + k.DeleteTeam
 	case *configpb.Change_ReplaceAll:
 		return "replace all"
+	case *configpb.Change_Supersede:
+		return fmt.Sprintf("supersede with version %d", k.Supersede.GetDocument().GetVersion())
+	case *configpb.Change_SetShards:
+		return fmt.Sprintf("set shards of %s to %d", k.SetShards.GetService(), k.SetShards.GetShards())
 	default:
 		return "unknown change"
 	}
--- a/internal/configuration/apply.go
+++ b/internal/configuration/apply.go
@@ -73,12 +73,26 @@
 		next.HostsRevision = d.GetHostsRevision()
 	case *configpb.Change_Supersede:
 		return applySupersede(d, k.Supersede.GetDocument()), true
+	case *configpb.Change_SetShards:
+		next.Services = withShards(d.GetServices(), k.SetShards.GetService(), k.SetShards.GetShards())
 	default:
 		return nil, false
 	}
 	return next, true
 }
 
+// withShards returns the services, one of them with another number of shards.
+func withShards(services []*configpb.Service, name string, shards uint32) []*configpb.Service {
+	s, ok := find(services, serviceKey, name)
+	if !ok {
+		// A document without the service came into force while the change was proposed.
+		return services
+	}
+	changed := proto.CloneOf(s)
+	changed.Shards = shards
+	return put(services, serviceKey, changed)
+}
+
 // applySupersede returns the document with the higher version, at the same revision. The version is a number
 // that the operator gave to the document. If a document of an equal or higher version came into force while
 // this one was proposed, nothing changes.
@@ -90,6 +104,11 @@
 	next.Revision = d.GetRevision()
 	next.PreviousHosts = d.GetPreviousHosts()
 	next.HostsRevision = d.GetHostsRevision()
+	for _, s := range d.GetServices() {
+		if s.GetShards() > 0 {
+			next.Services = withShards(next.Services, s.GetName(), s.GetShards())
+		}
+	}
 	return next
 }
 
--- a/internal/configuration/control/supersede.go
+++ b/internal/configuration/control/supersede.go
@@ -18,6 +18,22 @@
 	ErrUnavailable = errors.New("no majority of the control replicas answers and the document was not proposed; send it again later")
 )
 
+// SetShards changes the number of shards of a service in the document in force.
+// Errors: ErrUndecided, which includes that another change was decided first.
+func (l *Log) SetShards(ctx context.Context, service string, shards int, author string) error {
+	reply, err := l.Apply(ctx, &configpb.ApplyRequest{
+		ExpectedRevision: l.Revision(), RequestId: uuid.NewString(), Author: author,
+		Change: &configpb.Change{Kind: &configpb.Change_SetShards{SetShards: &configpb.SetShards{Service: service, Shards: uint32(shards)}}},
+	})
+	if err != nil {
+		return err
+	}
+	if reply.GetVerdict() != configpb.Verdict_VERDICT_ACCEPTED {
+		return errors.WithMessage(ErrUndecided, reply.GetVerdict().String()+" "+reply.GetReason())
+	}
+	return nil
+}
+
 // Supersede puts a whole document in force if its version is higher than that of the one in force. It
 // returns nil once a majority of the control replicas holds a document of this or a higher version, so a
 // resend and a document that has been superseded in the meantime are accepted without effect.
--- a/internal/configuration/snapshot.go
+++ b/internal/configuration/snapshot.go
@@ -45,6 +45,8 @@
 		next.routes = s.routes.withHostsRebuilt(d.GetRoutes(), s.services, s.routeHostName(k.PutRoute.GetId()), k.PutRoute.GetHostName())
 	case *configpb.Change_DeleteRoute:
 		next.routes = s.routes.withHostsRebuilt(d.GetRoutes(), s.services, s.routeHostName(k.DeleteRoute))
+	case *configpb.Change_SetShards:
+		next.services = serviceTable(d.GetServices())
 	case *configpb.Change_PutService, *configpb.Change_DeleteService:
 		next.services = serviceTable(d.GetServices())
 		next.routes = compileRoutes(d.GetRoutes(), next.services)
--- a/internal/configuration/validate.go
+++ b/internal/configuration/validate.go
@@ -34,6 +34,8 @@
 		return validateReplaceAll(d, k.ReplaceAll.GetDocument())
 	case *configpb.Change_Supersede:
 		return validateSupersede(k.Supersede.GetDocument())
+	case *configpb.Change_SetShards:
+		return validateSetShards(d, k.SetShards)
 	default:
 		return reject("change", "set one of the kinds of change", "it has no known kind")
 	}
@@ -51,6 +53,18 @@
 	return nil
 }
 
+// validateSetShards allows shards only in documents whose hosts are discovered: nodes of a host list belong
+// to the host set of a service as a whole.
+func validateSetShards(d *configpb.Document, c *configpb.SetShards) *Rejection {
+	if r := requireExists(d.GetServices(), serviceKey, c.GetService(), "set_shards.service", "service"); r != nil {
+		return r
+	}
+	if d.GetVersion() == 0 {
+		return reject("set_shards", "use host discovery", "the document lists its hosts")
+	}
+	return validateRange("set_shards.shards", int64(c.GetShards()), 1, maxShards)
+}
+
 func validatePutDataCentre(d *configpb.Document, c *configpb.Change, dc *configpb.DataCentre) *Rejection {
 	if r := validateDataCentre("put_data_centre", dc); r != nil {
 		return r
--- a/internal/configuration/validate_sections.go
+++ b/internal/configuration/validate_sections.go
@@ -26,6 +26,7 @@
 	maxDataCentres       = 1_000
 	maxHosts             = 20_000
 	maxServices          = 10_000
+	maxShards            = 64
 	maxRoutes            = 50_000
 	maxTeams             = 500_000
 	maxMethodsPerRoute   = 16
--- a/internal/dispatch/counts.go
+++ b/internal/dispatch/counts.go
@@ -54,6 +54,24 @@
 	return c
 }
 
+// merge adds the counts of another dispatcher of the same service. The median becomes the larger one.
+func (c *ServerCounts) merge(o *ServerCounts) {
+	c.Usable += o.Usable
+	c.Out += o.Out
+	c.Probation += o.Probation
+	c.Held += o.Held
+	c.Canary += o.Canary
+	c.Spared += o.Spared
+	c.Limited += o.Limited
+	c.Avoided += o.Avoided
+	c.Doubted += o.Doubted
+	c.UnusedOutOfRotation += o.UnusedOutOfRotation
+	c.UnusedInRotation += o.UnusedInRotation
+	c.OutLongest = max(c.OutLongest, o.OutLongest)
+	c.OutMedian = max(c.OutMedian, o.OutMedian)
+	c.LongestUntested = max(c.LongestUntested, o.LongestUntested)
+}
+
 func (c *ServerCounts) addInRotation(now time.Time, s *server, unused bool) {
 	count := func(n *int, matches bool) {
 		if matches {
--- a/internal/dispatch/machine.go
+++ b/internal/dispatch/machine.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/tarragonmux/tarragonmux/internal/backend"
@@ -69,6 +70,22 @@
 	Overload                               bool
 }
 
+// Add adds the counters of another dispatcher of the same service.
+func (s *Stats) Add(o Stats) {
+	s.Granted += o.Granted
+	s.Refused += o.Refused
+	s.Retries += o.Retries
+	s.Hedges += o.Hedges
+	s.Ejections += o.Ejections
+	s.EjectionsDenied += o.EjectionsDenied
+	s.PathBlocks += o.PathBlocks
+	s.Returns += o.Returns
+	s.PoisonRequests += o.PoisonRequests
+	s.Crashes += o.Crashes
+	s.Queued += o.Queued
+	s.Overload = s.Overload || o.Overload
+}
+
 // peak is the highest announced capacity of one minute, in slots.
 type peak struct {
 	minute int64
@@ -125,6 +142,7 @@
 	for _, b := range list {
 		m.setServer(now, b)
 	}
+	m.sortServers()
 	m.servers = slices.DeleteFunc(m.servers, func(s *server) bool {
 		gone := !s.listed && len(s.inflight) == 0
 		if gone {
@@ -165,15 +183,17 @@
 	}
 }
 
+// addServer appends a server; sortServers must be called afterwards.
 func (m *Machine) addServer(s *server) {
 	m.byName[s.Instance] = s
 	m.servers = append(m.servers, s)
-	slices.SortFunc(m.servers, func(a, b *server) int {
-		if a.Instance < b.Instance {
-			return -1
-		}
-		return 1
-	})
+}
+
+func (m *Machine) sortServers() {
+	byInstance := func(a, b *server) int { return strings.Compare(a.Instance, b.Instance) }
+	if !slices.IsSortedFunc(m.servers, byInstance) {
+		slices.SortFunc(m.servers, byInstance)
+	}
 }
 
 // beginWarmUp starts the slow start of a server that has just become ready.
@@ -225,6 +245,7 @@
 	for _, o := range outstanding {
 		m.adoptOutstanding(now, n, o)
 	}
+	m.sortServers()
 	if now.Before(m.started.Add(CollectionPeriod)) {
 		for _, instance := range ejected {
 			m.inheritedEjections[instance] = true
--- a/internal/dispatch/view.go
+++ b/internal/dispatch/view.go
@@ -42,6 +42,17 @@
 	Counts ServerCounts
 }
 
+// Merge adds the view of another dispatcher of the same service.
+func (v *View) Merge(other View) {
+	v.Servers = append(v.Servers, other.Servers...)
+	v.P95 = max(v.P95, other.P95)
+	v.Overload = v.Overload || other.Overload
+	v.Healthy += other.Healthy
+	v.Minimum += other.Minimum
+	v.Counts.merge(&other.Counts)
+}
+
+// View returns the state of the service.
 func (m *Machine) View(now time.Time) View {
 	v := View{
 		P95: m.latencies.p95, Overload: m.overload,
--- a/internal/dispatchrpc/alone_test.go
+++ b/internal/dispatchrpc/alone_test.go
@@ -53,10 +53,10 @@
 	c := disconnectedChannel(lost)
 	c.ejected, c.crashed = map[string]bool{"s1": true}, map[string]bool{"s2": true}
 	g.Expect(c.countSelected(lost.Add(4 * time.Second))).To(And(HaveLen(2), HaveKey("s0"), HaveKey("s3")))
-	hello, _ := c.beginStream(lost.Add(4 * time.Second))
+	hello, _ := c.beginStream(lost.Add(4*time.Second), "s")
 	g.Expect(hello.GetHello().GetEjected()).To(Equal([]string{"s1"}))
 	g.Expect(c.countSelected(lost.Add(6 * time.Second))).To(HaveLen(4))
-	hello, _ = c.beginStream(lost.Add(6 * time.Second))
+	hello, _ = c.beginStream(lost.Add(6*time.Second), "s")
 	g.Expect(hello.GetHello().GetEjected()).To(BeEmpty())
 }
 
--- a/internal/dispatchrpc/channel.go
+++ b/internal/dispatchrpc/channel.go
@@ -10,6 +10,7 @@
 	"github.com/tarragonmux/tarragonmux/internal/dispatch"
 	"github.com/tarragonmux/tarragonmux/internal/grant"
 	"github.com/tarragonmux/tarragonmux/internal/problem"
+	"github.com/tarragonmux/tarragonmux/internal/shard"
 	"github.com/tarragonmux/tarragonmux/proto/dispatchpb"
 )
 
@@ -262,6 +263,16 @@
 	c.hedge.Store(int64(delay))
 }
 
+// shardName returns the name of the shard that this node belongs to, or "" if the service is not configured.
+func (c *channel) shardName() string {
+	cfg := &c.client.config
+	settings, ok := cfg.Settings.Service(c.service)
+	if !ok {
+		return ""
+	}
+	return shard.Of(c.service, cfg.Node, settings.Shards).String()
+}
+
 // takeBatch returns what is to be sent, with the heartbeat unless the stream is idle, and the longest pause
 // before the next message. It returns nil if the stream has ended.
 func (c *channel) takeBatch(now time.Time, streamID uint64) (*dispatchpb.NodeBatch, time.Duration) {
@@ -286,12 +297,12 @@
 
 // beginStream starts a stream. It returns the first batch, with all requests that this node has in flight
 // or queued, and the id of the stream.
-func (c *channel) beginStream(now time.Time) (*dispatchpb.NodeBatch, uint64) {
+func (c *channel) beginStream(now time.Time, shardName string) (*dispatchpb.NodeBatch, uint64) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	cfg := &c.client.config
 	hello := &dispatchpb.Hello{
-		Node: cfg.Node, Incarnation: cfg.Incarnation, DataCentre: cfg.DataCentre, Service: c.service,
+		Node: cfg.Node, Incarnation: cfg.Incarnation, DataCentre: cfg.DataCentre, Service: shardName,
 		WantsServers: cfg.Sink != nil,
 	}
 	for _, h := range c.held {
--- a/internal/dispatchrpc/connect.go
+++ b/internal/dispatchrpc/connect.go
@@ -23,9 +23,10 @@
 // connect keeps a stream open to the current dispatcher until the context ends.
 func (c *channel) connect(ctx context.Context) {
 	for ctx.Err() == nil {
-		if holder, ok := c.client.config.Elections.Dispatcher(c.service); ok {
-			if err := c.runStream(ctx, holder); err != nil && ctx.Err() == nil {
-				c.client.log.Debug("stream ended", "service", c.service, "dispatcher", holder.Node, "err", logging.Err(err))
+		shardName := c.shardName()
+		if holder, ok := c.client.config.Elections.Dispatcher(shardName); ok {
+			if err := c.runStream(ctx, holder, shardName); err != nil && ctx.Err() == nil {
+				c.client.log.Debug("stream ended", "service", shardName, "dispatcher", holder.Node, "err", logging.Err(err))
 			}
 		}
 		sleep(ctx, reconnectDelay/2+rand.N(reconnectDelay))
@@ -43,15 +44,15 @@
 
 // runStream runs one stream until it breaks, the dispatcher becomes unresponsive or another node becomes
 // dispatcher.
-func (c *channel) runStream(ctx context.Context, holder leadership.Holder) error {
+func (c *channel) runStream(ctx context.Context, holder leadership.Holder, shardName string) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	go c.watchStream(ctx, cancel, holder)
+	go c.watchStream(ctx, cancel, holder, shardName)
 	stream, err := c.openStream(ctx, holder)
 	if err != nil {
 		return err
 	}
-	hello, streamID := c.beginStream(time.Now())
+	hello, streamID := c.beginStream(time.Now(), shardName)
 	stop := context.AfterFunc(ctx, func() {
 		c.endStream(streamID)
 		// The stream is no longer used, so an error on closing it does not matter.
@@ -66,7 +67,7 @@
 		defer cancel()
 		c.writeLoop(ctx, stream, streamID)
 	}()
-	return c.readLoop(ctx, stream, streamID, holder.Node)
+	return c.readLoop(ctx, stream, streamID, holder.Node, shardName)
 }
 
 func (c *channel) openStream(ctx context.Context, holder leadership.Holder) (nodeStream, error) {
@@ -78,10 +79,10 @@
 	return stream, errors.Wrap(err, "open a stream to the dispatcher")
 }
 
-func (c *channel) readLoop(ctx context.Context, stream nodeStream, streamID uint64, node string) error {
+func (c *channel) readLoop(ctx context.Context, stream nodeStream, streamID uint64, node, shardName string) error {
 	observer, observed := c.client.config.Elections.(leadership.Observer)
 	if observed {
-		defer observer.DispatcherStreamEnded(c.service)
+		defer observer.DispatcherStreamEnded(shardName)
 	}
 	var reportedAt time.Time
 	for {
@@ -97,7 +98,7 @@
 		}
 		if now := time.Now(); observed && now.Sub(reportedAt) >= responseReportInterval {
 			reportedAt = now
-			observer.DispatcherResponded(c.service, node, c.dispatcherTerm())
+			observer.DispatcherResponded(shardName, node, c.dispatcherTerm())
 		}
 	}
 }
@@ -128,8 +129,9 @@
 	}
 }
 
-// watchStream cancels a stream whose dispatcher is unresponsive or no longer holds the lease.
-func (c *channel) watchStream(ctx context.Context, cancel context.CancelFunc, holder leadership.Holder) {
+// watchStream cancels a stream whose dispatcher is unresponsive or no longer holds the lease, or to whose
+// shard the node no longer belongs.
+func (c *channel) watchStream(ctx context.Context, cancel context.CancelFunc, holder leadership.Holder, shardName string) {
 	ticker := time.NewTicker(streamCheckInterval)
 	defer ticker.Stop()
 	started := time.Now()
@@ -138,8 +140,8 @@
 		case <-ctx.Done():
 			return
 		case now := <-ticker.C:
-			current, ok := c.client.config.Elections.Dispatcher(c.service)
-			if ok && (current.Node != holder.Node || current.Address != holder.Address) {
+			current, ok := c.client.config.Elections.Dispatcher(shardName)
+			if ok && (current.Node != holder.Node || current.Address != holder.Address) || c.shardName() != shardName {
 				cancel()
 				return
 			}
--- a/internal/dispatchrpc/quiet_test.go
+++ b/internal/dispatchrpc/quiet_test.go
@@ -16,7 +16,7 @@
 	g := NewWithT(t)
 	now := time.Now()
 	c := newChannel(&Client{}, "s", func() {})
-	_, streamID := c.beginStream(now)
+	_, streamID := c.beginStream(now, "s")
 	check := func(at time.Duration, idle bool, interval time.Duration) {
 		b, pause := c.takeBatch(now.Add(at), streamID)
 		g.Expect(isIdle(b)).To(Equal(idle), "after %v", at)
--- a/internal/dispatchrpc/runner.go
+++ b/internal/dispatchrpc/runner.go
@@ -10,14 +10,18 @@
 	"github.com/pkg/errors"
 	"google.golang.org/protobuf/proto"
 
+	"github.com/tarragonmux/tarragonmux/internal/backend"
 	"github.com/tarragonmux/tarragonmux/internal/dispatch"
+	"github.com/tarragonmux/tarragonmux/internal/shard"
 	"github.com/tarragonmux/tarragonmux/proto/dispatchpb"
 )
 
-// runner drives the state machine of one service while this node holds the lease.
+// runner drives the state machine of one shard of a service while this node holds its lease.
 type runner struct {
-	server  *Server
-	service string
+	server *Server
+	part   shard.Shard
+	// name is that of the shard, under which its dispatcher is elected and which log lines state.
+	name string
 
 	mu sync.Mutex
 	// machine is nil while this node is not the dispatcher.
@@ -74,7 +78,7 @@
 // syncWithLease starts or stops the state machine to match the lease, and reports whether this node is the
 // dispatcher.
 func (r *runner) syncWithLease(now time.Time) bool {
-	lease, held := r.server.config.Elections.Held(r.service)
+	lease, held := r.server.config.Elections.Held(r.name)
 	if !held || !now.Before(lease.Until) {
 		r.resign()
 		return false
@@ -83,17 +87,24 @@
 		return true
 	}
 	r.resign()
-	settings, ok := r.server.config.Settings.Service(r.service)
+	settings, ok := r.settings()
 	if !ok {
 		return false
 	}
 	r.term = lease.Term
-	r.machine = dispatch.New(now, settings.dispatchConfig(r.service, lease.Term))
+	r.machine = dispatch.New(now, settings.dispatchConfig(r.part, lease.Term))
 	r.refreshServers(now, settings)
-	r.server.log.Info("became dispatcher", "service", r.service, "term", lease.Term)
+	r.server.log.Info("became dispatcher", "service", r.name, "term", lease.Term)
 	return true
 }
 
+// settings returns the settings of the service; ok is false if the service is not configured or is divided
+// in another way.
+func (r *runner) settings() (s ServiceSettings, ok bool) {
+	s, ok = r.server.config.Settings.Service(r.part.Service)
+	return s, ok && s.hasShard(r.part)
+}
+
 // resign drops all state. The nodes report their requests in flight to the next dispatcher.
 func (r *runner) resign() {
 	if r.machine == nil {
@@ -107,17 +118,31 @@
 		sess.end()
 	}
 	clear(r.sessions)
-	r.server.log.Info("is no longer dispatcher", "service", r.service, "term", r.term)
+	r.server.log.Info("is no longer dispatcher", "service", r.name, "term", r.term)
 }
 
 func (r *runner) refreshServers(now time.Time, settings ServiceSettings) {
 	r.serversRefreshedAt = now
-	r.machine.Configure(now, settings.dispatchConfig(r.service, r.term))
-	servers := r.server.config.Registry.Servers(r.service)
+	r.machine.Configure(now, settings.dispatchConfig(r.part, r.term))
+	servers := r.ownServers(r.server.config.Registry.Servers(r.part.Service))
 	r.machine.SetServers(now, servers)
 	r.refreshEntries(now, servers)
 }
 
+// ownServers returns the servers that belong to the shard. It does not modify the list.
+func (r *runner) ownServers(all []backend.Server) []backend.Server {
+	if r.part.Count == 1 {
+		return all
+	}
+	own := make([]backend.Server, 0, 2*len(all)/r.part.Count)
+	for _, s := range all {
+		if r.part.Owns(s.Instance) {
+			own = append(own, s)
+		}
+	}
+	return own
+}
+
 // tick advances the state machine to the given time.
 func (r *runner) tick(now time.Time) {
 	r.mu.Lock()
@@ -126,7 +151,7 @@
 		return
 	}
 	if now.Sub(r.serversRefreshedAt) >= registryPollInterval {
-		settings, ok := r.server.config.Settings.Service(r.service)
+		settings, ok := r.settings()
 		if !ok {
 			r.resign()
 			return
@@ -302,7 +327,7 @@
 		if !ok {
 			continue
 		}
-		r.server.log.Info("judged a server", "service", r.service, "term", r.term, "instance", e.Instance, "what", e.Kind, "why", e.Reason,
+		r.server.log.Info("judged a server", "service", r.name, "term", r.term, "instance", e.Instance, "what", e.Kind, "why", e.Reason,
 			"failures", math.Round(e.Failures*100)/100, "in_flight", e.InFlight, "limit", e.Limit,
 			"healthy", e.Healthy, "minimum", e.Minimum, "out_ms", e.OutFor.Milliseconds(), "suppressed", suppressed)
 	}
@@ -316,7 +341,7 @@
 		return
 	}
 	r.countsLoggedAt = now
-	r.server.log.Info("servers without work", "service", r.service, "term", r.term, "usable", c.Usable, "out", c.Out,
+	r.server.log.Info("servers without work", "service", r.name, "term", r.term, "usable", c.Usable, "out", c.Out,
 		"probation", c.Probation, "held", c.Held, "canary", c.Canary, "spared", c.Spared, "limited", c.Limited,
 		"avoided", c.Avoided, "doubted", c.Doubted, "unused_out", c.UnusedOutOfRotation, "unused_in", c.UnusedInRotation,
 		"out_median_ms", c.OutMedian.Milliseconds(), "out_longest_ms", c.OutLongest.Milliseconds(),
@@ -341,7 +366,7 @@
 	}
 	stats := r.machine.Stats()
 	if stats.Ejections != r.lastStats.Ejections || stats.PathBlocks != r.lastStats.PathBlocks {
-		r.server.log.Warn("routed around servers", "service", r.service,
+		r.server.log.Warn("routed around servers", "service", r.name,
 			"ejections", stats.Ejections, "denied", stats.EjectionsDenied, "bad paths", stats.PathBlocks)
 	}
 	r.lastStats = stats
--- a/internal/dispatchrpc/server.go
+++ b/internal/dispatchrpc/server.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -12,6 +14,7 @@
 	"github.com/tarragonmux/tarragonmux/internal/dispatch"
 	"github.com/tarragonmux/tarragonmux/internal/leadership"
 	"github.com/tarragonmux/tarragonmux/internal/logging"
+	"github.com/tarragonmux/tarragonmux/internal/shard"
 	"github.com/tarragonmux/tarragonmux/proto/dispatchpb"
 )
 
@@ -31,8 +34,8 @@
 	log        *log.Logger
 	logLimiter *logging.Limiter
 	mu         sync.RWMutex
-	// runners holds the runner of each service, by service name. Entries are never removed, since there are
-	// at most a few hundred.
+	// runners holds the runner of each shard, by its name. Entries are never removed, since there are at most
+	// a few hundred.
 	runners map[string]*runner
 }
 
@@ -53,13 +56,27 @@
 			s.stop()
 			return nil
 		case <-ticker.C:
-			for _, service := range s.config.Settings.Services() {
-				s.runner(service).tick(time.Now())
-			}
+			s.tick()
 		}
 	}
 }
 
+// tick advances the dispatchers of all shards. A runner of a shard that is no longer configured resigns.
+func (s *Server) tick() {
+	for _, service := range s.config.Settings.Services() {
+		settings, _ := s.config.Settings.Service(service)
+		for _, part := range shard.All(service, settings.Shards) {
+			s.runner(part)
+		}
+	}
+	s.mu.RLock()
+	runners := slices.Collect(maps.Values(s.runners))
+	s.mu.RUnlock()
+	for _, r := range runners {
+		r.tick(time.Now())
+	}
+}
+
 func (s *Server) stop() {
 	s.mu.RLock()
 	defer s.mu.RUnlock()
@@ -70,38 +87,60 @@
 	}
 }
 
-// View returns the dispatcher's view of the service; ok is false if this node is not its dispatcher.
+// View returns the view of the dispatchers of the service's shards on this node, as one view; ok is false if
+// there is none.
 func (s *Server) View(service string) (v dispatch.View, stats dispatch.Stats, ok bool) {
-	s.mu.RLock()
-	r := s.runners[service]
-	s.mu.RUnlock()
-	if r == nil {
-		return v, stats, false
-	}
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if r.machine == nil {
-		return v, stats, false
+	settings, _ := s.config.Settings.Service(service)
+	for _, part := range shard.All(service, settings.Shards) {
+		s.mu.RLock()
+		r := s.runners[part.String()]
+		s.mu.RUnlock()
+		if r == nil {
+			continue
+		}
+		r.mu.Lock()
+		if r.machine != nil {
+			v.Merge(r.machine.View(time.Now()))
+			stats.Add(r.machine.Stats())
+			ok = true
+		}
+		r.mu.Unlock()
 	}
-	return r.machine.View(time.Now()), r.machine.Stats(), true
+	return v, stats, ok
 }
 
-func (s *Server) runner(service string) *runner {
+func (s *Server) runner(part shard.Shard) *runner {
+	name := part.String()
 	s.mu.RLock()
-	r := s.runners[service]
+	r := s.runners[name]
 	s.mu.RUnlock()
 	if r != nil {
 		return r
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if r = s.runners[service]; r == nil {
-		r = &runner{server: s, service: service, sessions: map[string]*session{}}
-		s.runners[service] = r
+	if r = s.runners[name]; r == nil {
+		r = &runner{server: s, part: part, name: name, sessions: map[string]*session{}}
+		s.runners[name] = r
 	}
 	return r
 }
 
+// requestedShard returns the shard that a node asks for; ok is false if the service is not configured or is
+// divided in another way.
+func (s *Server) requestedShard(name string) (part shard.Shard, ok bool) {
+	settings, known := s.config.Settings.Service(shard.ServiceOf(name))
+	if !known {
+		return part, false
+	}
+	for _, part := range shard.All(shard.ServiceOf(name), settings.Shards) {
+		if part.String() == name {
+			return part, true
+		}
+	}
+	return part, false
+}
+
 // Stream serves one node. It implements dispatchpb.DRPCDispatcherServer.
 func (s *Server) Stream(stream dispatchpb.DRPCDispatcher_StreamStream) error {
 	return s.serveStream(stream)
@@ -128,10 +167,11 @@
 	if hello.GetNode() == "" || hello.GetService() == "" {
 		return errors.New("the first message of a stream has no node or service; send a hello first")
 	}
-	if _, known := s.config.Settings.Service(hello.Service); !known {
+	part, known := s.requestedShard(hello.Service)
+	if !known {
 		return s.redirect(stream, hello.Service)
 	}
-	r := s.runner(hello.Service)
+	r := s.runner(part)
 	sess := r.startSession(time.Now(), first)
 	if sess == nil {
 		return s.redirect(stream, hello.Service)
--- a/internal/dispatchrpc/settings.go
+++ b/internal/dispatchrpc/settings.go
@@ -5,6 +5,7 @@
 
 	"github.com/tarragonmux/tarragonmux/internal/dispatch"
 	"github.com/tarragonmux/tarragonmux/internal/priority"
+	"github.com/tarragonmux/tarragonmux/internal/shard"
 )
 
 // Intervals and timeouts of the streams between nodes and dispatchers.
@@ -53,6 +54,8 @@
 	DefaultConnections int
 	// RetryShare and RetryFloor limit retries and hedges; 0 means the default.
 	RetryShare, RetryFloor float64
+	// Shards is the number of dispatchers among which the service is divided; 0 means 1.
+	Shards int
 	// Members is the host set of the service, in the same order on every node. Callers must not modify it.
 	Members []dispatch.Member
 }
@@ -66,11 +69,17 @@
 	Service(name string) (s ServiceSettings, ok bool)
 }
 
-func (s ServiceSettings) dispatchConfig(service string, term uint64) dispatch.Config {
+// hasShard reports whether the service is divided in the way of which the shard is a part.
+func (s ServiceSettings) hasShard(part shard.Shard) bool {
+	return part.Count == max(s.Shards, 1)
+}
+
+// dispatchConfig returns the settings of one shard. Absolute limits of the service are divided evenly.
+func (s ServiceSettings) dispatchConfig(part shard.Shard, term uint64) dispatch.Config {
 	return dispatch.Config{
-		Service:               service,
+		Service:               part.Service,
 		Term:                  term,
-		MinimumHealthySlots:   s.MinimumHealthySlots,
+		MinimumHealthySlots:   (s.MinimumHealthySlots + part.Count - 1) / part.Count,
 		MinimumHealthyPercent: s.MinimumHealthyPercent,
 		MinimumOfStaying:      s.MinimumOfStaying,
 		Shares:                s.Shares,
@@ -78,7 +87,7 @@
 		DefaultSlots:          s.DefaultSlots,
 		DefaultConnections:    s.DefaultConnections,
 		RetryShare:            s.RetryShare,
-		RetryFloor:            s.RetryFloor,
+		RetryFloor:            s.RetryFloor / float64(part.Count),
 		Members:               s.Members,
 	}
 }
--- a/internal/election/learn.go
+++ b/internal/election/learn.go
@@ -14,10 +14,11 @@
 var ErrUnknownService = errors.New("the service is not configured on this node; check which revision is in force")
 
 // Vote handles a vote request, a holder query or an announcement. Errors: ErrUnknownService.
-func (r *Runner) Vote(_ context.Context, request *fleetpb.VoteRequest) (*fleetpb.VoteReply, error) {
+func (r *Runner) Vote(ctx context.Context, request *fleetpb.VoteRequest) (*fleetpb.VoteReply, error) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.refreshFleet()
+	// Releases of votes outlive the call.
+	r.refreshFleet(context.WithoutCancel(ctx))
 	e, ok := r.services[request.GetService()]
 	if !ok {
 		return nil, ErrUnknownService
--- a/internal/election/runner.go
+++ b/internal/election/runner.go
@@ -69,8 +69,10 @@
 // Runner votes, campaigns and learns the dispatchers of all services. It implements leadership.Elections
 // and serves the Vote RPC of the fleet service. It is safe for concurrent use.
 type Runner struct {
-	o       Options
-	started time.Time
+	o Options
+	// votesFrom is the time from which the voters of services that are new wait one VoteLease: the start of
+	// the process for those of its first configuration, and the time of their configuration otherwise.
+	votesFrom time.Time
 	// callSlots limits the number of calls in flight.
 	callSlots    chan struct{}
 	callsRunning sync.WaitGroup
@@ -116,7 +118,7 @@
 func NewRunner(o Options) *Runner {
 	return &Runner{
 		o:         o,
-		started:   time.Now(),
+		votesFrom: time.Now(),
 		callSlots: make(chan struct{}, maxInFlightCalls),
 		addresses: map[string]string{},
 		services:  map[string]*serviceElection{},
@@ -141,7 +143,7 @@
 func (r *Runner) tick(ctx context.Context) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.refreshFleet()
+	r.refreshFleet(ctx)
 	now := time.Now()
 	activeCount := 0
 	for _, e := range r.services {
@@ -160,12 +162,19 @@
 }
 
 // refreshFleet adopts a new configuration revision, if there is one. A service that is no longer configured
-// is removed unless this node's vote for it is still valid.
-func (r *Runner) refreshFleet() {
+// is removed. Its lease is released, and this node's voter refuses renewals from then on.
+//
+// The work of a removed service may go on under other names, as when the number of shards changes. The voters
+// of services that are new grant no vote for one lease, so that the leases of the former names have ended by
+// then: any two majorities have a voter in common.
+func (r *Runner) refreshFleet(ctx context.Context) {
 	fleet := r.o.Source.Fleet()
 	if fleet == nil || fleet == r.fleet {
 		return
 	}
+	if r.fleet != nil {
+		r.votesFrom = time.Now()
+	}
 	r.fleet = fleet
 	for _, h := range slices.Concat(fleet.PreviousHosts, fleet.Hosts) {
 		r.addresses[h.ID] = h.FleetAddress
@@ -175,9 +184,9 @@
 	}
 	now := time.Now()
 	for name, e := range r.services {
-		_, _, _, bound := e.voter.Holder(now)
-		if _, ok := fleet.Service(name); !ok && !bound {
+		if _, ok := fleet.Service(name); !ok {
 			delete(r.services, name)
+			r.sendRequests(ctx, e, e.candidate.Resign(now))
 		}
 	}
 }
@@ -187,7 +196,7 @@
 	if !ok {
 		e = &serviceElection{
 			service:   s.Name,
-			voter:     NewVoter(r.started),
+			voter:     NewVoter(r.votesFrom),
 			candidate: NewCandidate(s.Name, r.o.ID, r.o.Incarnation),
 		}
 		e.candidate.resigned = r.resigned
--- a/internal/groupkeeper/keeper.go
+++ b/internal/groupkeeper/keeper.go
@@ -98,6 +98,17 @@
 	return slices.Contains(members, k.self)
 }
 
+// Proposes reports whether the host whose id is self proposes changes on behalf of the group: it is the alive
+// member with the lowest id. Several hosts may do so while their views differ.
+func Proposes(self string, members []string, hosts []Host) bool {
+	k := Keeper{self: self}
+	alive := map[string]bool{}
+	for _, h := range hosts {
+		alive[h.ID] = h.Alive
+	}
+	return k.isProposer(members, alive)
+}
+
 // memberToReplace returns the member that has been unavailable longest, if for at least ReplaceAfter, or "".
 func (k *Keeper) memberToReplace(now time.Time, members []string) string {
 	longest := ""
