Test inherited ejections at once; compute the view of returning nodes once

Cause: a new dispatcher let servers that its predecessor had ejected wait 1.5 s before their first canary. The same takeover computed the view of all servers for each returning node, a third of its processor time.

Change: the first canary of an inherited ejection is due at once; the canary budget bounds them. The view for nodes is computed once and kept until the next broadcast.

TestEjectionsAreInherited asked for the wait itself (state ejected); its server is now on probation, which still means one request. TestInheritedVerdictsAreTestedSoon asked for at most 1.5 s and became TestInheritedVerdictsAreTestedAtOnce, which also checks that it gets one request only. Both fail before.

--- a/internal/dispatch/ejection.go
+++ b/internal/dispatch/ejection.go
@@ -127,8 +127,9 @@
 	}
 	m.setProbation(now, s)
 	if reason == causeInherited {
-		// The age of the former dispatcher's assessment is unknown, so the first canary comes early.
-		s.stateUntil = now.Add(canaryRetryInterval)
+		// The age of the former dispatcher's assessment is unknown. If dispatchers change often, a wait would
+		// begin again with each of them, so the first canary is due at once.
+		s.stateUntil = now
 	}
 	m.takeOut(now, s, ejectedServer)
 	m.stats.Ejections++
--- a/internal/dispatch/lifecycle_test.go
+++ b/internal/dispatch/lifecycle_test.go
@@ -85,7 +85,8 @@
 	g.Expect(actions[0].Kind).To(Equal(dispatch.Granted))
 }
 
-// Bad servers that the former dispatcher had ejected must not get work from the new one at once.
+// Bad servers that the former dispatcher had ejected must not get work from the new one at once, except for a
+// canary.
 func TestEjectionsAreInherited(t *testing.T) {
 	g := NewWithT(t)
 	now := time.Unix(1000, 0)
@@ -102,11 +103,12 @@
 		states = append(states, s.State)
 	}
 	// The minimum allows one of the two.
-	g.Expect(states).To(Equal([]string{dispatch.ViewEjected, dispatch.ViewReady, dispatch.ViewReady, dispatch.ViewReady}))
+	g.Expect(states).To(Equal([]string{dispatch.ViewProbation, dispatch.ViewReady, dispatch.ViewReady, dispatch.ViewReady}))
 }
 
-// An inherited ejection of unknown age must not start a full probation at each change of dispatcher.
-func TestInheritedVerdictsAreTestedSoon(t *testing.T) {
+// An inherited ejection of unknown age must not start a wait at each change of dispatcher: if these come in
+// quick succession, the server gets no work for good.
+func TestInheritedVerdictsAreTestedAtOnce(t *testing.T) {
 	g := NewWithT(t)
 	now := time.Unix(1000, 0)
 	var servers []backend.Server
@@ -118,10 +120,15 @@
 	m.Connect(now, "n", "dc", 1, nil, []string{"a"})
 	now = now.Add(dispatch.CollectionPeriod)
 	m.Tick(now)
-	g.Expect(m.View(now).Servers[0].State).To(Equal(dispatch.ViewEjected))
-	now = now.Add(1500 * time.Millisecond)
-	m.Tick(now)
 	g.Expect(m.View(now).Servers[0].State).To(Equal(dispatch.ViewProbation))
+	granted := map[string]int{}
+	for id := range uint64(4) {
+		m.Acquire(now, "n", dispatch.Request{ID: id + 1, Deadline: now.Add(time.Second), Idempotent: true})
+	}
+	for _, a := range m.TakeActions() {
+		granted[a.Instance]++
+	}
+	g.Expect(granted["a"]).To(Equal(1), "one canary, and no other work")
 }
 
 // If healthy servers vanish, ejected ones must return at once to keep the minimum.
--- a/internal/dispatchrpc/runner.go
+++ b/internal/dispatchrpc/runner.go
@@ -29,9 +29,11 @@
 	term               uint64
 	sessions           map[string]*session
 	serversRefreshedAt time.Time
-	viewBroadcastAt    time.Time
-	countsLoggedAt     time.Time
-	lastStats          dispatch.Stats
+	// view is the view for nodes as last computed, at viewBroadcastAt; nil before.
+	view            *dispatchpb.View
+	viewBroadcastAt time.Time
+	countsLoggedAt  time.Time
+	lastStats       dispatch.Stats
 	// entries is the list of usable servers as last sent to the sessions.
 	entries []*dispatchpb.ServerEntry
 }
@@ -110,7 +112,7 @@
 	if r.machine == nil {
 		return
 	}
-	r.machine = nil
+	r.machine, r.view = nil, nil
 	for _, sess := range r.sessions {
 		sess.pending().NotDispatcher = &dispatchpb.NotDispatcher{}
 		sess.outgoing.Grants = nil
@@ -190,7 +192,11 @@
 	r.sessions[hello.Node] = sess
 	r.machine.Connect(now, hello.Node, hello.DataCentre, hello.Incarnation, outstandingFromProto(now, hello), hello.Ejected)
 	// The first message ends the node's autonomous mode, so it must not wait for a heartbeat.
-	sess.addView(now, r.nodeView(r.machine.View(now)))
+	// Computing it for each of many returning nodes would take longer than a lease.
+	if r.view == nil {
+		r.view = r.nodeView(r.machine.View(now))
+	}
+	sess.addView(now, r.view)
 	if hello.WantsServers {
 		sess.wantsServers = true
 		sess.pending().Servers = &dispatchpb.ServerNews{Reset_: true, Changed: r.entries}
@@ -354,6 +360,7 @@
 	full := r.machine.View(now)
 	r.logServerCounts(now, &full)
 	view := r.nodeView(full)
+	r.view = view
 	for _, sess := range r.sessions {
 		if now.Sub(sess.viewAt) < ViewResendInterval && proto.Equal(sess.view, view) {
 			continue
