Advise another attempt for single overdue requests; count the age of keyless work from its grant

Cause: a second attempt was only advised when the server was ejected for a stall, and one hanging request on a server with two slots is too little evidence for that. The age of work without an idempotency key was reduced by the 250 ms that a claim may take, though such work waits for none, so its servers were suspected late.

Change: adviseOverdue advises another attempt once an idempotent request waits for twice the 90th percentile of its kind, with at most half of the retry budget and only while no request is queued. Acquire says whether work is keyless.

Tests: overdue_test.go, three tests that fail without the change. TestBadServersStayOutUntilTheyWork counted a request that was sent 16 ms after its server had begun to stall (traced: it was the only one running there when the count began); it now begins to count after the deadline of such requests. Its checks are unchanged.

--- a/internal/dispatch/budget.go
+++ b/internal/dispatch/budget.go
@@ -83,6 +83,18 @@
 // Allows reports whether one more retry or hedge is within the budget.
 func (b *Budget) Allows(now time.Time) bool {
 	first, extra := b.totals(now)
+	return float64(extra+1) <= b.limit(first)
+}
+
+// AllowsHedging reports whether less than half of the budget is used, so that enough is left for the retries
+// of requests that have failed.
+func (b *Budget) AllowsHedging(now time.Time) bool {
+	first, extra := b.totals(now)
+	return float64(2*(extra+1)) <= b.limit(first)
+}
+
+// limit is how many retries and hedges are allowed with the number of first attempts.
+func (b *Budget) limit(first int) float64 {
 	share, floor := b.Share, b.Floor
 	if share == 0 {
 		share = budgetShare
@@ -90,7 +102,7 @@
 	if floor == 0 {
 		floor = budgetFloor
 	}
-	return float64(extra+1) <= share*float64(first)+floor
+	return share*float64(first) + floor
 }
 
 // Spend counts a grant; extra is set for a retry or a hedge.
--- a/internal/dispatch/detect.go
+++ b/internal/dispatch/detect.go
@@ -65,6 +65,7 @@
 	m.detectOverload(now)
 	m.detectBadServers(now)
 	m.detectDelays(now)
+	m.adviseOverdue(now)
 	m.enforceMinimum(now)
 	m.dispatchQueued(now)
 }
--- a/internal/dispatch/evidence.go
+++ b/internal/dispatch/evidence.go
@@ -50,10 +50,10 @@
 }
 
 // age is how long a request in flight has been waiting for its first byte. GrantExpiry is subtracted for
-// non-idempotent work, which may be sent as late as that, since its claim runs in parallel.
+// work with a claim, which may be sent as late as that, since the claim runs in parallel.
 func (r *request) age(now time.Time) time.Duration {
 	age := now.Sub(r.sent)
-	if !r.Idempotent {
+	if !r.Idempotent && !r.Keyless {
 		age -= GrantExpiry
 	}
 	return age
--- a/internal/dispatch/request.go
+++ b/internal/dispatch/request.go
@@ -24,6 +24,8 @@
 	Target      time.Duration
 	Fingerprint uint64
 	Idempotent  bool
+	// Keyless is set if the request is not idempotent and is sent as soon as it is granted.
+	Keyless bool
 	// Exclude lists the instances that were already tried.
 	Exclude []string
 	Purpose grant.Purpose
--- a/internal/dispatch/service_test.go
+++ b/internal/dispatch/service_test.go
@@ -185,6 +185,8 @@
 	bad := w.servers["s05"]
 	bad.stalled = flap(w.now, time.Hour)
 	w.run(2 * time.Second)
+	// Requests that were sent before the stall was noticed end within their deadline of 2 s.
+	w.run(2 * time.Second)
 	tested := len(w.grantTimes["s05"])
 	for _, s := range streams {
 		*w.stats[s] = streamStats{}
--- a/internal/dispatchrpc/convert.go
+++ b/internal/dispatchrpc/convert.go
@@ -20,6 +20,7 @@
 		Target:      time.Duration(a.TargetMs) * time.Millisecond,
 		Fingerprint: a.Fingerprint,
 		Idempotent:  a.Idempotent,
+		Keyless:     a.Keyless,
 		Exclude:     a.Exclude,
 		Purpose:     purposesFromProto[a.Purpose],
 	}
@@ -42,6 +43,7 @@
 		TargetMs:    r.Target.Milliseconds(),
 		Fingerprint: r.Fingerprint,
 		Idempotent:  r.Idempotent,
+		Keyless:     r.Keyless,
 		Exclude:     r.Exclude,
 		Purpose:     dispatchpb.Purpose(r.Purpose),
 	}
--- a/internal/entry/dispatch.go
+++ b/internal/entry/dispatch.go
@@ -82,7 +82,7 @@
 	return grant.Request{
 		Service: x.match.Service, Priority: x.match.Priority, Team: x.team.ID, Weight: max(x.team.Weight, 1),
 		Deadline: x.deadline, Target: x.match.TargetLatency, Kind: uint32(xxhash.Sum64String(x.match.Route)),
-		Fingerprint: workFingerprint(x), Idempotent: x.match.Idempotent,
+		Fingerprint: workFingerprint(x), Idempotent: x.match.Idempotent, Keyless: x.match.Keyless,
 	}
 }
 
--- a/internal/grant/grant.go
+++ b/internal/grant/grant.go
@@ -38,6 +38,9 @@
 	// body.
 	Fingerprint uint64
 	Idempotent  bool
+	// Keyless is set if the request is not idempotent and waits for no claim, so that it is sent as soon as it
+	// is granted.
+	Keyless bool
 	// Exclude lists the instances that this request must not use again.
 	Exclude []string
 	Purpose Purpose
