--- a/internal/entry/roundtrip/conn.go
+++ b/internal/entry/roundtrip/conn.go
@@ -41,6 +41,11 @@
 	return c
 }
 
+// reused reports whether the connection has served another request before.
+func (c *conn) reused() bool {
+	return !c.idleSince.IsZero()
+}
+
 // Write implements io.Writer. It counts the bytes that were handed to the network.
 func (c *conn) Write(p []byte) (int, error) {
 	n, err := c.Conn.Write(p)
--- a/internal/entry/roundtrip/mismatched_test.go
+++ b/internal/entry/roundtrip/mismatched_test.go
@@ -3,9 +3,11 @@
 import (
 	"bufio"
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"testing"
 
 	. "github.com/onsi/gomega"
@@ -54,6 +56,31 @@
 	g.Expect(err).To(HaveOccurred())
 }
 
+// A late copy of a former response that does not state the id of its request must not be delivered to the
+// next caller on the connection. On a new connection there is no other request that it could belong to.
+func TestResponsesWithoutIDAreTakenOnNewConnectionsOnly(t *testing.T) {
+	g := NewWithT(t)
+	p := newPool(t, roundtrip.Config{})
+	bare := "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nbare"
+	address := respondRepeatedly(t, bare)
+	body, err := fetchEcho(p, address)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(body).To(Equal("bare"))
+	_, err = fetchEcho(p, address)
+	g.Expect(err).To(MatchError(roundtrip.ErrUnattributed))
+	g.Expect(p.Open()).To(BeZero())
+}
+
+// A response to another request may contain what looks like a response to this one.
+func TestLongMismatchedResponsesEndTheConnection(t *testing.T) {
+	g := NewWithT(t)
+	forged := "HTTP/1.1 200 OK\r\nX-Id: 7\r\nContent-Length: 6\r\n\r\nforged"
+	const padding = 1<<20 + 1
+	mismatched := fmt.Sprintf("HTTP/1.1 200 OK\r\nX-Id: 6\r\nContent-Length: %d\r\n\r\n", padding+len(forged)) + strings.Repeat("x", padding) + forged
+	_, err := fetchEcho(newPool(t, roundtrip.Config{}), respondRepeatedly(t, mismatched))
+	g.Expect(err).To(HaveOccurred())
+}
+
 // A response that ends with its connection is complete, but the connection cannot be reused.
 func TestCloseDelimitedResponses(t *testing.T) {
 	g := NewWithT(t)
--- a/internal/entry/roundtrip/roundtrip.go
+++ b/internal/entry/roundtrip/roundtrip.go
@@ -332,6 +332,9 @@
 		if err != nil {
 			return &Error{Stage: StageHeader, Err: err}
 		}
+		if c.reused() && r.isUnattributed(httpResponse) {
+			return &Error{Stage: StageHeader, Err: ErrUnattributed}
+		}
 		if r.isMismatched(httpResponse) {
 			if err := discardMismatched(httpResponse); err != nil {
 				return &Error{Stage: StageHeader, Err: err}
@@ -353,17 +356,26 @@
 	if r.EchoName == "" || httpResponse.StatusCode < http.StatusOK {
 		return false
 	}
-	values := httpResponse.Header[r.EchoName]
-	return len(values) > 0 && values[0] != r.EchoValue
+	other := func(value string) bool { return value != r.EchoValue }
+	return slices.ContainsFunc(httpResponse.Header[r.EchoName], other)
+}
+
+// isUnattributed reports whether a final response does not say to which request it belongs. On a connection
+// that has served another request it may be a late copy of the former response.
+func (r *Request) isUnattributed(httpResponse *http.Response) bool {
+	return r.EchoName != "" && httpResponse.StatusCode >= http.StatusOK && len(httpResponse.Header[r.EchoName]) == 0
 }
 
 // discardMismatched reads a response to another request to its end, so that the response behind it can be
-// read.
+// read. It fails if the response is too long: the next status line must not be looked for inside it.
 func discardMismatched(httpResponse *http.Response) error {
 	if httpResponse.Close {
 		return ErrMismatchedResponse
 	}
-	_, err := io.Copy(io.Discard, io.LimitReader(httpResponse.Body, maxMismatchedBodyBytes+1))
+	n, err := io.Copy(io.Discard, io.LimitReader(httpResponse.Body, maxMismatchedBodyBytes+1))
+	if err == nil && n > maxMismatchedBodyBytes {
+		return ErrMismatchedResponse
+	}
 	return err
 }
 
