Give each caller up to 64 entry hosts, spread evenly over all hosts

What callers saw on deployments with more than 64 entry hosts: all of them used the same 64.

Cause: the directory listed all hosts in the order of their ids, and callers use the first 64 of a list.

Change: hosts are ordered by a hash, and a caller gets 64 in a row from a place that its address determines. The list stays nearly the same while hosts come and go, since callers leave connections to hosts that a new list lacks. It is computed at most every 50 ms and whenever a heartbeat changes it: before, each of some 2,400 look-ups a second went over all registrations.

Also: stalled servers' requests are advised to go elsewhere unless requests are queued, not only while most servers look well. In a service of ten servers, three bad ones and a few slow answers look like most.

--- a/internal/adapter/adapter.go
+++ b/internal/adapter/adapter.go
@@ -43,7 +43,9 @@
 
 // Directory lists the entry hosts that currently serve callers. It is safe for concurrent use.
 type Directory interface {
-	Endpoints(now time.Time) []hostset.Endpoint
+	// Endpoints lists up to limit hosts for the caller with the given name or address. The list must not be
+	// modified.
+	Endpoints(now time.Time, caller string, limit int) []hostset.Endpoint
 	// TTL returns how long callers may cache the list of endpoints.
 	TTL() time.Duration
 }
--- a/internal/attach/server.go
+++ b/internal/attach/server.go
@@ -74,8 +74,9 @@
 // Server is the control host side: it tracks the entry hosts and records departures of backend servers.
 // It is safe for concurrent use.
 type Server struct {
-	opts    ServerOptions
-	tracker *tracker
+	opts      ServerOptions
+	tracker   *tracker
+	endpoints endpointCache
 }
 
 // NewServer returns a server. Run keeps its departures current.
@@ -115,6 +116,7 @@
 		reply.KnownIncarnation = superseded.Known
 		return reply, nil
 	}
+	s.endpoints.noteHeartbeat(host.GetId(), state)
 	return s.reply(r), nil
 }
 
@@ -141,28 +143,6 @@
 	return reply
 }
 
-// Endpoints lists the entry hosts that currently serve callers. If more are missed than heard, and more
-// than maxSeparateFailures, the control hosts have lost their own links; it is unlikely that most entry
-// hosts failed at the same time. The missed ones are then listed as well.
-func (s *Server) Endpoints(now time.Time) []hostset.Endpoint {
-	var heard, missed []hostset.Endpoint
-	for _, h := range s.opts.Registry.Servers(entryHostService) {
-		endpoint := hostset.Endpoint{Node: h.Instance, Address: h.Address, DataCentre: h.DataCentre}
-		sinceHeartbeat := now.Sub(h.Renewed)
-		switch {
-		case h.State != backend.Ready:
-		case sinceHeartbeat < HeartbeatExpiry:
-			heard = append(heard, endpoint)
-		case sinceHeartbeat < missedHostRetention:
-			missed = append(missed, endpoint)
-		}
-	}
-	if len(missed) > max(len(heard), maxSeparateFailures) {
-		return append(heard, missed...)
-	}
-	return heard
-}
-
 // Mark marks a backend server as draining or left on request of another control host.
 func (s *Server) Mark(_ context.Context, r *fleetpb.MarkRequest) (*fleetpb.MarkReply, error) {
 	services := s.opts.Registry.MarkServer(r.GetInstance(), r.GetIncarnation(), backend.State(r.GetState()))
--- a/internal/dispatch/ejection.go
+++ b/internal/dispatch/ejection.go
@@ -182,9 +182,10 @@
 	s.stateUntil = now.Add(crashHoldTime)
 }
 
-// adviseRetries tells the nodes to retry the idempotent requests that wait for a response of the server.
+// adviseRetries tells the nodes to retry the idempotent requests that wait for a response of the server. If
+// requests are queued, these need the slots more.
 func (m *Machine) adviseRetries(s *server) {
-	if m.overload {
+	if m.overload && m.queue.length() > 0 {
 		return
 	}
 	for _, r := range s.inflight {
