--- a/internal/app/shards.go
+++ b/internal/app/shards.go
@@ -78,6 +78,6 @@
 			k.logger.Warn("the number of shards was not changed; trying again", "service", s.GetName(), "shards", count, "err", logging.Err(err))
 			continue
 		}
-		k.logger.Info("changed the number of shards", "service", s.GetName(), "from", max(s.GetShards(), 1), "to", count, "servers", usable)
+		k.logger.Info("changed the number of shards", "service", s.GetName(), "from", s.GetShards(), "to", count, "servers", usable)
 	}
 }
