Pause heartbeats longer at dispatchers with many streams; new streams without requests are idle at once

Change: the dispatcher tells its nodes the pause between heartbeats, 100 ms up to 64 streams of its process and longer in proportion up to 400 ms; timeouts follow, and so does the age up to which contact with a node makes its requests evidence. A node whose stream ended counts on its own after 300 ms as before. A new stream without requests is idle from its second message on.

TestStreamIsIdleOnlyWithoutRequests took a new stream without requests as busy for 2 s; it now begins with a request, and its checks are the same.

--- a/internal/dispatch/evidence.go
+++ b/internal/dispatch/evidence.go
@@ -34,7 +34,7 @@
 	if !l.known {
 		return maxStallThreshold
 	}
-	wanted := max(stallFactor*l.p95, l.p99+stallMargin, minStallThreshold)
+	wanted := max(stallFactor*l.p95, l.p99+stallMargin, minStallThreshold, m.minStall)
 	// A service whose usual responses take longer than maxStallThreshold needs a threshold above them.
 	return max(min(wanted, maxStallThreshold), l.p99+stallMargin)
 }
@@ -227,7 +227,7 @@
 	if !n.connected || r.actionNumber > n.received || now.Before(n.isolatedUntil) {
 		return false
 	}
-	return now.Sub(n.lastContact) <= maxContactAge
+	return now.Sub(n.lastContact) <= max(n.maxContactAge, maxContactAge)
 }
 
 // stalled reports whether the evidence shows a stall: enough overdue or unanswered requests and no response
--- a/internal/dispatch/machine.go
+++ b/internal/dispatch/machine.go
@@ -57,6 +57,8 @@
 	medians       []time.Duration
 	// pooled is the latency distribution of the servers with usual latencies.
 	pooled distribution
+	// minStall is the least stall threshold with the heartbeats in force; 0 before they are known.
+	minStall time.Duration
 	// avoidedCount is how many servers are avoided for their delays.
 	avoidedCount int
 }
--- a/internal/dispatch/node.go
+++ b/internal/dispatch/node.go
@@ -11,6 +11,15 @@
 	deadSince time.Time
 }
 
+// SetHeartbeat sets the longest pause between two messages of a node. The requests of a node count as evidence
+// only if its last contact was not much longer ago, and a stall takes longer than that.
+func (m *Machine) SetHeartbeat(interval time.Duration) {
+	m.minStall = max(minStallThreshold, interval*3/2)
+	for _, n := range m.nodes {
+		n.maxContactAge = interval * 13 / 10
+	}
+}
+
 // reserveAutonomousSlots subtracts from each server the autonomous slots of the members without a live
 // stream.
 func (m *Machine) reserveAutonomousSlots(now time.Time) {
--- a/internal/dispatch/request.go
+++ b/internal/dispatch/request.go
@@ -120,7 +120,9 @@
 	lostAt time.Time
 	// lastContact is the time of the last message from the node.
 	lastContact time.Time
-	lastID      uint64
+	// maxContactAge is how recent the last contact must be for the node's requests to count as evidence.
+	maxContactAge time.Duration
+	lastID        uint64
 	// emitted and received count the actions for the node since it connected.
 	emitted, received uint64
 	requests          map[uint64]*request
--- a/internal/dispatchrpc/channel.go
+++ b/internal/dispatchrpc/channel.go
@@ -174,6 +174,7 @@
 	}
 	c.lastHeard = now
 	c.activity.heardIdle = c.activity.idle
+	c.activity.applyHeartbeat(b.HeartbeatMs)
 	if c.autonomy.unreportedGrant {
 		// The hello lacks the grants that were made without a dispatcher after it; the hello of a new stream
 		// reports them.
@@ -320,7 +321,7 @@
 	c.autonomy.unreportedGrant = false
 	c.responded = false
 	c.openedAt = now
-	c.activity.lastInFlight, c.activity.idle = now, false
+	c.activity.beginStream(now, len(c.queued)+len(c.held) > 0)
 	c.outgoing = &dispatchpb.NodeBatch{}
 	requests := c.sortedQueue()
 	clear(c.queued)
@@ -341,6 +342,7 @@
 		return
 	}
 	c.connected = false
+	c.activity.heartbeat = 0
 	if !c.responded {
 		c.unansweredStreams++
 	}
--- a/internal/dispatchrpc/quiet.go
+++ b/internal/dispatchrpc/quiet.go
@@ -19,6 +19,19 @@
 	resumedAt time.Time
 	// heardIdle is set if the stream was idle when the dispatcher was last heard from.
 	heardIdle bool
+	// heartbeat is the longest pause between messages while the stream is not idle, as the dispatcher set it; 0
+	// before it did.
+	heartbeat time.Duration
+}
+
+// beginStream resets the activity for a new stream. Its first message counts as not idle; without requests the
+// next one does, since after a takeover all nodes open their streams at the same time.
+func (a *streamActivity) beginStream(now time.Time, inFlight bool) {
+	a.idle, a.heartbeat = false, 0
+	a.lastInFlight = now
+	if !inFlight {
+		a.lastInFlight = now.Add(-IdleAfter)
+	}
 }
 
 // update decides whether the next message marks the stream as idle.
@@ -38,16 +51,16 @@
 	if a.idle {
 		return IdleHeartbeatInterval
 	}
-	return HeartbeatInterval
+	return heartbeatOrDefault(a.heartbeat)
 }
 
 // unresponsive reports whether the dispatcher, last heard from at lastHeard, has sent nothing for longer
-// than allowed. After a stream stops being idle, its dispatcher has StreamTimeout to respond.
+// than allowed. After a stream stops being idle, its dispatcher has the same time to respond.
 func (a *streamActivity) unresponsive(now, lastHeard time.Time) bool {
 	if a.idle {
 		return now.Sub(lastHeard) > IdleStreamTimeout
 	}
-	return now.Sub(latest(lastHeard, a.resumedAt)) > StreamTimeout
+	return now.Sub(latest(lastHeard, a.resumedAt)) > streamTimeout(a.heartbeat)
 }
 
 // autonomous reports whether the node, which last heard from its dispatcher at lastHeard, may use its own
@@ -57,7 +70,7 @@
 	if a.heardIdle {
 		return now.Sub(lastHeard) > IdleStreamTimeout
 	}
-	return now.Sub(lastHeard) > AutonomousAfter
+	return now.Sub(lastHeard) > max(AutonomousAfter, streamTimeout(a.heartbeat))
 }
 
 func latest(a, b time.Time) time.Time {
@@ -95,7 +108,7 @@
 	if sess.idle {
 		return IdleStreamTimeout
 	}
-	return HeartbeatInterval
+	return heartbeatOrDefault(sess.heartbeat)
 }
 
 // unresponsive reports whether the node has sent nothing for longer than allowed.
@@ -103,7 +116,7 @@
 	if sess.idle {
 		return now.Sub(sess.lastHeard) > IdleStreamTimeout
 	}
-	return now.Sub(sess.lastHeard) > StreamTimeout
+	return now.Sub(sess.lastHeard) > streamTimeout(sess.heartbeat)
 }
 
 // recordMessage records the time of a message from the node and whether the stream is idle. It triggers a
--- a/internal/dispatchrpc/quiet_test.go
+++ b/internal/dispatchrpc/quiet_test.go
@@ -16,7 +16,10 @@
 	g := NewWithT(t)
 	now := time.Now()
 	c := newChannel(&Client{}, "s", func() {})
+	first := &queuedRequest{request: grant.Request{}, done: make(chan acquireResult, 1)}
+	c.enqueue(now, first)
 	_, streamID := c.beginStream(now, "s")
+	c.resolve(first, acquireResult{})
 	check := func(at time.Duration, idle bool, interval time.Duration) {
 		b, pause := c.takeBatch(now.Add(at), streamID)
 		g.Expect(isIdle(b)).To(Equal(idle), "after %v", at)
@@ -33,6 +36,19 @@
 	check(11*IdleAfter, true, IdleHeartbeatInterval)
 }
 
+// After a takeover all nodes open their streams at the same time. Those without requests must not send
+// heartbeats every 100 ms first, which cost a dispatcher of some hundred nodes its lease.
+func TestNewStreamWithoutRequestsIsIdleAtOnce(t *testing.T) {
+	g := NewWithT(t)
+	now := time.Now()
+	c := newChannel(&Client{}, "s", func() {})
+	hello, streamID := c.beginStream(now, "s")
+	g.Expect(isIdle(hello)).To(BeFalse())
+	b, pause := c.takeBatch(now.Add(HeartbeatInterval), streamID)
+	g.Expect(isIdle(b)).To(BeTrue())
+	g.Expect(pause).To(Equal(IdleHeartbeatInterval))
+}
+
 // An idle node that gets no response closes a working stream. A node that gets none when it stops being
 // idle waits for the next message at the interval of idle streams.
 func TestIdleNodeGetsResponses(t *testing.T) {
--- a/internal/dispatchrpc/runner.go
+++ b/internal/dispatchrpc/runner.go
@@ -25,9 +25,11 @@
 
 	mu sync.Mutex
 	// machine is nil while this node is not the dispatcher.
-	machine            *dispatch.Machine
-	term               uint64
-	sessions           map[string]*session
+	machine  *dispatch.Machine
+	term     uint64
+	sessions map[string]*session
+	// countedSessions is the number of sessions that the server has counted.
+	countedSessions    int64
 	serversRefreshedAt time.Time
 	// view is the view for nodes as last computed, at viewBroadcastAt; nil before.
 	view            *dispatchpb.View
@@ -49,6 +51,8 @@
 	lastHeard time.Time
 	// idle is set if the node's last message marked the stream as idle.
 	idle bool
+	// heartbeat is the longest pause between messages that the node was told; 0 means HeartbeatInterval.
+	heartbeat time.Duration
 	// wantsServers is set if the node has no registry of its own.
 	wantsServers bool
 	// view is the last view for the node; viewAt is when it was added to a message.
@@ -120,6 +124,7 @@
 		sess.end()
 	}
 	clear(r.sessions)
+	r.server.countSessions(r, 0)
 	r.server.log.Info("is no longer dispatcher", "service", r.name, "term", r.term)
 }
 
@@ -197,6 +202,7 @@
 		r.view = r.nodeView(r.machine.View(now))
 	}
 	sess.addView(now, r.view)
+	sess.setHeartbeat(heartbeatInterval(r.server.countSessions(r, len(r.sessions))))
 	if hello.WantsServers {
 		sess.wantsServers = true
 		sess.pending().Servers = &dispatchpb.ServerNews{Reset_: true, Changed: r.entries}
@@ -361,7 +367,10 @@
 	r.logServerCounts(now, &full)
 	view := r.nodeView(full)
 	r.view = view
+	interval := heartbeatInterval(r.server.countSessions(r, len(r.sessions)))
+	r.machine.SetHeartbeat(interval)
 	for _, sess := range r.sessions {
+		sess.setHeartbeat(interval)
 		if now.Sub(sess.viewAt) < ViewResendInterval && proto.Equal(sess.view, view) {
 			continue
 		}
--- a/internal/dispatchrpc/server.go
+++ b/internal/dispatchrpc/server.go
@@ -5,6 +5,7 @@
 	"maps"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/charmbracelet/log"
@@ -37,6 +38,8 @@
 	// runners holds the runner of each shard, by its name. Entries are never removed, since there are at most
 	// a few hundred.
 	runners map[string]*runner
+	// sessions is the number of streams that all dispatchers of this process serve.
+	sessions atomic.Int64
 }
 
 var _ dispatchpb.DRPCDispatcherServer = (*Server)(nil)
@@ -87,6 +90,14 @@
 	}
 }
 
+// countSessions records the number of streams of one dispatcher and returns that of the process. The caller
+// holds the mutex of the runner.
+func (s *Server) countSessions(r *runner, sessions int) int {
+	delta := int64(sessions) - r.countedSessions
+	r.countedSessions += delta
+	return int(s.sessions.Add(delta))
+}
+
 // View returns the view of the dispatchers of the service's shards on this node, as one view; ok is false if
 // there is none.
 func (s *Server) View(service string) (v dispatch.View, stats dispatch.Stats, ok bool) {
