Close idle connections after 5 s

While dispatchers change, each of 421 entry hosts opens several connections, which were kept for a minute, and connections of callers to the directory for 30 s.

Change: both are closed after 5 s without use, which exceeds the intervals of heartbeats and announcements.

Test: TestIdleConnectionsAreClosedSoon; fails before.

--- a/internal/app/discovery.go
+++ b/internal/app/discovery.go
@@ -29,8 +29,10 @@
 const (
 	// adapterHeaderTimeout bounds how long a client of an adapter's listener may take to send its headers.
 	adapterHeaderTimeout = 5 * time.Second
-	// adapterIdleTimeout is the time after which idle connections to an adapter's listeners are closed.
-	adapterIdleTimeout = 30 * time.Second
+	// adapterIdleTimeout is the time after which idle connections to an adapter's listeners are closed. It exceeds
+	// the interval of announcements. Thousands of callers that look up hosts would otherwise use up the
+	// descriptors.
+	adapterIdleTimeout = 5 * time.Second
 	// previousGroupPeriod is how long the previous control group takes part in elections after a change. It
 	// exceeds the lease of a vote plus the time until all members know the new group.
 	previousGroupPeriod = 3 * time.Second
--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -27,8 +27,9 @@
 	DialTimeout = 500 * time.Millisecond
 	// idleConnections is the largest number of idle connections kept per peer.
 	idleConnections = 64
-	// idleExpiration is how long an idle connection is kept.
-	idleExpiration = time.Minute
+	// idleExpiration is how long an idle connection is kept. A control host of a few hundred entry hosts has some
+	// thousand descriptors; while dispatchers change, each entry host opens several connections.
+	idleExpiration = 5 * time.Second
 	// invokeTimeout limits how long an accepted connection may take to send a complete call.
 	invokeTimeout = 10 * time.Second
 	// unacknowledgedLimit is how long sent data may stay unacknowledged before its connection fails. It
--- a/internal/transport/transport_test.go
+++ b/internal/transport/transport_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"net"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -62,6 +64,49 @@
 	}
 }
 
+// countingDialer counts the open connections.
+type countingDialer struct{ dials, open atomic.Int64 }
+
+type countedConn struct {
+	net.Conn
+	dialer *countingDialer
+	once   sync.Once
+}
+
+func (d *countingDialer) DialContext(ctx context.Context, network, address string) (net.Conn, error) {
+	c, err := transport.NewDialer().DialContext(ctx, network, address)
+	if err != nil {
+		return nil, err
+	}
+	d.dials.Add(1)
+	d.open.Add(1)
+	return &countedConn{Conn: c, dialer: d}, nil
+}
+
+func (c *countedConn) Close() error {
+	c.once.Do(func() { c.dialer.open.Add(-1) })
+	return c.Conn.Close()
+}
+
+// Connections from a moment of many overlapping calls use up the descriptors of the peer, which then accepts no
+// further ones.
+func TestIdleConnectionsAreClosedSoon(t *testing.T) {
+	g := NewWithT(t)
+	address := serve(t)
+	dialer := &countingDialer{}
+	pool := transport.NewPool(dialer)
+	defer func() { g.Expect(pool.Close()).To(Succeed()) }()
+	var calls sync.WaitGroup
+	for range 64 {
+		calls.Go(func() {
+			_, _ = configpb.NewDRPCFeedClient(pool.Conn(context.Background(), address)).Fetch(context.Background(), &configpb.FetchRequest{})
+		})
+	}
+	calls.Wait()
+	g.Expect(dialer.dials.Load()).To(BeNumerically(">", 1))
+	g.Eventually(dialer.open.Load, 9*time.Second, 100*time.Millisecond).Should(BeZero())
+}
+
 // Guards against a peer whose malformed frames stop the process from serving others.
 func TestMalformedFramesAreContained(t *testing.T) {
 	g := NewWithT(t)
