A panic in a call or in a node's message ends that call or stream only

Cause: drpc runs handlers without recovery, so one message that made a handler panic ended the process, with all its calls, elections and dispatchers. The same held for messages on the stream of a node to its dispatcher.

Change: both are contained, logged with the stack, and counted as violated invariants.

Tests: TestPanicEndsOneCall (the test process ended before), TestMessageThatPanicsEndsOneStream.

--- a/internal/dispatchrpc/runner.go
+++ b/internal/dispatchrpc/runner.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"math"
+	"runtime/debug"
 	"slices"
 	"sync"
 	"time"
@@ -12,6 +13,7 @@
 
 	"github.com/tarragonmux/tarragonmux/internal/backend"
 	"github.com/tarragonmux/tarragonmux/internal/dispatch"
+	"github.com/tarragonmux/tarragonmux/internal/invariant"
 	"github.com/tarragonmux/tarragonmux/internal/shard"
 	"github.com/tarragonmux/tarragonmux/proto/dispatchpb"
 )
@@ -234,13 +236,26 @@
 func (r *runner) receiveLoop(sess *session, stream dispatcherStream) {
 	for {
 		batch, err := stream.Recv()
-		if err != nil || !r.handleBatch(sess, batch) {
+		if err != nil || !r.handleBatchContained(sess, batch) {
 			r.endSession(sess)
 			return
 		}
 	}
 }
 
+// handleBatchContained ends the session of a node whose message makes the dispatcher panic. The other sessions
+// and services of the process continue.
+func (r *runner) handleBatchContained(sess *session, batch *dispatchpb.NodeBatch) (ok bool) {
+	defer func() {
+		if v := recover(); v != nil {
+			r.server.log.Error("a node's message panicked", "service", r.name, "node", sess.node, "panic", v, "stack", string(debug.Stack()))
+			invariant.Check(false, "dispatchrpc.message-panicked", "message of %s: %v", sess.node, v)
+			ok = false
+		}
+	}()
+	return r.handleBatch(sess, batch)
+}
+
 func (r *runner) handleBatch(sess *session, batch *dispatchpb.NodeBatch) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -168,7 +168,7 @@
 func Serve(ctx context.Context, l net.Listener, m *Mux, logger *log.Logger) error {
 	options := managerOptions()
 	options.InactivityTimeout = invokeTimeout
-	server := drpcserver.NewWithOptions(m.mux, drpcserver.Options{
+	server := drpcserver.NewWithOptions(containedHandler{m.mux, logger}, drpcserver.Options{
 		Manager: options,
 		Log: func(err error) {
 			logger.Debug("closed a connection", "err", logging.Err(err))
