List backend servers by service, also of divided ones

'tarragonmux backends' asked for the servers of each shard by its name, of which there are none. It lists the servers of the service and the dispatcher of each shard. Found on reading the change; TestBackendsAreListedByService.

--- a/internal/app/fleet.go
+++ b/internal/app/fleet.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/pkg/errors"
@@ -15,6 +16,7 @@
 	"github.com/tarragonmux/tarragonmux/internal/hostset"
 	"github.com/tarragonmux/tarragonmux/internal/membership"
 	"github.com/tarragonmux/tarragonmux/internal/records"
+	"github.com/tarragonmux/tarragonmux/internal/shard"
 	"github.com/tarragonmux/tarragonmux/proto/fleetpb"
 )
 
@@ -147,8 +149,10 @@
 			}
 			reply.Backends = append(reply.Backends, b)
 		}
-		if h, ok := f.elections.Dispatcher(service); ok {
-			reply.Dispatchers = append(reply.Dispatchers, &fleetpb.DispatcherInfo{Service: service, Node: h.Node, Term: h.Term})
+		for _, name := range f.shardNames(service) {
+			if h, ok := f.elections.Dispatcher(name); ok {
+				reply.Dispatchers = append(reply.Dispatchers, &fleetpb.DispatcherInfo{Service: name, Node: h.Node, Term: h.Term})
+			}
 		}
 	}
 	return reply, nil
@@ -164,7 +168,24 @@
 	}
 	names := make([]string, 0, len(fleet.Services))
 	for _, s := range fleet.Services {
-		names = append(names, s.Name)
+		if name := shard.ServiceOf(s.Name); !slices.Contains(names, name) {
+			names = append(names, name)
+		}
+	}
+	return names
+}
+
+// shardNames returns the names under which the dispatchers of the service are elected.
+func (f *fleetService) shardNames(service string) []string {
+	fleet := f.source.Fleet()
+	if fleet == nil {
+		return nil
+	}
+	var names []string
+	for _, s := range fleet.Services {
+		if shard.ServiceOf(s.Name) == service {
+			names = append(names, s.Name)
+		}
 	}
 	return names
 }
