election: start campaigns after the voters' wait, idle nodes first

Cause: voters of a new service grant no vote for one lease, but candidates campaigned during that time. Their retries were ordered by rank alone, so nodes that held other leases won again. An idle node of rank 2 and a busy one of rank 0 also started at the same moment, and the number of leases of a node made no difference.

Change: a candidate schedules its start once its own voter may vote; retries keep the delay of busy nodes; the delay is 150 ms for each of up to two other leases.

TestFailedCandidateIsNoDispatcher restarted the node of rank 0 as the voter and relied on it not being the holder, which held only because of the fault; it now takes a voter other than the holder, with the same checks.

--- a/internal/election/candidate.go
+++ b/internal/election/candidate.go
@@ -17,9 +17,12 @@
 	renewRetryAfter = 75 * time.Millisecond
 	// rankDelay is the difference in start time between the candidates of two consecutive ranks.
 	rankDelay = 50 * time.Millisecond
-	// activeElsewhereDelay is the additional delay of a candidate whose node holds the lease of another
-	// service or campaigns for one.
-	activeElsewhereDelay = 2 * rankDelay
+	// activeElsewhereDelay is the additional delay of a candidate for each other service whose lease its node
+	// holds or campaigns for. It exceeds the start time difference between the first three ranks, so that an
+	// idle node among them starts before a busy one.
+	activeElsewhereDelay = 3 * rankDelay
+	// maxActiveElsewhere bounds the number of other services that add a delay.
+	maxActiveElsewhere = 2
 	// roundTimeout is the maximum wait for the replies to holder queries, and then to vote requests.
 	roundTimeout = 150 * time.Millisecond
 	// campaignRetryDelay is the pause after an unsuccessful campaign; it is multiplied by rank + 1.
@@ -85,11 +88,11 @@
 	// lastRenewal is the time at which the last renewal was sent.
 	lastRenewal time.Time
 	resigned    bool
-	// activeElsewhere is set while this node holds the lease of another service or campaigns for one.
-	// Dispatching causes most of the traffic of a node, so nodes without a lease campaign first.
-	activeElsewhere bool
-	// delayedForOthers is set once activeElsewhereDelay was applied to the scheduled start.
-	delayedForOthers bool
+	// activeElsewhere is the number of other services whose lease this node holds or campaigns for.
+	// Dispatching causes most of the traffic of a node, so nodes with fewer leases campaign first.
+	activeElsewhere int
+	// delayedFor is the value of activeElsewhere that the scheduled start allows for.
+	delayedFor int
 }
 
 // NewCandidate returns a candidate. It does not campaign before SetGroups is called.
@@ -160,9 +163,9 @@
 }
 
 // Tick returns the messages that are due. Terms lie above termFloor, a number that rises across restarts,
-// such as the wall time in milliseconds. boundToOther reports whether this node's own voter is bound to
-// another candidate.
-func (c *Candidate) Tick(now time.Time, termFloor uint64, boundToOther bool) []Request {
+// such as the wall time in milliseconds. ownVoterBusy reports whether this node's own voter is bound
+// to another candidate or still waits after its start.
+func (c *Candidate) Tick(now time.Time, termFloor uint64, ownVoterBusy bool) []Request {
 	switch c.phase {
 	case holding:
 		return c.tickHolding(now)
@@ -170,9 +173,11 @@
 		if now.Before(c.nextAction) {
 			return nil
 		}
-		return c.returnToIdle(now, campaignRetryDelay*time.Duration(c.rank()+1))
+		requests := c.returnToIdle(now, campaignRetryDelay*time.Duration(c.rank()+1)+c.delayForOthers())
+		c.delayedFor = c.activeElsewhere
+		return requests
 	default:
-		return c.tickIdle(now, termFloor, boundToOther)
+		return c.tickIdle(now, termFloor, ownVoterBusy)
 	}
 }
 
@@ -203,26 +208,26 @@
 	}
 }
 
-func (c *Candidate) tickIdle(now time.Time, termFloor uint64, boundToOther bool) []Request {
+func (c *Candidate) tickIdle(now time.Time, termFloor uint64, ownVoterBusy bool) []Request {
 	rank := c.rank()
 	if c.resigned || rank < 0 {
 		c.nextAction = time.Time{}
 		return nil
 	}
-	if boundToOther {
+	if ownVoterBusy {
 		c.nextAction = time.Time{}
 		return nil
 	}
 	if c.nextAction.IsZero() {
 		c.nextAction = now.Add(c.campaignDelay(rank))
-		c.delayedForOthers = c.activeElsewhere
+		c.delayedFor = c.activeElsewhere
 	}
 	if now.Before(c.nextAction) {
 		return nil
 	}
-	if c.activeElsewhere && !c.delayedForOthers {
+	if c.activeElsewhere > c.delayedFor {
 		// The node became active in the election of another service after the start was scheduled.
-		c.delayedForOthers = true
+		c.delayedFor = c.activeElsewhere
 		c.nextAction = now.Add(activeElsewhereDelay)
 		return nil
 	}
@@ -240,11 +245,12 @@
 // campaignDelay returns how long a candidate of the given rank waits once its own voter knows no other
 // holder.
 func (c *Candidate) campaignDelay(rank int) time.Duration {
-	delay := time.Duration(rank) * rankDelay
-	if c.activeElsewhere {
-		delay += activeElsewhereDelay
-	}
-	return delay
+	return time.Duration(rank)*rankDelay + c.delayForOthers()
+}
+
+// delayForOthers returns the part of the delay that other services add.
+func (c *Candidate) delayForOthers() time.Duration {
+	return time.Duration(min(c.activeElsewhere, maxActiveElsewhere)) * activeElsewhereDelay
 }
 
 // returnToIdle ends the current phase and schedules the next start after the pause. It releases the votes
--- a/internal/election/dispatcher_test.go
+++ b/internal/election/dispatcher_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -133,7 +134,8 @@
 		defer c.stop()
 		g.Expect(c.waitUntil(func() bool { _, known := c.holder("booking"); return known })).To(BeNumerically("<", 2*time.Second))
 		holder, _ := c.holder("booking")
-		voterID := c.firstRanked("booking")
+		voters, _ := c.Fleet().VotingGroups(hostset.Service{Name: "booking"})
+		voterID := voters[slices.IndexFunc(voters, func(h hostset.Host) bool { return h.ID != holder })].ID
 		for _, h := range c.Fleet().Hosts {
 			c.kill(h.ID)
 		}
--- a/internal/election/doc.go
+++ b/internal/election/doc.go
@@ -7,8 +7,8 @@
 //
 // A candidate first asks all voters who holds the lease, and requests votes only after a majority responded
 // that nobody does. A node whose incoming messages are lost therefore takes no votes that it could not use.
-// The candidate of rank k waits k × 50 ms, so that candidates rarely compete. It waits 100 ms more while its
-// node holds the lease of another service or campaigns for one, so that leases spread over the nodes. A
+// The candidate of rank k waits k × 50 ms, so that candidates rarely compete. It waits 150 ms more for each of
+// up to two other services whose lease its node holds or campaigns for, so that leases spread over the nodes. A
 // holder stops renewing the vote of a voter that did not respond to two renewals, so that the vote expires
 // and another candidate can take over.
 //
--- a/internal/election/runner.go
+++ b/internal/election/runner.go
@@ -151,10 +151,9 @@
 	}
 	for _, e := range r.services {
 		activeCount -= e.candidate.activeCount()
-		e.candidate.activeElsewhere = activeCount > 0
-		holder, _, _, bound := e.voter.Holder(now)
-		boundToOther := e.isVoter && bound && holder != r.o.ID
-		r.sendRequests(ctx, e, e.candidate.Tick(now, uint64(max(now.UnixMilli(), 0)), boundToOther))
+		e.candidate.activeElsewhere = activeCount
+		ownVoterBusy := e.isVoter && e.voter.BusyFor(now, r.o.ID)
+		r.sendRequests(ctx, e, e.candidate.Tick(now, uint64(max(now.UnixMilli(), 0)), ownVoterBusy))
 		activeCount += e.candidate.activeCount()
 		r.announceLease(ctx, e, now)
 		r.pollVoter(ctx, e, now)
--- a/internal/election/voter.go
+++ b/internal/election/voter.go
@@ -91,6 +91,13 @@
 	return v.holder, v.term, v.voteUntil.Sub(now), true
 }
 
+// BusyFor reports whether this voter cannot vote for a new term of the candidate: it still waits after its
+// start, or is bound to another candidate.
+func (v *Voter) BusyFor(now time.Time, candidate string) bool {
+	holder, _, _, bound := v.Holder(now)
+	return now.Before(v.noVoteUntil) || bound && holder != candidate
+}
+
 // Dispatcher returns the node that this voter's vote is granted to; ok is false until the node has shown
 // that it holds the lease, and after the vote has expired.
 func (v *Voter) Dispatcher(now time.Time) (holder string, term uint64, ok bool) {
--- a/internal/election/world_test.go
+++ b/internal/election/world_test.go
@@ -200,9 +200,8 @@
 
 func (s *simulation) tick(p *process) {
 	now := s.localTime(p)
-	holder, _, _, bound := p.voter.Holder(now)
 	floor := uint64(10*time.Hour/time.Millisecond) + uint64((s.now+p.wallClockSkew)/time.Millisecond)
-	s.send(p, p.candidate.Tick(now, floor, bound && holder != p.id))
+	s.send(p, p.candidate.Tick(now, floor, p.voter.BusyFor(now, p.id)))
 	s.schedule(p, time.Duration(float64(tickInterval)/p.clockRate), func() { s.tick(p) })
 }
 
