dispatch: slow responses do not postpone the advice for requests that hang

Cause: the advice came after twice the 90th percentile of the kind. While several servers hang or are slow, this percentile contains their late responses and approaches the deadline.

Change: the time is at most three medians of the kind. The retry budget and the queue limit the advice as before.

--- a/internal/dispatch/overdue.go
+++ b/internal/dispatch/overdue.go
@@ -2,9 +2,14 @@
 
 import "time"
 
-// overdueFactor is how many times the 90th percentile of its kind an idempotent request waits for the first
-// byte before its node is advised to try another server as well.
-const overdueFactor = 2
+const (
+	// overdueFactor is how many times the 90th percentile of its kind an idempotent request waits for the
+	// first byte before its node is advised to try another server as well.
+	overdueFactor = 2
+	// overdueMedians limits that time to a multiple of the median. While several servers hang or are slow,
+	// the 90th percentile contains their responses and approaches the deadlines.
+	overdueMedians = 3
+)
 
 // adviseOverdue handles the load pattern of servers with few slots that hang on single requests: one request
 // is too little evidence to eject the server, and the request would wait until its deadline. The node is
@@ -29,6 +34,7 @@
 // still have the time that its kind usually takes.
 func (m *Machine) isOverdue(now time.Time, r *request) bool {
 	k := m.workKindOf(r.Kind)
-	return k.p90 > 0 && now.Sub(r.sent) >= max(overdueFactor*k.p90, m.suspicionThreshold()) &&
+	usual := min(overdueFactor*k.p90, overdueMedians*k.median)
+	return usual > 0 && now.Sub(r.sent) >= max(usual, m.suspicionThreshold()) &&
 		!r.Deadline.IsZero() && r.Deadline.Sub(now) > k.median
 }
--- a/internal/dispatch/overdue_test.go
+++ b/internal/dispatch/overdue_test.go
@@ -79,6 +79,23 @@
 	g.Expect(s.pass(850 * time.Millisecond)).To(Equal([]uint64{id}))
 }
 
+// While several servers hang, some responses arrive just before the deadlines. They must not raise the time
+// after which further requests that hang are retried.
+func TestSlowResponsesDoNotPostponeRetries(t *testing.T) {
+	g := NewWithT(t)
+	s := newSteadyService()
+	for i := range 80 {
+		d := 100 * time.Millisecond
+		if i%6 == 0 {
+			d = 900 * time.Millisecond
+		}
+		s.run(d)
+	}
+	id := s.acquire(nil)
+	g.Expect(s.pass(150 * time.Millisecond)).To(BeEmpty())
+	g.Expect(s.pass(850 * time.Millisecond)).To(Equal([]uint64{id}))
+}
+
 // Work that must not repeat has no second attempt, and the budget belongs to requests that have failed.
 func TestOverdueRequestsAreNotAlwaysRetried(t *testing.T) {
 	g := NewWithT(t)
