Stop without cutting off requests that have arrived

Seen at similar systems: during a planned stop under load, requests that had just been accepted were cut off. It could happen here: http.Server.Shutdown resets connections that the kernel has accepted but the process has not, and counts a connection as idle until the whole header of its next request is parsed. On hosts with a sixth of a core both last for milliseconds.

Change: internal/httpstop takes over the connections that the kernel holds and closes a connection only if no byte of a further request was read. Entry hosts and the platform's interfaces of control hosts use it.

--- a/internal/app/connections.go
+++ b/internal/app/connections.go
@@ -4,9 +4,11 @@
 	"context"
 	"net"
 	"sync"
+	"time"
 
 	"github.com/pkg/errors"
 
+	"github.com/tarragonmux/tarragonmux/internal/httpstop"
 	"github.com/tarragonmux/tarragonmux/internal/transport"
 )
 
@@ -105,6 +107,11 @@
 	owner *connections
 }
 
+// SetDeadline sets the deadline of Accept, if the listener supports that.
+func (t *trackedListener) SetDeadline(deadline time.Time) error {
+	return httpstop.SetDeadline(t.Listener, deadline)
+}
+
 func (c *connections) listen(next func(string) (net.Listener, error)) func(string) (net.Listener, error) {
 	return func(address string) (net.Listener, error) {
 		l, err := next(address)
--- a/internal/app/discovery.go
+++ b/internal/app/discovery.go
@@ -17,6 +17,7 @@
 	"github.com/tarragonmux/tarragonmux/internal/dispatchrpc"
 	"github.com/tarragonmux/tarragonmux/internal/election"
 	"github.com/tarragonmux/tarragonmux/internal/hostset"
+	"github.com/tarragonmux/tarragonmux/internal/httpstop"
 	"github.com/tarragonmux/tarragonmux/internal/membership"
 	"github.com/tarragonmux/tarragonmux/internal/settings"
 	"github.com/tarragonmux/tarragonmux/internal/shard"
@@ -246,15 +247,18 @@
 		ReadHeaderTimeout: adapterHeaderTimeout,
 		IdleTimeout:       adapterIdleTimeout,
 		ErrorLog:          logger.WithPrefix("adapter").StandardLog(),
+		ConnState:         httpstop.ConnState,
 	}
+	var listener *httpstop.Listener
 	lc.Append(fx.StartStopHook(
 		func() error {
 			l, err := o.Listen(address)
 			if err != nil {
 				return listenError(field, err)
 			}
+			listener = httpstop.NewListener(l)
 			b.run(field, func(ctx context.Context) error {
-				if err := server.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+				if err := server.Serve(listener); !listener.Stopped() {
 					return errors.Wrapf(err, "serve %s", field)
 				}
 				<-ctx.Done()
@@ -262,6 +266,11 @@
 			})
 			return nil
 		},
-		func(ctx context.Context) error { return errors.WithStack(server.Shutdown(ctx)) },
+		func(ctx context.Context) error {
+			if err := listener.Stop(ctx); err != nil {
+				return errors.Wrapf(err, "finish the requests of %s", field)
+			}
+			return errors.WithStack(server.Shutdown(ctx))
+		},
 	))
 }
--- a/internal/entry/fakes_test.go
+++ b/internal/entry/fakes_test.go
@@ -261,6 +261,7 @@
 	address  string
 	client   *http.Client
 	served   chan error
+	listener *heldListener
 }
 
 type observations struct {
@@ -307,7 +308,8 @@
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	Expect(err).NotTo(HaveOccurred())
 	f.address = l.Addr().String()
-	go func() { f.served <- f.server.Serve(l) }()
+	f.listener = &heldListener{TCPListener: l.(*net.TCPListener)}
+	go func() { f.served <- f.server.Serve(f.listener) }()
 	DeferCleanup(func() {
 		f.client.CloseIdleConnections()
 		ctx, cancel := context.WithCancel(context.Background())
--- a/internal/entry/readahead/conn.go
+++ b/internal/entry/readahead/conn.go
@@ -6,6 +6,9 @@
 	"net"
 	"os"
 	"sync"
+	"time"
+
+	"github.com/tarragonmux/tarragonmux/internal/httpstop"
 )
 
 const (
@@ -48,6 +51,11 @@
 	return newConn(inner), nil
 }
 
+// SetDeadline sets the deadline of Accept, if the inner listener supports that.
+func (l listener) SetDeadline(deadline time.Time) error {
+	return httpstop.SetDeadline(l.Listener, deadline)
+}
+
 func newConn(inner net.Conn) *Conn {
 	c := &Conn{Conn: inner}
 	c.changed.L = &c.mu
@@ -55,8 +63,12 @@
 }
 
 // Context returns the context for the requests of a connection. It is cancelled when the connection ends. It
-// has the signature of http.Server.ConnContext; other connections than Conn get ctx itself.
+// has the signature of http.Server.ConnContext; other connections than Conn, and such that wrap one, get ctx
+// itself.
 func Context(ctx context.Context, conn net.Conn) context.Context {
+	if outer, ok := conn.(interface{ NetConn() net.Conn }); ok {
+		conn = outer.NetConn()
+	}
 	c, ok := conn.(*Conn)
 	if !ok {
 		return ctx
@@ -129,6 +141,13 @@
 	return c.reading
 }
 
+// Buffered returns the number of bytes that were read ahead.
+func (c *Conn) Buffered() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.buffer)
+}
+
 func (c *Conn) cancelRequests() {
 	if c.cancel != nil {
 		c.cancel()
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -13,6 +13,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/tarragonmux/tarragonmux/internal/entry/readahead"
+	"github.com/tarragonmux/tarragonmux/internal/httpstop"
 )
 
 // hardHeaderFactor multiplied by the configured limit is the size of headers above which net/http itself
@@ -33,6 +34,7 @@
 	leaving    atomic.Bool
 	cancel     context.CancelFunc
 	cancelOnce sync.Once
+	listener   atomic.Pointer[httpstop.Listener]
 }
 
 // New returns a server that serves nothing until Serve is called.
@@ -56,6 +58,7 @@
 		MaxHeaderBytes:    hardHeaderFactor * cfg.Settings.MaxHeaderBytes,
 		ErrorLog:          cfg.Log.StandardLog(),
 		ConnContext:       readahead.Context,
+		ConnState:         httpstop.ConnState,
 	}
 	return s, nil
 }
@@ -74,8 +77,10 @@
 
 // Serve accepts connections until Shutdown and then returns nil.
 func (s *Server) Serve(l net.Listener) error {
-	err := s.http.Serve(readahead.NewListener(l))
-	if err == http.ErrServerClosed {
+	listener := httpstop.NewListener(readahead.NewListener(l))
+	s.listener.Store(listener)
+	err := s.http.Serve(listener)
+	if err == http.ErrServerClosed || listener.Stopped() {
 		return nil
 	}
 	return errors.WithStack(err)
@@ -124,8 +129,17 @@
 	case <-ctx.Done():
 	}
 	// Each request ends at its own deadline, so this wait is bounded.
-	err := s.http.Shutdown(context.WithoutCancel(ctx))
+	err := s.stopServing(context.WithoutCancel(ctx))
 	s.cancelOnce.Do(s.cancel)
 	s.cfg.Log.Info("stopped; no request is in flight")
 	return errors.WithStack(err)
 }
+
+func (s *Server) stopServing(ctx context.Context) error {
+	if listener := s.listener.Load(); listener != nil {
+		if err := listener.Stop(ctx); err != nil {
+			return err
+		}
+	}
+	return s.http.Shutdown(ctx)
+}
--- a/internal/entry/shutdown_test.go
+++ b/internal/entry/shutdown_test.go
@@ -1,9 +1,12 @@
 package entry_test
 
 import (
+	"bufio"
 	"context"
 	"fmt"
+	"io"
 	"net"
+	"net/http"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -16,6 +19,80 @@
 	"github.com/tarragonmux/tarragonmux/internal/standin"
 )
 
+// heldListener can leave connections in the kernel's queue until the server stops listening, as a process without
+// processor time does.
+type heldListener struct {
+	*net.TCPListener
+	held atomic.Pointer[chan struct{}]
+}
+
+func (l *heldListener) hold() {
+	c := make(chan struct{})
+	l.held.Store(&c)
+}
+
+func (l *heldListener) release() {
+	if c := l.held.Swap(nil); c != nil {
+		close(*c)
+	}
+}
+
+func (l *heldListener) Accept() (net.Conn, error) {
+	if c := l.held.Load(); c != nil {
+		<-*c
+	}
+	return l.TCPListener.Accept()
+}
+
+func (l *heldListener) SetDeadline(t time.Time) error {
+	defer l.release()
+	return l.TCPListener.SetDeadline(t)
+}
+
+func (l *heldListener) Close() error {
+	defer l.release()
+	return l.TCPListener.Close()
+}
+
+// rawCaller is a caller that decides itself when it sends which bytes.
+type rawCaller struct {
+	net.Conn
+	responses *bufio.Reader
+}
+
+func (f *fleet) open() *rawCaller {
+	c, err := net.Dial("tcp", f.address)
+	Expect(err).NotTo(HaveOccurred())
+	DeferCleanup(c.Close)
+	return &rawCaller{Conn: c, responses: bufio.NewReader(c)}
+}
+
+func (c *rawCaller) send(request string) {
+	_, err := io.WriteString(c, request)
+	Expect(err).NotTo(HaveOccurred())
+}
+
+// roundTrip sends bytes that complete a request, and returns the status of the response. It expects the
+// Connection header of the response unless that is "".
+func (c *rawCaller) roundTrip(rest, connection string) int {
+	c.send(rest)
+	response, err := http.ReadResponse(c.responses, nil)
+	Expect(err).NotTo(HaveOccurred())
+	_, err = io.Copy(io.Discard, response.Body)
+	Expect(err).NotTo(HaveOccurred())
+	if connection != "" {
+		Expect(response.Close).To(Equal(connection == "close"))
+	}
+	return response.StatusCode
+}
+
+// closed reports whether the server has closed the connection.
+func (c *rawCaller) closed() bool {
+	_ = c.SetReadDeadline(time.Now().Add(10 * time.Millisecond))
+	_, err := c.responses.ReadByte()
+	return err == io.EOF
+}
+
 var _ = Describe("Graceful shutdown", func() {
 	// If a host stopped serving before its callers use other hosts, each deployment would cut off requests
 	// of all of them.
@@ -55,4 +132,44 @@
 		_, err := net.Dial("tcp", f.address)
 		Expect(err).To(HaveOccurred(), "the host no longer listens")
 	})
+
+	// When the listener closes, connections that the kernel has accepted but the process has not are reset.
+	It("answers requests on connections that wait to be accepted", func() {
+		b := newStandin(standin.Config{Slots: 64, WorkTime: time.Millisecond})
+		f := start(func(c *entry.Config) { c.LeaveFor = 50 * time.Millisecond }, b.Address())
+		f.listener.hold()
+		stopped := make(chan error, 1)
+		go func() { stopped <- f.server.Shutdown(context.Background()) }()
+		const callers = 20
+		var wg sync.WaitGroup
+		for range callers {
+			c := f.open()
+			wg.Go(func() {
+				defer GinkgoRecover()
+				Expect(c.roundTrip("GET /read HTTP/1.1\r\nHost: a\r\n\r\n", "")).To(Equal(200))
+			})
+		}
+		wg.Wait()
+		Expect(<-stopped).To(Succeed())
+		Expect(<-f.served).To(Succeed())
+		f.served <- nil
+	})
+
+	// net/http counts a connection as idle until it has read a whole header.
+	It("answers a request whose header has arrived in part", func() {
+		b := newStandin(standin.Config{Slots: 64, WorkTime: time.Millisecond})
+		f := start(func(c *entry.Config) { c.LeaveFor = 50 * time.Millisecond }, b.Address())
+		idle, half := f.open(), f.open()
+		for _, c := range []*rawCaller{idle, half} {
+			Expect(c.roundTrip("GET /read HTTP/1.1\r\nHost: a\r\n\r\n", "")).To(Equal(200))
+		}
+		half.send("GET /read HTTP/1.1\r\n")
+		stopped := make(chan error, 1)
+		go func() { stopped <- f.server.Shutdown(context.Background()) }()
+		Eventually(idle.closed, "1s").Should(BeTrue())
+		Expect(half.roundTrip("Host: a\r\n\r\n", "close")).To(Equal(200))
+		Expect(<-stopped).To(Succeed())
+		Expect(<-f.served).To(Succeed())
+		f.served <- nil
+	})
 })
