attach: keep the departure of a server that the control host does not know yet

Seen at similar systems: after a restart, a server that had left was in use again. It could happen here: a control host that had just restarted confirmed a mark for a server that gossip had not brought yet, and forgot it. With the host that took the drain lost, a late announcement or gossip put the server in use again, although a majority had confirmed.

Change: marks of a known process are recorded as departures whatever the registry knows, and announcements of departed processes are marked at once instead of at the next look.

Test: TestDeparturesOfUnknownServersAreKept failed before.

--- a/internal/attach/server.go
+++ b/internal/attach/server.go
@@ -145,6 +145,7 @@
 
 // Mark marks a backend server as draining or left on request of another control host.
 func (s *Server) Mark(_ context.Context, r *fleetpb.MarkRequest) (*fleetpb.MarkReply, error) {
+	s.tracker.recordMark(time.Now(), r.GetInstance(), r.GetIncarnation())
 	services := s.opts.Registry.MarkServer(r.GetInstance(), r.GetIncarnation(), backend.State(r.GetState()))
 	s.tracker.syncWithRegistry(time.Now())
 	s.opts.Logger.Info("marked a backend server on request of another control host", "instance", r.GetInstance(), "incarnation", r.GetIncarnation(),
@@ -163,6 +164,7 @@
 // polls a majority before it reports its departures to an entry host as current, so within pollInterval
 // and a heartbeat all hosts that may send requests to the server know it too. Errors: ErrNotConfirmed.
 func (s *Server) RecordDeparture(ctx context.Context, instance string, incarnation uint64, state backend.State) error {
+	s.tracker.recordMark(time.Now(), instance, incarnation)
 	services := s.opts.Registry.MarkServer(instance, incarnation, state)
 	s.tracker.syncWithRegistry(time.Now())
 	request := &fleetpb.MarkRequest{Instance: instance, Incarnation: incarnation, State: fleetpb.ServerState(state)}
@@ -298,6 +300,9 @@
 		return err
 	case b.State == backend.Draining:
 		return s.RecordDeparture(ctx, b.Instance, b.Incarnation, backend.Draining)
+	case s.tracker.hasDeparted(b.Instance, b.Incarnation):
+		s.opts.Registry.MarkServer(b.Instance, b.Incarnation, backend.Draining)
+		return nil
 	default:
 		return nil
 	}
--- a/internal/attach/tracker.go
+++ b/internal/attach/tracker.go
@@ -129,6 +129,25 @@
 	}
 }
 
+// recordMark records the departure of a process of a backend server, also of one that the registry does not know
+// yet: a control host that has just restarted may confirm it before gossip arrives. A mark without an incarnation
+// covers only the processes that the registry knows.
+func (t *tracker) recordMark(now time.Time, instance string, incarnation uint64) {
+	if incarnation == 0 {
+		return
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.departures.record(now, instance, incarnation)
+}
+
+// hasDeparted reports whether the process of the backend server is known to drain or to have left.
+func (t *tracker) hasDeparted(instance string, incarnation uint64) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.departures.covers(instance, incarnation)
+}
+
 // syncWithRegistry records departures from the registry and marks entries that were announced after
 // their departure.
 func (t *tracker) syncWithRegistry(now time.Time) {
--- a/internal/attach/tracker_test.go
+++ b/internal/attach/tracker_test.go
@@ -133,6 +133,31 @@
 	})
 }
 
+// A control host that has restarted may confirm the departure of a server that it does not know yet. If it forgot
+// the departure, the server would be in use again once gossip or a late announcement arrives, should the host that
+// took the drain be lost.
+func TestDeparturesOfUnknownServersAreKept(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		ctx, cancel := context.WithCancel(context.Background())
+		var running sync.WaitGroup
+		defer running.Wait()
+		defer cancel()
+		c := startControlGroup(ctx, &running)
+		time.Sleep(5 * time.Second)
+		g.Expect(c.servers["b:1"].Announce(ctx, serverInState(backend.Ready))).To(Succeed())
+		g.Expect(c.servers["b:1"].Announce(ctx, serverInState(backend.Draining))).To(Succeed())
+		c.mu.Lock()
+		c.cut["b:1"] = true
+		c.mu.Unlock()
+		for _, address := range []string{"a:1", "c:1"} {
+			g.Expect(c.servers[address].Announce(ctx, serverInState(backend.Ready))).To(Succeed())
+			time.Sleep(time.Second)
+			g.Expect(c.registries[address].servers["i-1"].State).To(Equal(backend.Draining), address)
+		}
+	})
+}
+
 // A drain may be confirmed by a majority without one control host. Guards against that control host
 // not learning of the drain: its entry hosts would continue to send requests to the server.
 func TestControlHostOutsideTheMajorityHearsOfDrains(t *testing.T) {
