membership: find servers by address and keep lists in order

Cause: a control host that dispatches nothing spent its processor time on lists. Each announcement or heartbeat looked through all entries for its address, each exchange sorted all entries up to three times, and each dispatcher read and sorted its service ten times a second. With 900 servers and 421 entry hosts that is the product of sizes and rates.

Change: a table finds entries by id, key, address and service, and sorts again only after a change; renewals modify entries in place.

--- a/internal/membership/serve.go
+++ b/internal/membership/serve.go
@@ -88,7 +88,7 @@
 // runner.
 func (r *Runner) EachServer(f func(backend.Server)) {
 	r.withState(func(s *State, _ time.Time) {
-		for _, e := range s.servers {
+		for _, e := range s.servers.entries {
 			f(e.Server)
 		}
 	})
--- a/internal/membership/servers.go
+++ b/internal/membership/servers.go
@@ -38,21 +38,11 @@
 }
 
 func (s *State) putServer(e *serverEntry) {
-	if old, ok := s.servers[e.id()]; ok {
-		if old.Incarnation == e.Incarnation {
-			invariant.Check(!e.Renewed.Before(old.Renewed), "membership.age-never-falls-back",
-				"the renewal of %s/%s went back by %v", e.Service, e.Instance, old.Renewed.Sub(e.Renewed))
-		}
-		delete(s.serversByKey, old.key)
+	if old, ok := s.servers.entries[e.id()]; ok && old.Incarnation == e.Incarnation {
+		invariant.Check(!e.Renewed.Before(old.Renewed), "membership.age-never-falls-back",
+			"the renewal of %s/%s went back by %v", e.Service, e.Instance, old.Renewed.Sub(e.Renewed))
 	}
-	e.key = serverKey(e)
-	s.servers[e.id()] = e
-	s.serversByKey[e.key] = e
-}
-
-func (s *State) dropServer(e *serverEntry) {
-	delete(s.servers, e.id())
-	delete(s.serversByKey, e.key)
+	s.servers.put(e)
 }
 
 // Announce records an announcement that a backend server made to a node of the fleet. announcedAt is
@@ -66,7 +56,7 @@
 	if a.State != backend.Left && !s.supersedeAddress(a) {
 		return &SupersededError{Service: a.Service, Instance: a.Instance, Known: a.Incarnation}
 	}
-	old, ok := s.servers[serverID{a.Service, a.Instance}]
+	old, ok := s.servers.entries[serverID{a.Service, a.Instance}]
 	if !ok || a.Incarnation > old.Incarnation {
 		s.putServer(&serverEntry{Server: a, version: 1})
 		return nil
@@ -108,7 +98,7 @@
 
 // MarkDraining records that a response of the server carried a drain signal.
 func (s *State) MarkDraining(service, instance string) {
-	old, ok := s.servers[serverID{service, instance}]
+	old, ok := s.servers.entries[serverID{service, instance}]
 	if !ok || old.State >= backend.Draining {
 		return
 	}
@@ -120,7 +110,7 @@
 // MarkServer raises the state of every entry of the instance up to the incarnation and returns the
 // services of these entries. An incarnation of 0 covers every entry of the instance.
 func (s *State) MarkServer(now time.Time, instance string, incarnation uint64, state backend.State) (services []string) {
-	for id, old := range s.servers {
+	for id, old := range s.servers.entries {
 		if id.instance != instance || incarnation > 0 && old.Incarnation > incarnation {
 			continue
 		}
@@ -139,8 +129,8 @@
 // left, since their processes have ended. It returns false if a server with a higher incarnation has
 // the address.
 func (s *State) supersedeAddress(a backend.Server) bool {
-	for id, old := range s.servers {
-		if old.Address != a.Address || id == (serverID{a.Service, a.Instance}) || old.State == backend.Left {
+	for _, old := range s.servers.atAddress(a.Address) {
+		if old.id() == (serverID{a.Service, a.Instance}) || old.State == backend.Left {
 			continue
 		}
 		if old.Incarnation > a.Incarnation {
@@ -159,13 +149,13 @@
 // Servers returns the backend servers of a service that were renewed within a minute, ordered by
 // instance.
 func (s *State) Servers(now time.Time, service string) []backend.Server {
-	var list []backend.Server
-	for id, e := range s.servers {
-		if id.service == service && now.Sub(e.Renewed) < serverRetention {
+	entries := s.servers.ofService(service)
+	list := make([]backend.Server, 0, len(entries))
+	for _, e := range entries {
+		if now.Sub(e.Renewed) < serverRetention {
 			list = append(list, e.Server)
 		}
 	}
-	slices.SortFunc(list, func(a, b backend.Server) int { return cmp.Compare(a.Instance, b.Instance) })
 	return list
 }
 
@@ -176,7 +166,7 @@
 	if now.Sub(e.Renewed) > serverShareMaxAge {
 		return
 	}
-	old, ok := s.servers[e.id()]
+	old, ok := s.servers.entries[e.id()]
 	if !ok || e.Incarnation > old.Incarnation {
 		s.putServer(e)
 		return
@@ -203,7 +193,7 @@
 // renewServer applies an age from the reply to a request that was sent at the given time. known is
 // false if this node has no entry with the key.
 func (s *State) renewServer(sent time.Time, key uint64, age uint32, load byte) (known bool) {
-	e, ok := s.serversByKey[key]
+	e, ok := s.servers.byKey[key]
 	if !ok {
 		return false
 	}
@@ -217,15 +207,15 @@
 
 // sharedServers returns the entries to pass on, in ascending order of their keys, and their digest.
 func (s *State) sharedServers(now time.Time) (entries []*serverEntry, digest uint64) {
-	entries = make([]*serverEntry, 0, len(s.servers))
-	for _, e := range s.servers {
-		if now.Sub(e.Renewed) > serverShareMaxAge {
-			continue
-		}
-		entries = append(entries, e)
+	all := s.servers.ordered()
+	outdated := func(e *serverEntry) bool { return now.Sub(e.Renewed) > serverShareMaxAge }
+	entries = all
+	if slices.ContainsFunc(all, outdated) {
+		entries = slices.DeleteFunc(slices.Clone(all), outdated)
+	}
+	for _, e := range entries {
 		digest ^= e.key
 	}
-	slices.SortFunc(entries, func(a, b *serverEntry) int { return cmp.Compare(a.key, b.key) })
 	return entries, digest
 }
 
--- a/internal/membership/state.go
+++ b/internal/membership/state.go
@@ -11,13 +11,12 @@
 // State is the gossip state of one node as a pure state machine: time and messages are arguments. It is
 // not safe for concurrent use.
 type State struct {
-	id           string
-	start        time.Time
-	random       *rand.Rand
-	nodes        map[string]*nodeEntry
-	nodesByKey   map[uint64]*nodeEntry
-	servers      map[serverID]*serverEntry
-	serversByKey map[uint64]*serverEntry
+	id         string
+	start      time.Time
+	random     *rand.Rand
+	nodes      map[string]*nodeEntry
+	nodesByKey map[uint64]*nodeEntry
+	servers    *serverTable
 	// lastRoundTrip is when the last complete round trip with another node ended.
 	lastRoundTrip time.Time
 	rotation
@@ -36,8 +35,7 @@
 		random:        random,
 		nodes:         map[string]*nodeEntry{},
 		nodesByKey:    map[uint64]*nodeEntry{},
-		servers:       map[serverID]*serverEntry{},
-		serversByKey:  map[uint64]*serverEntry{},
+		servers:       newServerTable(),
 		lastRoundTrip: now,
 	}
 	s.putNode(now, &fleetpb.Node{
@@ -257,9 +255,9 @@
 			s.expireNode(now, e)
 		}
 	}
-	for _, e := range s.servers {
+	for _, e := range s.servers.entries {
 		if now.Sub(e.Renewed) > serverRetention {
-			s.dropServer(e)
+			s.servers.drop(e)
 		}
 	}
 }
