Vote again once a full disk has room

New on the users' machines: a full disk refuses every write. A replica whose write failed stopped voting until its process was restarted, so a few full disks, one after the other, ended the majority for good.

Change: a write that found no room is told apart from a failed sync, after which nothing on the disk can be trusted. The replica looks for room once a second and opens its folder again, as a restart would; the peers check the folder before it votes. Nothing that was confirmed is lost, since entries are confirmed after their sync only.

Tests: TestReplicaVotesAgainOnceAFullDiskHasRoom failed before (all three replicas stayed stopped). TestFailedSyncStopsForGood holds as before.

--- a/internal/agreement/repair_test.go
+++ b/internal/agreement/repair_test.go
@@ -167,6 +167,36 @@
 	})
 }
 
+// A replica whose disk was full for some seconds must vote again without a restart: otherwise a few full disks, one
+// after the other, end the majority for good.
+func TestReplicaVotesAgainOnceAFullDiskHasRoom(t *testing.T) {
+	withCluster(t, func(c *cluster, p agreement.Proposer) {
+		c.mustDecide(p, "rec/k", 1, "first")
+		for _, id := range []string{"a", "b", "c"} {
+			c.disks[id].Fill(true)
+		}
+		_, err := p.ProposeFast(shortContext(c), "rec/k", 2, []byte("refused"))
+		c.g.Expect(err).To(HaveOccurred())
+		time.Sleep(5 * time.Second)
+		c.g.Expect(c.running["b"].replica.Status().State).To(Equal(agreement.Stopped))
+		c.g.Expect(c.running["b"].replica.Status().Reason).To(ContainSubstring("disk is full"))
+		for _, id := range []string{"a", "b", "c"} {
+			c.disks[id].Fill(false)
+		}
+		c.waitUntilVoting("a", "b", "c")
+		c.mustDecide(p, "rec/k", 2, "second")
+		c.expectChain(p, "rec/k", "first", "second")
+		// What was confirmed before and after survives a loss of power.
+		for _, id := range []string{"a", "b", "c"} {
+			c.crash(id)
+			c.start(id)
+		}
+		c.waitUntilVoting("a", "b", "c")
+		c.expectChain(p, "rec/k", "first", "second")
+		c.g.Expect(c.running["a"].replica.Status().FoldersSetAside).To(BeZero())
+	})
+}
+
 // Guards against a replica that continues from a journal that is damaged in the middle.
 func TestDamagedMiddle(t *testing.T) {
 	withCluster(t, func(c *cluster, p agreement.Proposer) {
--- a/internal/agreement/replica.go
+++ b/internal/agreement/replica.go
@@ -50,6 +50,8 @@
 	responseLifetime = 2 * time.Second
 	// swapInterval is the minimum time between two requests of a replica to be swapped in.
 	swapInterval = time.Second
+	// roomCheckInterval is the time between two checks whether a full disk has room again.
+	roomCheckInterval = time.Second
 	// maxCompactionInterval is the longest time between two compactions while the journal has new entries.
 	maxCompactionInterval = time.Hour
 	// snapshotSegments is the growth of the journal, in segments, before which no snapshot is due unless
@@ -145,6 +147,8 @@
 	// journaledSeen holds the peers' sequences that this process has written to the journal.
 	journaledSeen   map[diskKey]uint64
 	seenJournaledAt time.Time
+	// roomCheckedAt is when the room on a full disk was last checked.
+	roomCheckedAt time.Time
 	// appendedSinceSeen is set if entries were appended since the peers' sequences were last journaled.
 	appendedSinceSeen bool
 	// copyOrder holds, for each learner that copies the state, the sorted prefixes of the chains to copy.
@@ -326,6 +330,7 @@
 	defer ticker.Stop()
 	r.background.Go(func() { r.watchers.run(ctx) })
 	for ctx.Err() == nil {
+		r.resumeAfterFullDisk()
 		r.exchangeWithPeers(ctx)
 		r.actOnSurvey(ctx)
 		r.flush()
@@ -408,13 +413,49 @@
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.log == journal && r.state != Stopped {
+	if r.log != journal || r.state == Stopped {
+		return true
+	}
+	if errors.Is(err, storage.ErrDiskFull) {
+		r.logger.Error("the disk is full; the replica stops voting until there is room", "err", logging.Err(err))
+	} else {
 		r.logger.Error("the journal failed; the replica stops voting until the process is restarted", "err", logging.Err(err))
-		r.stopVoting(err.Error())
 	}
+	r.stopVoting(err.Error())
 	return true
 }
 
+// resumeAfterFullDisk opens the folder again, as a restart would, once a full disk has room. Entries that were not
+// written have not been confirmed to anybody. The peers check the folder before the replica votes.
+func (r *Replica) resumeAfterFullDisk() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.state != Stopped || r.compacting || !errors.Is(r.log.Err(), storage.ErrDiskFull) || r.now().Sub(r.roomCheckedAt) < roomCheckInterval {
+		return
+	}
+	r.roomCheckedAt = r.now()
+	if err := storage.CheckRoom(r.cfg.FS, r.cfg.Folder); err != nil {
+		r.logger.Debug("the disk has no room yet", "err", logging.Err(err))
+		return
+	}
+	if err := r.log.Close(); err != nil {
+		r.logger.Warn("the former journal could not be closed", "err", logging.Err(err))
+	}
+	if err := r.openOrReset(); err != nil {
+		r.logger.Error("the data folder could not be opened again; restart the process", "err", logging.Err(err))
+		r.stopVoting(err.Error())
+		return
+	}
+	r.peerResponses = map[string]peerResponse{}
+	r.journaledSeen = map[diskKey]uint64{}
+	r.appendedSinceSeen = false
+	if r.store.group == nil {
+		r.setStateLocked(Blank, r.reason)
+		return
+	}
+	r.setStateLocked(Checking, "waiting for a majority of the group to confirm the folder")
+}
+
 // appendEntries appends entries to the journal without waiting for a sync and returns the last sequence.
 // On failure it returns neverDurable, so that no reply reports the change. It must be called with r.mu held.
 func (r *Replica) appendEntries(entries ...*agreementpb.JournalEntry) uint64 {
--- a/internal/storage/log.go
+++ b/internal/storage/log.go
@@ -7,6 +7,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"syscall"
 
 	"github.com/pkg/errors"
 
@@ -28,6 +29,41 @@
 // synced, so the log writes nothing more until the process is restarted.
 var ErrStopped = errors.New("a write to the disk failed; check the disk and restart the process")
 
+// ErrDiskFull means that the disk had no room for a write. Nothing that was confirmed is lost. The log writes
+// nothing more; Open continues with what is durable once there is room, without a restart of the process.
+var ErrDiskFull = errors.New("the disk is full; free some space")
+
+// roomBytes is the room that a disk must have for a log to continue.
+const roomBytes = 1 << 20
+
+// CheckRoom returns nil if the disk of the folder has room for further entries. Errors are failures of the file
+// system.
+func CheckRoom(fs FS, folder string) error {
+	name := path.Join(folder, "room")
+	f, err := createDurable(fs, name, make([]byte, roomBytes))
+	if err == nil {
+		err = f.Close()
+	}
+	if removeErr := fs.Remove(name); err == nil {
+		err = removeErr
+	}
+	return errors.Wrap(err, "check the room on the disk")
+}
+
+// syncError is the failure of a sync. It hides its cause: whatever that was, the kernel may have dropped data.
+type syncError struct {
+	text string
+}
+
+func (e *syncError) Error() string { return e.text }
+
+func syncFile(f File) error {
+	if err := f.Sync(); err != nil {
+		return &syncError{err.Error()}
+	}
+	return nil
+}
+
 // Config configures a Log.
 type Config struct {
 	FS     FS
@@ -115,8 +151,8 @@
 }
 
 // Sync returns nil once the entry with this sequence and all entries before it are durable. Calls made
-// while a sync is running share the next one. After a failure every call returns ErrStopped, except
-// for entries that were already durable.
+// while a sync is running share the next one. After a failure every call returns ErrStopped or
+// ErrDiskFull, except for entries that were already durable.
 func (l *Log) Sync(sequence uint64) error {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -156,6 +192,9 @@
 	l.syncing = false
 	if err != nil {
 		l.failure = errors.Wrap(ErrStopped, err.Error())
+		if errors.Is(err, syscall.ENOSPC) {
+			l.failure = errors.Wrap(ErrDiskFull, err.Error())
+		}
 	} else {
 		invariant.Check(first == l.durable+1, "storage.sequence", "frame starts at %d after %d", first, l.durable)
 		l.durable = last
@@ -178,7 +217,7 @@
 		return err
 	}
 	l.segmentSize += int64(len(frame))
-	return l.segment.Sync()
+	return syncFile(l.segment)
 }
 
 // startSegment closes the open segment and creates a durable new one, whose first entry is first.
@@ -215,7 +254,7 @@
 		_ = f.Close()
 		return nil, err
 	}
-	if err := f.Sync(); err != nil {
+	if err := syncFile(f); err != nil {
 		_ = f.Close()
 		return nil, err
 	}
--- a/internal/storage/memfs.go
+++ b/internal/storage/memfs.go
@@ -7,6 +7,7 @@
 	"sort"
 	"strings"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/pkg/errors"
@@ -26,6 +27,7 @@
 	// durableFiles holds the files whose names survive a crash.
 	durableFiles map[string]*memNode
 	failSyncs    bool
+	full         bool
 	syncDelay    time.Duration
 	syncs        int
 }
@@ -70,6 +72,13 @@
 	m.failSyncs = on
 }
 
+// Fill makes every write fail after half of its bytes while on is true, as on a full disk.
+func (m *MemFS) Fill(on bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.full = on
+}
+
 // DelaySyncs makes every later sync of a file take at least d.
 func (m *MemFS) DelaySyncs(d time.Duration) {
 	m.mu.Lock()
@@ -241,6 +250,11 @@
 	if f.generation != f.fs.generation {
 		return 0, errors.Wrap(ErrInjected, "the file was opened before a crash")
 	}
+	if f.fs.full {
+		half := len(b) / 2
+		f.node.data = append(f.node.data, b[:half]...)
+		return half, errors.WithStack(syscall.ENOSPC)
+	}
 	f.node.data = append(f.node.data, b...)
 	return len(b), nil
 }
