attach: tell repeated drains to the control group only

Change: a control host that has confirmed a departure before tells only the hosts that must confirm, in case they have restarted; the others were told and hear of it by gossip and polls. A mark of a known process no longer looks through all entries.

Test: TestRepeatedDrainsAreToldToTheGroupOnly failed with the change taken out (a host outside the group told twice).

--- a/internal/attach/attach_test.go
+++ b/internal/attach/attach_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -26,6 +27,7 @@
 	mu      sync.Mutex
 	servers map[string]backend.Server
 	refuse  error
+	members []membership.Member
 }
 
 func (r *registry) AnnounceLocal(s backend.Server) error {
@@ -48,7 +50,7 @@
 	return list
 }
 
-func (r *registry) Members() []membership.Member { return nil }
+func (r *registry) Members() []membership.Member { return r.members }
 
 func (r *registry) EachServer(f func(backend.Server)) {
 	r.mu.Lock()
@@ -176,6 +178,27 @@
 	g.Expect(m.calls["c:1"]).To(Equal(1), "a control host that has confirmed is not sent the mark again")
 }
 
+// A draining server repeats its drain with each announcement. When many servers drain together, telling every
+// control host each time takes the processor time that configuration changes need.
+func TestRepeatedDrainsAreToldToTheGroupOnly(t *testing.T) {
+	g := NewWithT(t)
+	s, r, m := newServer("b", "b:1", "c:1", "d:1")
+	r.members = []membership.Member{{ID: "d", FleetAddress: "d:1", State: fleetpb.NodeState_NODE_STATE_ALIVE}}
+	calls := func() map[string]int {
+		m.mu.Lock()
+		defer m.mu.Unlock()
+		return maps.Clone(m.calls)
+	}
+	ctx := context.Background()
+	g.Expect(s.Announce(ctx, serverInState(backend.Ready))).To(Succeed())
+	g.Expect(s.Announce(ctx, serverInState(backend.Draining))).To(Succeed())
+	g.Eventually(calls).Should(Equal(map[string]int{"b:1": 1, "c:1": 1, "d:1": 1}))
+	g.Expect(s.Announce(ctx, serverInState(backend.Draining))).To(Succeed())
+	g.Eventually(calls).Should(Equal(map[string]int{"b:1": 2, "c:1": 2, "d:1": 1}))
+	g.Expect(s.RecordDeparture(ctx, "i-1", 5, backend.Left)).To(Succeed())
+	g.Eventually(calls).Should(Equal(map[string]int{"b:1": 3, "c:1": 3, "d:1": 2}))
+}
+
 // Guards against callers being sent to hosts that leave or start, and against an entry host with an
 // outdated incarnation that does not learn which one to exceed.
 func TestHeartbeats(t *testing.T) {
--- a/internal/attach/departures.go
+++ b/internal/attach/departures.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"github.com/tarragonmux/tarragonmux/internal/backend"
 	"github.com/tarragonmux/tarragonmux/proto/fleetpb"
 )
 
@@ -26,6 +27,8 @@
 	incarnation uint64
 	number      uint64
 	recordedAt  time.Time
+	// confirmed is the state that this process has confirmed to the backend server; 0 before.
+	confirmed backend.State
 }
 
 func newDepartures(log uint64) *departures {
--- a/internal/attach/server.go
+++ b/internal/attach/server.go
@@ -145,14 +145,25 @@
 
 // Mark marks a backend server as draining or left on request of another control host.
 func (s *Server) Mark(_ context.Context, r *fleetpb.MarkRequest) (*fleetpb.MarkReply, error) {
-	s.tracker.recordMark(time.Now(), r.GetInstance(), r.GetIncarnation())
-	services := s.opts.Registry.MarkServer(r.GetInstance(), r.GetIncarnation(), backend.State(r.GetState()))
-	s.tracker.syncWithRegistry(time.Now())
+	services := s.mark(r.GetInstance(), r.GetIncarnation(), backend.State(r.GetState()))
 	s.opts.Logger.Info("marked a backend server on request of another control host", "instance", r.GetInstance(), "incarnation", r.GetIncarnation(),
 		"state", backend.State(r.GetState()).String(), "services", services)
 	return &fleetpb.MarkReply{}, nil
 }
 
+// mark records the departure at this control host and returns the services of the backend server.
+func (s *Server) mark(instance string, incarnation uint64, state backend.State) (services []string) {
+	now := time.Now()
+	services = s.opts.Registry.MarkServer(instance, incarnation, state)
+	if incarnation == 0 {
+		// Only the registry knows which processes the mark covers.
+		s.tracker.syncWithRegistry(now)
+		return services
+	}
+	s.tracker.recordMark(now, instance, incarnation)
+	return services
+}
+
 // ListDepartures returns the departures that another control host has not seen.
 func (s *Server) ListDepartures(_ context.Context, r *fleetpb.DeparturesRequest) (*fleetpb.Departures, error) {
 	changes, _ := s.tracker.changesSince(time.Now(), r.GetLog(), r.GetSeen())
@@ -164,16 +175,21 @@
 // polls a majority before it reports its departures to an entry host as current, so within pollInterval
 // and a heartbeat all hosts that may send requests to the server know it too. Errors: ErrNotConfirmed.
 func (s *Server) RecordDeparture(ctx context.Context, instance string, incarnation uint64, state backend.State) error {
-	s.tracker.recordMark(time.Now(), instance, incarnation)
-	services := s.opts.Registry.MarkServer(instance, incarnation, state)
-	s.tracker.syncWithRegistry(time.Now())
+	services := s.mark(instance, incarnation, state)
 	request := &fleetpb.MarkRequest{Instance: instance, Incarnation: incarnation, State: fleetpb.ServerState(state)}
-	c := &departureConfirmation{server: s, request: request, services: services, confirmedBy: map[string]bool{s.opts.Address: true}}
+	c := &departureConfirmation{
+		server: s, request: request, services: services, confirmedBy: map[string]bool{s.opts.Address: true},
+		repeated: s.tracker.wasConfirmed(instance, incarnation, state),
+	}
 	for {
 		if !c.confirmed() {
 			c.sendMarks(ctx)
 		}
 		if c.confirmed() {
+			s.tracker.noteConfirmed(instance, incarnation, state)
+			if c.repeated {
+				return nil
+			}
 			s.opts.Logger.Info("took a backend server out", "instance", instance, "incarnation", incarnation,
 				"state", state.String(), "services", services, "told", len(c.confirmedBy))
 			return nil
@@ -196,6 +212,9 @@
 	services []string
 	// confirmedBy holds the fleet addresses of the control hosts that have confirmed the mark.
 	confirmedBy map[string]bool
+	// repeated is set if this process has confirmed the departure before. A draining server repeats it with
+	// each announcement. Only the hosts that must confirm are then told again, in case they have restarted.
+	repeated bool
 }
 
 // confirmed reports whether enough hosts have confirmed: a majority of the control group, also of the
@@ -277,6 +296,14 @@
 		for _, h := range slices.Concat(fleet.Hosts, fleet.PreviousHosts) {
 			add(h.FleetAddress)
 		}
+		for _, part := range fleet.Services {
+			if h, ok := c.server.opts.Elections.Dispatcher(part.Name); ok && c.concerns(part.Name) {
+				add(h.Address)
+			}
+		}
+	}
+	if c.repeated {
+		return list
 	}
 	for _, m := range c.server.opts.Registry.Members() {
 		if m.State <= fleetpb.NodeState_NODE_STATE_SUSPECT {
--- a/internal/attach/tracker.go
+++ b/internal/attach/tracker.go
@@ -130,17 +130,31 @@
 }
 
 // recordMark records the departure of a process of a backend server, also of one that the registry does not know
-// yet: a control host that has just restarted may confirm it before gossip arrives. A mark without an incarnation
-// covers only the processes that the registry knows.
+// yet: a control host that has just restarted may confirm it before gossip arrives.
 func (t *tracker) recordMark(now time.Time, instance string, incarnation uint64) {
-	if incarnation == 0 {
-		return
-	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.departures.record(now, instance, incarnation)
 }
 
+// noteConfirmed records that this process has confirmed the state of a backend server that drains or has left.
+func (t *tracker) noteConfirmed(instance string, incarnation uint64, state backend.State) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if d, ok := t.departures.entries[instance]; ok && d.incarnation == incarnation {
+		d.confirmed = max(d.confirmed, state)
+		t.departures.entries[instance] = d
+	}
+}
+
+// wasConfirmed reports whether this process has confirmed the state or a later one.
+func (t *tracker) wasConfirmed(instance string, incarnation uint64, state backend.State) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	d, ok := t.departures.entries[instance]
+	return ok && d.incarnation == incarnation && d.confirmed >= state
+}
+
 // hasDeparted reports whether the process of the backend server is known to drain or to have left.
 func (t *tracker) hasDeparted(instance string, incarnation uint64) bool {
 	t.mu.Lock()
--- a/internal/membership/servers.go
+++ b/internal/membership/servers.go
@@ -110,11 +110,11 @@
 // MarkServer raises the state of every entry of the instance up to the incarnation and returns the
 // services of these entries. An incarnation of 0 covers every entry of the instance.
 func (s *State) MarkServer(now time.Time, instance string, incarnation uint64, state backend.State) (services []string) {
-	for id, old := range s.servers.entries {
-		if id.instance != instance || incarnation > 0 && old.Incarnation > incarnation {
+	for _, old := range s.servers.byInstance.get(instance) {
+		if incarnation > 0 && old.Incarnation > incarnation {
 			continue
 		}
-		services = append(services, id.service)
+		services = append(services, old.Service)
 		if old.State >= state {
 			continue
 		}
@@ -129,7 +129,7 @@
 // left, since their processes have ended. It returns false if a server with a higher incarnation has
 // the address.
 func (s *State) supersedeAddress(a backend.Server) bool {
-	for _, old := range s.servers.atAddress(a.Address) {
+	for _, old := range s.servers.byAddress.get(a.Address) {
 		if old.id() == (serverID{a.Service, a.Instance}) || old.State == backend.Left {
 			continue
 		}
--- a/internal/membership/servertable.go
+++ b/internal/membership/servertable.go
@@ -9,21 +9,42 @@
 // renew entries far more often than they change them, so lists are kept in order and computed again only after a
 // change. Entries are modified by put only. The table is not safe for concurrent use.
 type serverTable struct {
-	entries   map[serverID]*serverEntry
-	byKey     map[uint64]*serverEntry
-	byAddress map[string][]*serverEntry
+	entries    map[serverID]*serverEntry
+	byKey      map[uint64]*serverEntry
+	byAddress  entryIndex
+	byInstance entryIndex
 	// byService holds the entries of each service, ordered by instance; a service is missing after a change.
 	byService map[string][]*serverEntry
 	// inKeyOrder holds all entries in ascending order of their keys; nil after a change.
 	inKeyOrder []*serverEntry
 }
 
+// entryIndex holds the entries that have the same value of a field.
+type entryIndex map[string][]*serverEntry
+
+func (x entryIndex) add(value string, e *serverEntry) {
+	x[value] = append(x[value], e)
+}
+
+func (x entryIndex) remove(value string, e *serverEntry) {
+	rest := slices.DeleteFunc(slices.Clone(x[value]), func(other *serverEntry) bool { return other == e })
+	if x[value] = rest; len(rest) == 0 {
+		delete(x, value)
+	}
+}
+
+// get returns the entries with the value. The list stays valid while entries are added or removed.
+func (x entryIndex) get(value string) []*serverEntry {
+	return x[value]
+}
+
 func newServerTable() *serverTable {
 	return &serverTable{
-		entries:   map[serverID]*serverEntry{},
-		byKey:     map[uint64]*serverEntry{},
-		byAddress: map[string][]*serverEntry{},
-		byService: map[string][]*serverEntry{},
+		entries:    map[serverID]*serverEntry{},
+		byKey:      map[uint64]*serverEntry{},
+		byAddress:  entryIndex{},
+		byInstance: entryIndex{},
+		byService:  map[string][]*serverEntry{},
 	}
 }
 
@@ -40,7 +61,8 @@
 	}
 	t.entries[e.id()] = e
 	t.byKey[e.key] = e
-	t.byAddress[e.Address] = append(t.byAddress[e.Address], e)
+	t.byAddress.add(e.Address, e)
+	t.byInstance.add(e.Instance, e)
 	t.forgetOrder(e)
 }
 
@@ -48,10 +70,8 @@
 func (t *serverTable) drop(e *serverEntry) {
 	delete(t.entries, e.id())
 	delete(t.byKey, e.key)
-	rest := slices.DeleteFunc(slices.Clone(t.byAddress[e.Address]), func(other *serverEntry) bool { return other == e })
-	if t.byAddress[e.Address] = rest; len(rest) == 0 {
-		delete(t.byAddress, e.Address)
-	}
+	t.byAddress.remove(e.Address, e)
+	t.byInstance.remove(e.Instance, e)
 	t.forgetOrder(e)
 }
 
@@ -60,11 +80,6 @@
 	t.inKeyOrder = nil
 }
 
-// atAddress returns the entries with the address. The list stays valid while entries are put or dropped.
-func (t *serverTable) atAddress(address string) []*serverEntry {
-	return slices.Clip(t.byAddress[address])
-}
-
 // ofService returns the entries of a service, ordered by instance. The list must not be modified.
 func (t *serverTable) ofService(service string) []*serverEntry {
 	list, ok := t.byService[service]
--- a/internal/membership/servertable_test.go
+++ b/internal/membership/servertable_test.go
@@ -68,9 +68,15 @@
 	}
 	for port := range 5 {
 		address := fmt.Sprintf("10.0.0.1:%d", port)
-		got := values(table.atAddress(address))
+		got := values(table.byAddress.get(address))
 		slices.SortFunc(got, byKey)
 		g.Expect(got).To(Equal(selected(func(e serverEntry) bool { return e.Address == address }, byKey)))
 	}
+	for i := range 6 {
+		instance := fmt.Sprintf("i-%d", i)
+		got := values(table.byInstance.get(instance))
+		slices.SortFunc(got, byKey)
+		g.Expect(got).To(Equal(selected(func(e serverEntry) bool { return e.Instance == instance }, byKey)))
+	}
 	g.Expect(table.byKey).To(HaveLen(len(want)))
 }
