membership: end probes for a reused address; name the incarnation to exceed

A node that has the address of a former one passed a probe for that one on to itself, again and again until the time of the probe ended. An announcement at the address of a newer server was refused with the announcer's own incarnation, so an entry host with its clock set back raised it one by one.

--- a/internal/membership/serve.go
+++ b/internal/membership/serve.go
@@ -34,6 +34,10 @@
 	if err := checkAddress("target_address", request.GetTargetAddress()); err != nil {
 		return nil, err
 	}
+	if request.GetTargetAddress() == r.opts.Identity.FleetAddress {
+		// The address was used again by this node; a probe would call this method without end.
+		return &fleetpb.ProbeReply{}, nil
+	}
 	ctx, cancel := context.WithTimeout(ctx, indirectTimeout)
 	defer cancel()
 	direct := &fleetpb.ProbeRequest{From: r.opts.Identity.ID, Target: request.GetTarget(), TargetAddress: request.GetTargetAddress()}
--- a/internal/membership/servers.go
+++ b/internal/membership/servers.go
@@ -53,8 +53,10 @@
 	}
 	a.Renewed = announcedAt
 	a.ReadySince = announcedAt
-	if a.State != backend.Left && !s.supersedeAddress(a) {
-		return &SupersededError{Service: a.Service, Instance: a.Instance, Known: a.Incarnation}
+	if a.State != backend.Left {
+		if newer := s.supersedeAddress(a); newer != nil {
+			return &SupersededError{Service: a.Service, Instance: a.Instance, Known: newer.Incarnation}
+		}
 	}
 	old, ok := s.servers.entries[serverID{a.Service, a.Instance}]
 	if !ok || a.Incarnation > old.Incarnation {
@@ -126,15 +128,15 @@
 }
 
 // supersedeAddress marks entries of other servers with the same address and a lower incarnation as
-// left, since their processes have ended. It returns false if a server with a higher incarnation has
-// the address.
-func (s *State) supersedeAddress(a backend.Server) bool {
+// left, since their processes have ended. It returns the entry with a higher incarnation that has the address, or
+// nil.
+func (s *State) supersedeAddress(a backend.Server) (newer *serverEntry) {
 	for _, old := range s.servers.byAddress.get(a.Address) {
 		if old.id() == (serverID{a.Service, a.Instance}) || old.State == backend.Left {
 			continue
 		}
 		if old.Incarnation > a.Incarnation {
-			return false
+			return old
 		}
 		if old.Incarnation == a.Incarnation {
 			continue
@@ -143,7 +145,7 @@
 		e.State = backend.Left
 		s.putServer(&e)
 	}
-	return true
+	return nil
 }
 
 // Servers returns the backend servers of a service that were renewed within a minute, ordered by
