--- a/internal/cli/cli_test.go
+++ b/internal/cli/cli_test.go
@@ -56,6 +56,14 @@
 		Expect(stderr).To(ContainSubstring("idd: unknown field; remove it or correct its spelling"))
 	})
 
+	It("takes the platform's settings from the file that the environment names", func() {
+		path := filepath.Join(GinkgoT().TempDir(), "boot.json")
+		GinkgoT().Setenv("TARRAGONMUX_BOOT", path)
+		status, _, stderr := execute("platform")
+		Expect(status).To(Equal(exitFailure))
+		Expect(stderr).To(ContainSubstring(path))
+	})
+
 	It("says what to do when no control replica is named or answers", func() {
 		GinkgoT().Setenv("TARRAGONMUX_CONTROL", "")
 		GinkgoT().Setenv("TARRAGONMUX_SETTINGS", "")
--- a/internal/cli/process.go
+++ b/internal/cli/process.go
@@ -1,6 +1,7 @@
 package cli
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"os"
@@ -34,16 +35,13 @@
 }
 
 type platformCommand struct {
-	Settings string `arg:"" optional:"" help:"Settings file in the platform's format." type:"path"`
+	Settings string `arg:"" optional:"" help:"Settings file in the platform's format. Default: the file that TARRAGONMUX_BOOT names, or /etc/tarragonmux/settings.yaml." type:"path"`
 }
 
 // Run runs the process that the platform's settings describe until the context ends. Log lines go to
 // the standard output.
 func (c *platformCommand) Run(ctx context.Context, out *output) error {
-	path := c.Settings
-	if path == "" {
-		path = platform.SettingsPath
-	}
+	path := cmp.Or(c.Settings, os.Getenv(platform.SettingsVariable), platform.SettingsPath)
 	s, err := platform.LoadSettings(path)
 	if err != nil {
 		return err
