--- a/internal/dispatch/lifecycle_test.go
+++ b/internal/dispatch/lifecycle_test.go
@@ -23,6 +23,25 @@
 	g.Expect(acquire(m, now, 1, nil)).To(BeEmpty())
 }
 
+// A server whose announcements are missed may still run its requests. They must be neither given up nor sent
+// elsewhere because of that.
+func TestWorkOfAServerThatIsNotHeardGoesOn(t *testing.T) {
+	g := NewWithT(t)
+	m, now := newCollectedMachine(2)
+	g.Expect(acquire(m, now, 1, func(r *dispatch.Request) { r.Idempotent, r.Keyless, r.Deadline = false, true, now.Add(10*time.Second) })).To(HaveLen(1))
+	for range 250 {
+		now = now.Add(dispatch.TickInterval)
+		m.RecordContact(now, "n", 1<<40)
+		m.SetServers(now, nil)
+		m.Tick(now)
+		g.Expect(m.TakeActions()).To(BeEmpty())
+	}
+	m.SetServers(now, []backend.Server{{Instance: "s", State: backend.Ready, Slots: 2, Renewed: now}})
+	g.Expect(m.View(now).Servers[0].InFlight).To(Equal(1))
+	m.Complete(now, "n", 1, grant.Completion{Result: grant.OK, Total: 5 * time.Second})
+	g.Expect(m.View(now).Servers[0].InFlight).To(BeZero())
+}
+
 // A server that signals in a response that it drains must get no new work from then on.
 func TestDrainingServersGetNoNewWork(t *testing.T) {
 	g := NewWithT(t)
