election: let control hosts outside the group dispatch, before its members

Cause: only the five voters were candidates on the large site. Seven shards shared five hosts of a quarter core, which also vote and decide the configuration, while fourteen hosts dispatched nothing. Under trouble these five were the bottleneck: leases were lost, versions had no confirmation for 4 s, drains waited, and hosts placed requests alone.

Change: any control host may hold a lease; safety needs a majority of the voters only. A preferred host asks a voter again when the vote that it heard of would end. Voters that wait after their start say so, so that campaigns do not fail in that time.

--- a/internal/app/discovery.go
+++ b/internal/app/discovery.go
@@ -80,7 +80,7 @@
 			func() *logHolder { return &logHolder{} },
 			func() *gossipHolder { return &gossipHolder{} },
 			func() revisionListener { return func(string, uint64) {} },
-			newElections,
+			newControlElections,
 			newControlDispatcher,
 			newAttachServer,
 		),
@@ -173,6 +173,23 @@
 	return dispatchrpc.ServiceSettings{}, false
 }
 
+// newControlElections lets all control hosts dispatch. Those outside the control group come first, since members
+// also decide the configuration and vote.
+func newControlElections(lc fx.Lifecycle, b *background, s *settings.Settings, i incarnation, source hostset.Source, m *membership.Runner, pool *transport.Pool, logger *log.Logger) *election.Runner {
+	options := electionOptions(s, i, source, pool, logger)
+	options.FollowAllServices = true
+	options.Spares = func() []hostset.Host {
+		var hosts []hostset.Host
+		for _, member := range m.Members() {
+			if member.State == fleetpb.NodeState_NODE_STATE_ALIVE {
+				hosts = append(hosts, hostset.Host{ID: member.ID, DataCentre: member.DataCentre, FleetAddress: member.FleetAddress})
+			}
+		}
+		return hosts
+	}
+	return startElections(lc, b, options)
+}
+
 func newControlDispatcher(lc fx.Lifecycle, b *background, s *settings.Settings, holder *logHolder, m *membership.Runner, e *election.Runner, registry *prometheus.Registry, logger *log.Logger) *dispatchrpc.Server {
 	return newDispatcher(lc, b, s, newDocumentSettings(holder.document, s), m, e, registry, logger)
 }
--- a/internal/app/node.go
+++ b/internal/app/node.go
@@ -130,14 +130,21 @@
 }
 
 func newElections(lc fx.Lifecycle, b *background, s *settings.Settings, i incarnation, source hostset.Source, pool *transport.Pool, logger *log.Logger) *election.Runner {
-	runner := election.NewRunner(election.Options{
-		ID:                s.ID,
-		Incarnation:       uint64(i),
-		Source:            source,
-		FollowAllServices: s.Discovery != nil,
-		PeerClient:        election.NewPeerClient(pool),
-		Logger:            logger.WithPrefix("election"),
-	})
+	return startElections(lc, b, electionOptions(s, i, source, pool, logger))
+}
+
+func electionOptions(s *settings.Settings, i incarnation, source hostset.Source, pool *transport.Pool, logger *log.Logger) election.Options {
+	return election.Options{
+		ID:          s.ID,
+		Incarnation: uint64(i),
+		Source:      source,
+		PeerClient:  election.NewPeerClient(pool),
+		Logger:      logger.WithPrefix("election"),
+	}
+}
+
+func startElections(lc fx.Lifecycle, b *background, o election.Options) *election.Runner {
+	runner := election.NewRunner(o)
 	startComponent(lc, b, "election", runner.Run)
 	return runner
 }
--- a/internal/election/candidate.go
+++ b/internal/election/candidate.go
@@ -21,6 +21,9 @@
 	// holds or campaigns for. It exceeds the start time difference between the first three ranks, so that an
 	// idle node among them starts before a busy one.
 	activeElsewhereDelay = 3 * rankDelay
+	// voterDelay is the additional delay of voters while there are preferred nodes, so that a preferred node that
+	// holds one other lease still comes first.
+	voterDelay = 3 * rankDelay
 	// maxActiveElsewhere bounds the number of other services that add a delay.
 	maxActiveElsewhere = 2
 	// roundTimeout is the maximum wait for the replies to holder queries, and then to vote requests.
@@ -76,6 +79,8 @@
 	// adopted the newest.
 	groups      []VotingGroups
 	voterStates map[string]*voterState
+	// preferred lists nodes that campaign before the voters, in rank order.
+	preferred []string
 
 	phase phase
 	// nextAction is the time of the next step of the phase: the start of a campaign, the timeout of a
@@ -118,16 +123,28 @@
 	}
 }
 
+// SetPreferred sets the nodes that campaign before the voters, in rank order. They need not be voters.
+func (c *Candidate) SetPreferred(nodes []string) {
+	c.preferred = nodes
+}
+
 func (c *Candidate) newestGroups() VotingGroups {
 	return c.groups[len(c.groups)-1]
 }
 
-// rank returns this node's index in the current group of the newest revision, or -1.
+// rank returns this node's position among the candidates: the preferred nodes, then the current group of the
+// newest revision. It is -1 if the node is not a candidate.
 func (c *Candidate) rank() int {
 	if len(c.groups) == 0 {
 		return -1
 	}
-	return slices.Index(c.newestGroups().Current, c.id)
+	if i := slices.Index(c.preferred, c.id); i >= 0 {
+		return i
+	}
+	if i := slices.Index(c.newestGroups().Current, c.id); i >= 0 {
+		return len(c.preferred) + i
+	}
+	return -1
 }
 
 // voters returns the members of all groups, each once.
@@ -164,7 +181,7 @@
 
 // Tick returns the messages that are due. Terms lie above termFloor, a number that rises across restarts,
 // such as the wall time in milliseconds. ownVoterBusy reports whether this node's own voter is bound
-// to another candidate or still waits after its start.
+// to another candidate or still waits after its start; for a node that is no voter, whether another holder is known.
 func (c *Candidate) Tick(now time.Time, termFloor uint64, ownVoterBusy bool) []Request {
 	switch c.phase {
 	case holding:
@@ -245,7 +262,11 @@
 // campaignDelay returns how long a candidate of the given rank waits once its own voter knows no other
 // holder.
 func (c *Candidate) campaignDelay(rank int) time.Duration {
-	return time.Duration(rank)*rankDelay + c.delayForOthers()
+	delay := time.Duration(rank)*rankDelay + c.delayForOthers()
+	if preferred := len(c.preferred); preferred > 0 && rank >= preferred {
+		delay += voterDelay
+	}
+	return delay
 }
 
 // delayForOthers returns the part of the delay that other services add.
@@ -342,7 +363,7 @@
 	}
 	switch {
 	case c.phase == querying && r.Message.GetTerm() == 0:
-		state.reportedFree = reply.GetHolder() == ""
+		state.reportedFree = isFree(reply)
 		return c.startCampaign(now)
 	case (c.phase == campaigning || c.phase == holding) && r.Message.GetTerm() == c.term && reply.GetGranted():
 		c.countVote(now, r, state)
@@ -353,6 +374,11 @@
 	return nil
 }
 
+// isFree reports whether the voter may vote for a new holder.
+func isFree(reply *fleetpb.VoteReply) bool {
+	return reply.GetHolder() == "" && reply.GetLeftMs() == 0
+}
+
 // startCampaign requests votes if a majority has reported that nobody holds the lease.
 func (c *Candidate) startCampaign(now time.Time) []Request {
 	free := slices.ContainsFunc(c.groups, func(g VotingGroups) bool {
--- a/internal/election/doc.go
+++ b/internal/election/doc.go
@@ -12,9 +12,13 @@
 // holder stops renewing the vote of a voter that did not respond to two renewals, so that the vote expires
 // and another candidate can take over.
 //
+// With Options.Spares, nodes outside the voting group may hold leases too. Up to four of them are preferred for each
+// service, by rendezvous hashing: they have the first ranks, and voters wait 150 ms more. A preferred node that is no
+// voter learns from a voter when the vote of the holder would end, and asks again then.
+//
 // After a change of hosts a candidate needs a majority of the new group and of the previous one. A voter
 // refuses requests that are based on another hosts revision than its own. A restarted voter grants no votes
-// for one lease, since it may have forgotten a vote.
+// for one lease, since it may have forgotten a vote, and tells candidates so.
 //
 // Votes alone do not make a node the dispatcher: a voter names its candidate to others only once the
 // candidate has shown, by a renewal or an announcement, that it holds the lease. Otherwise a node could
--- a/internal/election/runner.go
+++ b/internal/election/runner.go
@@ -1,6 +1,7 @@
 package election
 
 import (
+	"cmp"
 	"context"
 	"math/rand/v2"
 	"slices"
@@ -30,6 +31,11 @@
 	pollIntervalConnected = 2 * time.Second
 	// dispatcherExpiry is the time for which a report of a dispatcher is used.
 	dispatcherExpiry = 3 * time.Second
+	// sparesInterval is how often the spares are read.
+	sparesInterval = 500 * time.Millisecond
+	// maxPreferred is how many spares are preferred as dispatchers of a service. Each queries a voter whenever the
+	// vote that was reported last would have ended, so that one of them campaigns before the first voter does.
+	maxPreferred = 4
 	// maxInFlightCalls is the maximum number of calls in flight.
 	maxInFlightCalls = 256
 )
@@ -62,8 +68,11 @@
 	// FollowAllServices is set if this node learns the dispatchers of all services, including those whose
 	// host set it is not in, since other nodes query it.
 	FollowAllServices bool
-	PeerClient        PeerClient
-	Logger            *log.Logger
+	// Spares returns further nodes that may hold leases although they do not vote, such as control hosts outside
+	// the control group. They campaign before the voters, which have other work. It may be nil.
+	Spares     func() []hostset.Host
+	PeerClient PeerClient
+	Logger     *log.Logger
 }
 
 // Runner votes, campaigns and learns the dispatchers of all services. It implements leadership.Elections
@@ -82,6 +91,9 @@
 	addresses map[string]string
 	services  map[string]*serviceElection
 	resigned  bool
+	// spares are the nodes that Spares returned at sparesAt.
+	spares   []hostset.Host
+	sparesAt time.Time
 }
 
 // serviceElection is this node's state in the election of one service.
@@ -95,7 +107,11 @@
 	candidate     *Candidate
 	announcedTerm uint64
 	lastReport    dispatcherReport
-	nextPoll      time.Time
+	// isPreferred is set if this node is among the preferred candidates.
+	isPreferred bool
+	// reportedFree is set if the last voter that was queried knew no holder.
+	reportedFree bool
+	nextPoll     time.Time
 	// pollPosition, modulo the group size, is the index of the next voter to query; 0 before the first
 	// query.
 	pollPosition int
@@ -145,6 +161,7 @@
 	defer r.mu.Unlock()
 	r.refreshFleet(ctx)
 	now := time.Now()
+	r.refreshSpares(now)
 	activeCount := 0
 	for _, e := range r.services {
 		activeCount += e.candidate.activeCount()
@@ -152,8 +169,7 @@
 	for _, e := range r.services {
 		activeCount -= e.candidate.activeCount()
 		e.candidate.activeElsewhere = activeCount
-		ownVoterBusy := e.isVoter && e.voter.BusyFor(now, r.o.ID)
-		r.sendRequests(ctx, e, e.candidate.Tick(now, uint64(max(now.UnixMilli(), 0)), ownVoterBusy))
+		r.sendRequests(ctx, e, e.candidate.Tick(now, uint64(max(now.UnixMilli(), 0)), e.busyFor(now, r.o.ID)))
 		activeCount += e.candidate.activeCount()
 		r.announceLease(ctx, e, now)
 		r.pollVoter(ctx, e, now)
@@ -208,6 +224,44 @@
 	e.inHostSet = slices.Contains(hostIDs(e.hostSet), r.o.ID)
 	e.voter.SetGroups(e.groups)
 	e.candidate.SetGroups(e.groups)
+	if r.o.Spares != nil {
+		e.voter.AllowAnyCandidate()
+		r.setPreferred(e)
+	}
+}
+
+// refreshSpares updates the preferred candidates of each service.
+func (r *Runner) refreshSpares(now time.Time) {
+	if r.o.Spares == nil || now.Sub(r.sparesAt) < sparesInterval {
+		return
+	}
+	r.sparesAt, r.spares = now, r.o.Spares()
+	for _, h := range r.spares {
+		r.addresses[h.ID] = h.FleetAddress
+	}
+	for _, e := range r.services {
+		r.setPreferred(e)
+	}
+}
+
+// setPreferred selects the preferred candidates of a service among the spares, by rendezvous hashing.
+func (r *Runner) setPreferred(e *serviceElection) {
+	ids := slices.DeleteFunc(hostIDs(r.spares), func(id string) bool { return slices.Contains(e.groups.Voters(), id) })
+	slices.SortFunc(ids, func(a, b string) int {
+		return cmp.Or(cmp.Compare(hostset.Score(e.service, b), hostset.Score(e.service, a)), cmp.Compare(a, b))
+	})
+	preferred := ids[:min(len(ids), maxPreferred)]
+	e.candidate.SetPreferred(preferred)
+	e.isPreferred = slices.Contains(preferred, r.o.ID)
+}
+
+// busyFor reports whether a campaign of this node could not succeed now: its voter is not free or, if it is no
+// voter, the last voter that it queried knew a holder.
+func (e *serviceElection) busyFor(now time.Time, self string) bool {
+	if e.isVoter {
+		return e.voter.BusyFor(now, self)
+	}
+	return !e.reportedFree
 }
 
 func hostIDs(hosts []hostset.Host) []string {
@@ -278,13 +332,24 @@
 		HostsRevision: e.groups.Revision,
 		Announce:      true,
 	}
-	for _, h := range e.hostSet {
+	for _, h := range r.audience(e) {
 		if h.ID != r.o.ID {
 			r.sendMessage(ctx, h.ID, message, func(*fleetpb.VoteReply) {})
 		}
 	}
 }
 
+// audience returns the nodes that are told of a new lease: the host set, and the spares.
+func (r *Runner) audience(e *serviceElection) []hostset.Host {
+	hosts := slices.Clone(e.hostSet)
+	for _, h := range r.spares {
+		if !slices.ContainsFunc(hosts, func(known hostset.Host) bool { return known.ID == h.ID }) {
+			hosts = append(hosts, h)
+		}
+	}
+	return hosts
+}
+
 // pollVoter queries the next voter for the dispatcher if a query is due.
 func (r *Runner) pollVoter(ctx context.Context, e *serviceElection, now time.Time) {
 	if now.Before(e.nextPoll) || !e.inHostSet && !r.o.FollowAllServices || len(e.groups.Current) == 0 {
@@ -302,7 +367,13 @@
 	message := &fleetpb.VoteRequest{Service: e.service, Candidate: r.o.ID, HostsRevision: e.groups.Revision}
 	r.sendMessage(ctx, voter, message, func(reply *fleetpb.VoteReply) {
 		r.recordReply(e, reply)
-		if reply.GetHolding() {
+		e.reportedFree = isFree(reply)
+		switch {
+		case e.isPreferred && !e.reportedFree:
+			// The vote ends then unless it is renewed.
+			left := time.Duration(reply.GetLeftMs()) * time.Millisecond
+			e.nextPoll = time.Now().Add(min(left, VoteLease) + tickInterval)
+		case reply.GetHolding():
 			e.nextPoll = time.Now().Add(jitter(pollIntervalKnown))
 		}
 	})
--- a/internal/election/safety_test.go
+++ b/internal/election/safety_test.go
@@ -157,7 +157,8 @@
 	violations := invariant.Total()
 	leases, checks := 0, 0
 	rapid.Check(t, func(t *rapid.T) {
-		s := newSimulation(rapid.Uint64().Draw(t, "seed"), drift)
+		preferred := [][]string{nil, {"n7", "n3", "n8"}}
+		s := newSimulation(rapid.Uint64().Draw(t, "seed"), drift, rapid.SampledFrom(preferred).Draw(t, "preferred")...)
 		for range rapid.IntRange(1, 40).Draw(t, "steps") {
 			s.run(time.Duration(rapid.IntRange(1, 400).Draw(t, "ms")) * time.Millisecond)
 			s.injectFault(t)
--- a/internal/election/voter.go
+++ b/internal/election/voter.go
@@ -54,6 +54,8 @@
 // clock. It is not safe for concurrent use.
 type Voter struct {
 	groups VotingGroups
+	// anyCandidate is set if nodes outside the groups may hold the lease.
+	anyCandidate bool
 	// noVoteUntil is the time before which a restarted voter grants nothing, since it may have forgotten a
 	// vote.
 	noVoteUntil time.Time
@@ -82,6 +84,11 @@
 	v.groups = g
 }
 
+// AllowAnyCandidate lets nodes outside the voting groups hold the lease.
+func (v *Voter) AllowAnyCandidate() {
+	v.anyCandidate = true
+}
+
 // Holder returns the node that this voter's vote is granted to, the term, and the time left. If there is
 // no valid vote, ok is false and the term is the highest one granted.
 func (v *Voter) Holder(now time.Time) (holder string, term uint64, left time.Duration, ok bool) {
@@ -128,7 +135,7 @@
 	if now.Before(v.noVoteUntil) || r.GetHostsRevision() != v.groups.Revision || r.GetTerm() >= maxTerm {
 		return false
 	}
-	if !slices.Contains(v.groups.Current, r.GetCandidate()) {
+	if !v.anyCandidate && !slices.Contains(v.groups.Current, r.GetCandidate()) {
 		return false
 	}
 	if now.Before(v.voteUntil) {
@@ -176,6 +183,10 @@
 
 func (v *Voter) newReply(now time.Time, granted bool) *fleetpb.VoteReply {
 	holder, term, left, _ := v.Holder(now)
+	if holder == "" {
+		// Nobody can win votes before the wait after the start ends.
+		left = max(v.noVoteUntil.Sub(now), 0)
+	}
 	return &fleetpb.VoteReply{
 		Granted:       granted,
 		Term:          term,
--- a/internal/election/world_test.go
+++ b/internal/election/world_test.go
@@ -56,6 +56,9 @@
 	maxConfigDelay time.Duration
 	// holderFirst makes the holder adopt a new configuration within 50 ms.
 	holderFirst bool
+	// preferred lists the preferred candidates; if it is not empty, nodes outside the voting groups may hold the
+	// lease.
+	preferred []string
 	// slowProcess is the id of a process to which all messages from other processes take 300 ms longer.
 	slowProcess string
 	// violation describes the first violated invariant.
@@ -67,8 +70,8 @@
 
 var epoch = time.Date(2030, 1, 1, 0, 0, 0, 0, time.UTC)
 
-func newSimulation(seed uint64, drift float64) *simulation {
-	s := &simulation{random: rand.New(rand.NewPCG(seed, 1)), messageDelay: 2 * time.Millisecond, maxConfigDelay: time.Second}
+func newSimulation(seed uint64, drift float64, preferred ...string) *simulation {
+	s := &simulation{random: rand.New(rand.NewPCG(seed, 1)), messageDelay: 2 * time.Millisecond, maxConfigDelay: time.Second, preferred: preferred}
 	s.isCut = func(string, string) bool { return false }
 	for i := range 9 {
 		p := &process{
@@ -100,6 +103,10 @@
 	p.started = s.localTime(p)
 	p.voter = election.NewVoter(p.started)
 	p.candidate = election.NewCandidate("booking", p.id, p.incarnation)
+	if len(s.preferred) > 0 {
+		p.voter.AllowAnyCandidate()
+		p.candidate.SetPreferred(s.preferred)
+	}
 	s.schedule(p, tickInterval, func() { s.tick(p) })
 }
 
