--- a/internal/entry/refusal_test.go
+++ b/internal/entry/refusal_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -102,6 +103,26 @@
 		}
 	})
 
+	// After a loss of power all hosts start together, and refusals would reach callers that have no other address.
+	It("are not given while the first configuration is on its way", func() {
+		b := newStandin(standin.Config{Slots: 4, WorkTime: time.Millisecond})
+		var ready atomic.Bool
+		f := start(func(c *entry.Config) { c.Ready = ready.Load }, b.Address())
+		time.AfterFunc(300*time.Millisecond, func() { ready.Store(true) })
+		sent := time.Now()
+		Expect(f.do("GET", "/read", "", "Grpc-Timeout", "200m").kind()).To(Equal("starting"))
+		Expect(time.Since(sent)).To(BeNumerically("<", 200*time.Millisecond), "a refusal must come while the caller can still use it")
+		Expect(f.do("GET", "/read", "", "Grpc-Timeout", "5S").status).To(Equal(200))
+	})
+
+	It("come at once when the first configuration is overdue", func() {
+		f := start(func(c *entry.Config) { c.Ready = func() bool { return false } })
+		Expect(f.do("GET", "/read", "").kind()).To(Equal("starting"))
+		sent := time.Now()
+		Expect(f.do("GET", "/read", "").kind()).To(Equal("starting"))
+		Expect(time.Since(sent)).To(BeNumerically("<", time.Second))
+	})
+
 	It("state that the host is starting", func() {
 		f := start(func(c *entry.Config) { c.Ready = func() bool { return false } })
 		Expect(f.do("GET", "/read", "").kind()).To(Equal("starting"))
