--- a/internal/attach/server.go
+++ b/internal/attach/server.go
@@ -155,12 +155,13 @@
 func (s *Server) mark(instance string, incarnation uint64, state backend.State) (services []string) {
 	now := time.Now()
 	services = s.opts.Registry.MarkServer(instance, incarnation, state)
-	if incarnation == 0 {
+	switch {
+	case incarnation == 0:
 		// Only the registry knows which processes the mark covers.
 		s.tracker.syncWithRegistry(now)
-		return services
+	case state >= backend.Draining:
+		s.tracker.recordMark(now, instance, incarnation)
 	}
-	s.tracker.recordMark(now, instance, incarnation)
 	return services
 }
 
--- a/internal/attach/tracker_test.go
+++ b/internal/attach/tracker_test.go
@@ -133,6 +133,23 @@
 	})
 }
 
+// A malformed mark must not take a server out that neither drains nor has left.
+func TestMarksOfOtherStatesAreNoDepartures(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		ctx, cancel := context.WithCancel(context.Background())
+		var running sync.WaitGroup
+		defer running.Wait()
+		defer cancel()
+		c := startControlGroup(ctx, &running)
+		_, err := c.servers["a:1"].Mark(ctx, &fleetpb.MarkRequest{Instance: "i-1", Incarnation: 5, State: fleetpb.ServerState(backend.Ready)})
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(c.servers["a:1"].Announce(ctx, serverInState(backend.Ready))).To(Succeed())
+		time.Sleep(time.Second)
+		g.Expect(c.registries["a:1"].servers["i-1"].State).To(Equal(backend.Ready))
+	})
+}
+
 // A control host that has restarted may confirm the departure of a server that it does not know yet. If it forgot
 // the departure, the server would be in use again once gossip or a late announcement arrives, should the host that
 // took the drain be lost.
