--- a/internal/attach/attach_test.go
+++ b/internal/attach/attach_test.go
@@ -41,6 +41,12 @@
 	return nil
 }
 
+func (r *registry) stateOf(instance string) backend.State {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.servers[instance].State
+}
+
 func (r *registry) Servers(service string) (list []backend.Server) {
 	for _, s := range r.servers {
 		if s.Service == service {
--- a/internal/attach/tracker_test.go
+++ b/internal/attach/tracker_test.go
@@ -146,7 +146,7 @@
 		g.Expect(err).NotTo(HaveOccurred())
 		g.Expect(c.servers["a:1"].Announce(ctx, serverInState(backend.Ready))).To(Succeed())
 		time.Sleep(time.Second)
-		g.Expect(c.registries["a:1"].servers["i-1"].State).To(Equal(backend.Ready))
+		g.Expect(c.registries["a:1"].stateOf("i-1")).To(Equal(backend.Ready))
 	})
 }
 
@@ -170,7 +170,7 @@
 		for _, address := range []string{"a:1", "c:1"} {
 			g.Expect(c.servers[address].Announce(ctx, serverInState(backend.Ready))).To(Succeed())
 			time.Sleep(time.Second)
-			g.Expect(c.registries[address].servers["i-1"].State).To(Equal(backend.Draining), address)
+			g.Expect(c.registries[address].stateOf("i-1")).To(Equal(backend.Draining), address)
 		}
 	})
 }
