Make every control host a member of the control group

Cause: the group had 2n+1 members, three of five control hosts. Two of them are a majority of the group and a minority of the control hosts. Cut off together, they confirmed a configuration that the other three, and every entry host, could not learn. Class: a quorum of a subset that most of the fleet need not reach.

Change: the keeper adds every living control host. While a member is missing, a newcomer waits until it can take that member's place. When a successor joined first, the group of even size drops the lost member; in a group of odd size a removal could lose a value decided in a fast round and is refused. The setting discovery.tolerate, which only set the size, is gone.

A confirmation that also waits for a majority of the control hosts would keep the promise, but the majority's side would confirm nothing and have no dispatcher.

--- a/internal/agreement/cluster_test.go
+++ b/internal/agreement/cluster_test.go
@@ -132,6 +132,12 @@
 	return out
 }
 
+func (c *cluster) remove(via, id string) *agreementpb.SwapReply {
+	out, err := c.running[via].replica.Swap(context.Background(), &agreementpb.SwapRequest{RemoveId: id})
+	c.g.Expect(err).NotTo(HaveOccurred())
+	return out
+}
+
 // Guards against a first group that does not form, and against a second value for a decided register.
 func TestFormationAndFirstDecisions(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/agreement/growth_test.go
+++ b/internal/agreement/growth_test.go
@@ -41,6 +41,31 @@
 	})
 }
 
+// Guards against a group that keeps a member too many, and against a value that is lost with the vote of the removed
+// member.
+func TestMemberIsRemovedFromAGroupOfEvenSize(t *testing.T) {
+	withCluster(t, func(c *cluster, p agreement.Proposer) {
+		c.start("d")
+		time.Sleep(time.Second)
+		c.g.Expect(c.swap("a", "", "d").GetError()).To(BeEmpty())
+		c.waitUntilVoting("a", "b", "c", "d")
+		time.Sleep(time.Second)
+		c.network.Cut("p", "a", true)
+		_, err := p.ProposeFast(context.Background(), "rec/k", 1, []byte("first"))
+		c.g.Expect(err).NotTo(HaveOccurred())
+		c.network.Cut("p", "a", false)
+		c.crash("c")
+		time.Sleep(3 * time.Second)
+		c.g.Expect(c.remove("a", "c").GetError()).To(BeEmpty())
+		c.waitUntilVoting("a", "b", "d")
+		c.g.Expect(c.running["a"].replica.Status().Members).To(HaveLen(3))
+		c.g.Expect(c.remove("a", "d").GetError()).To(ContainSubstring("replace the member"))
+		c.crash("b")
+		c.expectChain(c.proposer("q"), "rec/k", "first")
+		c.mustDecide(p, "config", 1, "second")
+	})
+}
+
 // Guards against members that do not find their group after a restart with a first group of other hosts, and
 // against a replica and a proposer outside the group that do not find it from there.
 func TestGroupIsFoundThroughNonMembers(t *testing.T) {
--- a/internal/agreement/swap.go
+++ b/internal/agreement/swap.go
@@ -42,9 +42,10 @@
 	r.wakeRun()
 }
 
-// Swap replaces one member of the group by another, or adds one if the request names none to remove, and
-// returns the new group once it is decided. If the request has no disk id, the new member is asked for it.
-// A member that only changes its address keeps its state and its vote.
+// Swap replaces one member of the group by another, adds one if the request names none to remove, or removes
+// one from a group of even size if it names none to add. It returns the new group once it is decided. If the
+// request has no disk id, the new member is asked for it. A member that only changes its address keeps its state
+// and its vote.
 func (r *Replica) Swap(ctx context.Context, in *agreementpb.SwapRequest) (*agreementpb.SwapReply, error) {
 	next, err := r.decideSwap(ctx, in.GetRemoveId(), in.GetAdd())
 	r.mu.Lock()
@@ -59,6 +60,9 @@
 }
 
 func (r *Replica) decideSwap(ctx context.Context, removeID string, add *agreementpb.Member) (*agreementpb.Group, error) {
+	if add == nil {
+		return r.decideRemoval(ctx, removeID)
+	}
 	add, err := r.fillDiskID(ctx, add)
 	if err != nil {
 		return nil, err
@@ -76,6 +80,58 @@
 	return r.decideGroup(ctx, nextGroup(current, removeID, add))
 }
 
+func (r *Replica) decideRemoval(ctx context.Context, removeID string) (*agreementpb.Group, error) {
+	r.mu.Lock()
+	current := r.store.group
+	err := r.checkRemoval(removeID)
+	r.mu.Unlock()
+	if err != nil {
+		return nil, err
+	}
+	next := &agreementpb.Group{Epoch: current.GetEpoch() + 1, Previous: current.GetMembers()}
+	for _, m := range current.GetMembers() {
+		if m.GetId() != removeID {
+			next.Members = append(next.Members, m)
+		}
+	}
+	return r.decideGroup(ctx, next)
+}
+
+// checkRemoval refuses to remove a member from a group of odd size: a value that was decided in a fast round with
+// its vote would then have fewer votes than a majority of the smaller group. In a group of even size, the other
+// votes are a majority of the smaller group. It must be called with r.mu held.
+func (r *Replica) checkRemoval(removeID string) error {
+	members := r.store.group.GetMembers()
+	switch {
+	case r.state != Voting:
+		return errors.Errorf("the replica is %s; ask a voting one", r.state)
+	case findMember(r.store.group, removeID) == nil:
+		return errors.Errorf("the group has no member %s; name one of its members", removeID)
+	case len(members)%2 != 0:
+		return errors.Errorf("the group has %d members; replace the member, or add another first", len(members))
+	}
+	if voting, need := r.countVoting(removeID), majority(len(members)-1); voting < need {
+		return errors.Errorf("%d of the members that stay vote and %d must; wait until the others vote", voting, need)
+	}
+	return nil
+}
+
+// countVoting counts the members that vote, except the given one. It must be called with r.mu held.
+func (r *Replica) countVoting(except string) int {
+	voting := 0
+	responses := r.peerSurvey().responses
+	for _, m := range r.store.group.GetMembers() {
+		if m.GetId() == except {
+			continue
+		}
+		resp := responses[m.GetId()]
+		if m.GetId() == r.cfg.ID || (resp.GetState() == string(Voting) && resp.GetSelf().GetDiskId() == m.GetDiskId()) {
+			voting++
+		}
+	}
+	return voting
+}
+
 // fillDiskID asks the new member for its disk id if the request does not have it.
 func (r *Replica) fillDiskID(ctx context.Context, add *agreementpb.Member) (*agreementpb.Member, error) {
 	if add.GetId() == "" || add.GetAddress() == "" {
@@ -117,19 +173,8 @@
 		// Only the address changes, so no state has to be copied.
 		return nil
 	}
-	remainingVoters := 0
-	responses := r.peerSurvey().responses
-	for _, m := range g.GetMembers() {
-		if m.GetId() == removeID {
-			continue
-		}
-		resp := responses[m.GetId()]
-		if m.GetId() == r.cfg.ID || (resp.GetState() == string(Voting) && resp.GetSelf().GetDiskId() == m.GetDiskId()) {
-			remainingVoters++
-		}
-	}
-	if need := majority(len(g.GetMembers())); remainingVoters < need {
-		return errors.Errorf("%d of the members that stay vote and %d must; wait until the others vote", remainingVoters, need)
+	if voting, need := r.countVoting(removeID), majority(len(g.GetMembers())); voting < need {
+		return errors.Errorf("%d of the members that stay vote and %d must; wait until the others vote", voting, need)
 	}
 	return nil
 }
@@ -137,16 +182,7 @@
 // checkGrowth refuses growth unless a majority of the larger group votes already, because a new member
 // counts towards the majority before it votes. It must be called with r.mu held.
 func (r *Replica) checkGrowth() error {
-	voting := 0
-	responses := r.peerSurvey().responses
-	members := r.store.group.GetMembers()
-	for _, m := range members {
-		resp := responses[m.GetId()]
-		if m.GetId() == r.cfg.ID || (resp.GetState() == string(Voting) && resp.GetSelf().GetDiskId() == m.GetDiskId()) {
-			voting++
-		}
-	}
-	if need := majority(len(members) + 1); voting < need {
+	if voting, need := r.countVoting(""), majority(len(r.store.group.GetMembers())+1); voting < need {
 		return errors.Errorf("%d members vote and %d must before the group grows; wait until the others vote", voting, need)
 	}
 	return nil
--- a/internal/app/group.go
+++ b/internal/app/group.go
@@ -18,16 +18,16 @@
 
 const (
 	// groupCheckInterval is how often a control host checks whether the control group needs a change.
-	groupCheckInterval = 500 * time.Millisecond
+	groupCheckInterval = 250 * time.Millisecond
 	// changeGroupTimeout bounds the proposal of one change of the group.
 	changeGroupTimeout = 2 * time.Second
 )
 
-// maintainControlGroup keeps the control group at 2n+1 members, where n is the number of lost hosts that the
-// settings ask it to tolerate. Only a voting replica proposes changes.
+// maintainControlGroup makes all control hosts members of the control group. Only a voting replica proposes
+// changes.
 func maintainControlGroup(lc fx.Lifecycle, b *background, s *settings.Settings, replica *agreement.Replica, m *membership.Runner, logger *log.Logger) {
 	prefixed := logger.WithPrefix("group")
-	keeper := groupkeeper.New(s.ID, 2*s.Discovery.Tolerate+1, time.Now())
+	keeper := groupkeeper.New(s.ID, time.Now())
 	startComponent(lc, b, "control group", func(ctx context.Context) error {
 		ticker := time.NewTicker(groupCheckInterval)
 		defer ticker.Stop()
@@ -70,12 +70,15 @@
 func changeGroup(ctx context.Context, replica *agreement.Replica, change groupkeeper.Change, logger *log.Logger) {
 	ctx, cancel := context.WithTimeout(ctx, changeGroupTimeout)
 	defer cancel()
-	reply, err := replica.Swap(ctx, &agreementpb.SwapRequest{
-		RemoveId: change.Remove, Add: &agreementpb.Member{Id: change.Add.ID, Address: change.Add.Address},
-	})
+	request := &agreementpb.SwapRequest{RemoveId: change.Remove}
+	if change.Add != nil {
+		request.Add = &agreementpb.Member{Id: change.Add.ID, Address: change.Add.Address}
+	}
+	reply, err := replica.Swap(ctx, request)
 	if err != nil || reply.GetError() != "" {
-		logger.Warn("the control group was not changed", "remove", change.Remove, "add", change.Add.ID, "err", logging.Err(err), "answer", reply.GetError())
+		logger.Warn("the control group was not changed", "remove", change.Remove, "add", request.GetAdd().GetId(), "err", logging.Err(err), "answer", reply.GetError())
 		return
 	}
-	logger.Info("changed the control group", "remove", change.Remove, "add", change.Add.ID, "epoch", reply.GetGroup().GetEpoch())
+	logger.Info("changed the control group", "remove", change.Remove, "add", request.GetAdd().GetId(), "epoch", reply.GetGroup().GetEpoch(),
+		"members", len(reply.GetGroup().GetMembers()))
 }
--- a/internal/groupkeeper/keeper.go
+++ b/internal/groupkeeper/keeper.go
@@ -1,9 +1,15 @@
-// Package groupkeeper keeps the control group of a fleet with host discovery at its target size. It grows the
-// group that the seeds formed, and replaces members that stay unavailable.
+// Package groupkeeper makes every control host of a fleet with host discovery a member of the control group, and
+// replaces members that stay unavailable.
 //
-// The settings of a fleet name at most three control hosts as seeds; these form the first group. To tolerate
-// the simultaneous loss of n hosts, the group needs 2n+1 members, and after a loss a spare control host must
-// replace the lost member before the next loss. The alive member with the lowest id proposes changes. The
+// The settings of a fleet name at most three control hosts as seeds; these form the first group. With a smaller
+// group than all control hosts, a network partition may leave a majority of the group on the side of few control
+// hosts, where most of the fleet does not reach it: the fleet would then neither learn what is confirmed there nor
+// follow the dispatchers elected there. With all control hosts as members, the side of the majority of the control
+// hosts decides.
+//
+// A member that is lost stays in the group until another host can take its place, since the members that remain
+// would otherwise be a smaller majority. Only from a group of even size is it removed without a successor: a group
+// with one member less then tolerates as many losses. The alive member with the lowest id proposes changes. The
 // group itself decides each change by consensus, so two hosts that propose at the same time do no harm.
 package groupkeeper
 
@@ -19,7 +25,7 @@
 	// loss.
 	ReplaceAfter = 2500 * time.Millisecond
 	// changeInterval is the minimum time between two changes, in which a new member copies the state.
-	changeInterval = time.Second
+	changeInterval = 500 * time.Millisecond
 )
 
 // Host is a control host as reported by gossip.
@@ -30,25 +36,25 @@
 	Alive      bool
 }
 
-// Change replaces a member of the group by another host, or adds a host if Remove is empty.
+// Change replaces a member of the group by another host, adds a host if Remove is empty, or removes a member if
+// Add is nil.
 type Change struct {
 	Remove string
-	Add    Host
+	Add    *Host
 }
 
 // Keeper selects the changes of the group to propose. It does no I/O and is not safe for concurrent use.
 type Keeper struct {
 	self string
-	size int
 	// unavailableSince maps the id of each unavailable member to the time when it was first seen as not alive.
 	unavailableSince map[string]time.Time
 	// lastChange is when a change was last returned; at first, when the keeper was created.
 	lastChange time.Time
 }
 
-// New returns the keeper of the host whose id is self; size is the target number of members.
-func New(self string, size int, now time.Time) *Keeper {
-	return &Keeper{self: self, size: size, unavailableSince: map[string]time.Time{}, lastChange: now}
+// New returns the keeper of the host whose id is self.
+func New(self string, now time.Time) *Keeper {
+	return &Keeper{self: self, unavailableSince: map[string]time.Time{}, lastChange: now}
 }
 
 // NextChange returns the change to propose now; ok is false if there is none. Members are the ids of the
@@ -62,16 +68,27 @@
 	if now.Sub(k.lastChange) < changeInterval || !k.isProposer(members, alive) {
 		return Change{}, false
 	}
-	spare, found := selectSpare(members, hosts)
-	if !found {
-		return Change{}, false
+	change, ok = k.selectChange(k.memberToReplace(now, members), members, hosts)
+	if ok {
+		k.lastChange = now
 	}
-	remove := k.memberToReplace(now, members)
-	if remove == "" && len(members) >= k.size {
+	return change, ok
+}
+
+// selectChange returns the change for the lost member, which may be "".
+func (k *Keeper) selectChange(lost string, members []string, hosts []Host) (change Change, ok bool) {
+	newcomer, found := selectNewcomer(members, hosts)
+	switch {
+	case found && lost != "":
+		return Change{Remove: lost, Add: &newcomer}, true
+	case found && len(k.unavailableSince) == 0:
+		// While a member is unavailable, the newcomer may be its successor.
+		return Change{Add: &newcomer}, true
+	case !found && lost != "" && len(members)%2 == 0:
+		return Change{Remove: lost}, true
+	default:
 		return Change{}, false
 	}
-	k.lastChange = now
-	return Change{Remove: remove, Add: spare}, true
 }
 
 // updateUnavailable records since when each member has been unavailable.
@@ -121,9 +138,9 @@
 	return longest
 }
 
-// selectSpare returns an alive host outside the group, from the data centre with the fewest members; among
+// selectNewcomer returns an alive host outside the group, from the data centre with the fewest members; among
 // equal hosts, the one with the lowest id.
-func selectSpare(members []string, hosts []Host) (best Host, ok bool) {
+func selectNewcomer(members []string, hosts []Host) (best Host, ok bool) {
 	count := map[string]int{}
 	for _, h := range hosts {
 		if slices.Contains(members, h.ID) {
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -39,8 +39,6 @@
 type Discovery struct {
 	// Join is set if the fleet was started before, so that this host never forms the first control group. Default: false.
 	Join bool `json:"join,omitempty"`
-	// Tolerate is how many control hosts may fail at the same time. Default: 1. Range: 0 to 4.
-	Tolerate int `json:"tolerate,omitempty"`
 	// ServerCutoff is the age of the last announcement at which a backend server gets no new work. Default: 20s. Range: 1s to 1m.
 	ServerCutoff Duration `json:"server_cutoff,omitempty"`
 	// RetryShare is the share of a service's requests that retries and hedges may add. Default: 0.1. Range: 0 to 1.
@@ -123,7 +121,6 @@
 	DefaultRecordRetention = 24 * time.Hour
 	DefaultSegmentBytes    = 64 << 20
 	DefaultLogLevel        = "info"
-	DefaultTolerate        = 1
 	// DefaultServerCutoff keeps backend servers in use during a network partition between them and the
 	// control hosts. Failing requests reveal a dead server long before.
 	DefaultServerCutoff = 20 * time.Second
@@ -140,7 +137,6 @@
 		s.Entry.setDefaults()
 	}
 	if d := s.Discovery; d != nil {
-		setDefault(&d.Tolerate, DefaultTolerate)
 		setDefault(&d.ServerCutoff, Duration(DefaultServerCutoff))
 		setDefault(&d.LeaveFor, Duration(DefaultLeaveFor))
 		setDefault(&d.StopAfter, Duration(DefaultStopAfter))
--- a/internal/settings/validate.go
+++ b/internal/settings/validate.go
@@ -93,7 +93,6 @@
 	if d == nil {
 		return
 	}
-	v.checkNumber("discovery.tolerate", int64(d.Tolerate), 0, 4)
 	v.checkDuration("discovery.server_cutoff", d.ServerCutoff, time.Second, time.Minute)
 	v.checkDuration("discovery.leave_for", d.LeaveFor, 0, time.Minute)
 	v.checkDuration("discovery.stop_after", d.StopAfter, time.Second, time.Hour)
