Let all control hosts vote for dispatchers

Cause: each service had five voters among the hosts. Three of them are a majority of the voters and may be a minority of the control hosts: the same class as the small control group. Only fleets with more than five control hosts have it.

Change: in a fleet with discovery every control host votes for every service.

--- a/internal/app/discovery.go
+++ b/internal/app/discovery.go
@@ -121,7 +121,7 @@
 		return g.fleet
 	}
 	g.derivedFrom, g.epoch, g.usesPrevious = d, group.GetEpoch(), usesPrevious
-	g.fleet = &hostset.Fleet{HostsRevision: group.GetEpoch()}
+	g.fleet = &hostset.Fleet{HostsRevision: group.GetEpoch(), AllVote: true}
 	for _, m := range group.GetMembers() {
 		g.fleet.Hosts = append(g.fleet.Hosts, hostset.Host{ID: m.GetId(), FleetAddress: m.GetAddress()})
 	}
@@ -173,8 +173,7 @@
 	return dispatchrpc.ServiceSettings{}, false
 }
 
-// newControlElections lets all control hosts dispatch. Those outside the control group come first, since members
-// also decide the configuration and vote.
+// newControlElections lets all control hosts dispatch, also those that are not members of the control group yet.
 func newControlElections(lc fx.Lifecycle, b *background, s *settings.Settings, i incarnation, source hostset.Source, m *membership.Runner, pool *transport.Pool, logger *log.Logger) *election.Runner {
 	options := electionOptions(s, i, source, pool, logger)
 	options.FollowAllServices = true
--- a/internal/hostset/hostset.go
+++ b/internal/hostset/hostset.go
@@ -12,7 +12,7 @@
 const (
 	// MaxHosts bounds the host set of a service, in nodes.
 	MaxHosts = 48
-	// VotingGroupSize is the size of a voting group, in nodes.
+	// VotingGroupSize is the size of a voting group, in nodes, unless all hosts vote.
 	VotingGroupSize = 5
 )
 
@@ -41,6 +41,8 @@
 	// HostsRevision is the revision of the last change of hosts.
 	HostsRevision uint64
 	Services      []Service
+	// AllVote makes every host a voter of every service.
+	AllVote bool
 }
 
 // Source returns the hosts and services of the configuration in force, or nil before the first
@@ -96,7 +98,11 @@
 // VotingGroups returns the voting group of the service and the one before the last change of hosts. The
 // previous group is empty if there was no change.
 func (f *Fleet) VotingGroups(s Service) (current, previous []Host) {
-	return selectHostSet(s, f.Hosts, VotingGroupSize), selectHostSet(s, f.PreviousHosts, VotingGroupSize)
+	size := VotingGroupSize
+	if f.AllVote {
+		size = max(len(f.Hosts), len(f.PreviousHosts))
+	}
+	return selectHostSet(s, f.Hosts, size), selectHostSet(s, f.PreviousHosts, size)
 }
 
 // selectHostSet takes the hosts of the service's data centres round-robin over the data centres. Hosts
