feed: leave out the operator's text of a document

Cause, first part: an entry host got each document with the text that the operator had sent, about 320 of 430 KB, although only control replicas return it. Two such documents take 3.5 s of a link of 2 Mbit/s. Class: a message that grows with the configuration, on the link that carries requests.

Change: the feed omits the text.

TestFetchSendsTheSmallerOfDifferenceAndDocument used the text as its payload and now uses a team's id of the same size.

--- a/internal/configuration/document.go
+++ b/internal/configuration/document.go
@@ -51,6 +51,29 @@
 	}
 }
 
+// WithoutSource returns the document without the operator's text, which only control replicas need. The copy
+// shares all sections.
+func WithoutSource(d *configpb.Document) *configpb.Document {
+	if len(d.GetSource()) == 0 {
+		return d
+	}
+	c := shallowCopy(d)
+	c.Source = nil
+	return c
+}
+
+// EntryWithoutSource returns the entry without the operator's text in the document that it may hold.
+func EntryWithoutSource(e *configpb.Entry) *configpb.Entry {
+	superseding := e.GetChange().GetSupersede().GetDocument()
+	if len(superseding.GetSource()) == 0 {
+		return e
+	}
+	return &configpb.Entry{
+		Revision: e.GetRevision(), RequestId: e.GetRequestId(), Author: e.GetAuthor(), TimeMs: e.GetTimeMs(),
+		Change: &configpb.Change{Kind: &configpb.Change_Supersede{Supersede: &configpb.Supersede{Document: WithoutSource(superseding)}}},
+	}
+}
+
 func canonicalService(s *configpb.Service) *configpb.Service {
 	byPriority := func(a, b *configpb.PriorityTarget) int { return cmp.Compare(a.GetPriority(), b.GetPriority()) }
 	if slices.IsSortedFunc(s.GetPriorities(), byPriority) {
--- a/internal/configuration/feed/doc.go
+++ b/internal/configuration/feed/doc.go
@@ -7,7 +7,8 @@
 // these are no longer retained or are larger than the document, the whole document. The reply
 // to a brief fetch contains only the newest revision. A fetch with a wait is held until
 // something newer is published or the wait ends. Control replicas and nodes serve the same
-// feed, so a node that cannot reach the control replicas can follow its peers.
+// feed, so a node that cannot reach the control replicas can follow its peers. The operator's text of a document
+// is not part of the feed: operators read it from the control replicas.
 //
 // # Settings and refusals
 //
--- a/internal/configuration/feed/tail.go
+++ b/internal/configuration/feed/tail.go
@@ -7,6 +7,7 @@
 
 	"google.golang.org/protobuf/proto"
 
+	"github.com/tarragonmux/tarragonmux/internal/configuration"
 	"github.com/tarragonmux/tarragonmux/internal/invariant"
 	"github.com/tarragonmux/tarragonmux/proto/configpb"
 )
@@ -64,9 +65,13 @@
 }
 
 // Publish sets the newest document. The entry is the one that produced it, or nil if the
-// document was received as a whole. A document that is not newer is ignored and reported as a
-// violated invariant.
+// document was received as a whole. The feed omits the operator's text of a document, which can be larger than all
+// the rest. A document that is not newer is ignored and reported as a violated invariant.
 func (t *Tail) Publish(d *configpb.Document, e *configpb.Entry) {
+	d = configuration.WithoutSource(d)
+	if e != nil {
+		e = configuration.EntryWithoutSource(e)
+	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if !invariant.Check(d.GetRevision() > t.document.GetRevision(), "configuration.feed-rises", "revision %d after %d", d.GetRevision(), t.document.GetRevision()) {
--- a/internal/configuration/feed/tail_test.go
+++ b/internal/configuration/feed/tail_test.go
@@ -57,7 +57,7 @@
 	large := strings.Repeat("x", 40<<10)
 	for revision := uint64(1); revision <= 17; revision++ {
 		tail.Publish(
-			&configpb.Document{Revision: revision, Source: []byte(large)},
+			&configpb.Document{Revision: revision, Teams: []*configpb.Team{{Id: large}}},
 			&configpb.Entry{Revision: revision, Author: large},
 		)
 	}
@@ -69,3 +69,24 @@
 	g.Expect(brief.GetRevision()).To(BeEquivalentTo(17))
 	g.Expect(brief.GetDocument()).To(BeNil())
 }
+
+// The operator's text of a large configuration takes seconds on the link of a small host that does not need it.
+func TestFeedOmitsTheOperatorsText(t *testing.T) {
+	g := NewWithT(t)
+	tail := feed.NewTail()
+	document := &configpb.Document{Revision: 1, Version: 3, Source: []byte(strings.Repeat("x", 100<<10)), Routes: []*configpb.Route{{Id: "r"}}}
+	entry := &configpb.Entry{Revision: 2, RequestId: "id", Change: &configpb.Change{Kind: &configpb.Change_Supersede{
+		Supersede: &configpb.Supersede{Document: document},
+	}}}
+	tail.Publish(document, nil)
+	next := proto.CloneOf(document)
+	next.Revision = 2
+	tail.Publish(next, entry)
+	whole := tail.Fetch(context.Background(), &configpb.FetchRequest{})
+	g.Expect(proto.Size(whole)).To(BeNumerically("<", 1<<10))
+	g.Expect(whole.GetDocument().GetRoutes()).To(HaveLen(1))
+	entries := tail.Fetch(context.Background(), &configpb.FetchRequest{Revision: 1})
+	g.Expect(proto.Size(entries)).To(BeNumerically("<", 1<<10))
+	g.Expect(entries.GetEntries()[0].GetChange().GetSupersede().GetDocument().GetVersion()).To(BeEquivalentTo(3))
+	g.Expect(document.GetSource()).To(HaveLen(100<<10), "the document of the control replica is not changed")
+}
