feed: send the difference between two documents

Cause: an operator who sends whole documents makes each entry of the log as large as the document, so the feed had only two large things to choose from.

Change: a control replica keeps 32 former documents, which share what did not change, and replies with what differs from the one that the host has in force. Entries of up to 4 KiB and hosts of older versions get what they got before.

--- a/internal/configuration/control/log.go
+++ b/internal/configuration/control/log.go
@@ -110,7 +110,7 @@
 	o.Logger = o.Logger.WithPrefix(logPrefix)
 	return &Log{
 		options:    o,
-		tail:       feed.NewTail(),
+		tail:       feed.NewTail(feed.RetainedBases),
 		wake:       make(chan struct{}, 1),
 		proposeSem: make(chan struct{}, 1),
 		state:      newStateMachine(),
--- a/internal/configuration/feed/tail.go
+++ b/internal/configuration/feed/tail.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -20,11 +21,15 @@
 	// maxRetainedBytes bounds the total size of the retained entries, since one entry can replace a
 	// whole document.
 	maxRetainedBytes = 8 << 20
-	// smallDifferenceBytes is the size up to which entries are sent even if the document is smaller.
+	// smallDifferenceBytes is the size up to which entries are sent even if the difference or the document is
+	// smaller, since they take less work to apply.
 	smallDifferenceBytes = 4 << 10
+	// RetainedBases is how many former documents a control replica keeps for differences. A host that polls twice
+	// a second lacks fewer revisions.
+	RetainedBases = 32
 )
 
-// Tail holds the newest document and the newest entries. It is safe for concurrent use.
+// Tail holds the newest document, the newest entries and former documents. It is safe for concurrent use.
 type Tail struct {
 	mu       sync.Mutex
 	document *configpb.Document
@@ -35,12 +40,17 @@
 	entries       []*configpb.Entry
 	sizes         []int
 	retainedBytes int
-	changed       chan struct{}
+	// bases holds up to maxBases former documents, oldest first, from which differences are computed.
+	// differences holds those to the newest document, by the revision of the base.
+	maxBases    int
+	bases       []*configpb.Document
+	differences map[uint64]*configpb.Difference
+	changed     chan struct{}
 }
 
-// NewTail returns a tail without a document.
-func NewTail() *Tail {
-	return &Tail{changed: make(chan struct{})}
+// NewTail returns a tail without a document. It replies with differences from up to maxBases former documents.
+func NewTail(maxBases int) *Tail {
+	return &Tail{maxBases: maxBases, changed: make(chan struct{})}
 }
 
 // Revision returns the newest revision, or 0 before the first.
@@ -78,6 +88,7 @@
 		return
 	}
 	t.retain(d, e)
+	t.retainBase()
 	t.document, t.documentBytes = d, proto.Size(d)
 	close(t.changed)
 	t.changed = make(chan struct{})
@@ -103,6 +114,18 @@
 	t.entries, t.sizes = t.entries[drop:], t.sizes[drop:]
 }
 
+// retainBase keeps the document that is about to be replaced. Documents share what has not changed.
+func (t *Tail) retainBase() {
+	t.differences = nil
+	if t.maxBases == 0 || t.document == nil {
+		return
+	}
+	if len(t.bases) == t.maxBases {
+		t.bases = slices.Delete(t.bases, 0, 1)
+	}
+	t.bases = append(t.bases, t.document)
+}
+
 // Recent returns at most limit of the retained entries, newest first.
 func (t *Tail) Recent(limit int) []*configpb.Entry {
 	t.mu.Lock()
@@ -151,7 +174,20 @@
 	if r.GetRevision() >= newest || r.GetBrief() {
 		return reply
 	}
-	if first, ok := t.firstMissing(newest - r.GetRevision()); ok {
+	first, entryBytes, retained := t.firstMissing(newest - r.GetRevision())
+	if retained && entryBytes <= smallDifferenceBytes {
+		reply.Entries = append(reply.Entries, t.entries[first:]...)
+		return reply
+	}
+	smallest := t.documentBytes
+	if retained {
+		smallest = min(smallest, entryBytes)
+	}
+	if difference := t.differenceFrom(r.GetRevision()); r.GetAcceptsDifference() && difference != nil && proto.Size(difference) < smallest {
+		reply.Difference = difference
+		return reply
+	}
+	if retained && entryBytes <= t.documentBytes {
 		reply.Entries = append(reply.Entries, t.entries[first:]...)
 		return reply
 	}
@@ -159,17 +195,33 @@
 	return reply
 }
 
+// differenceFrom returns the difference between a former document and the newest one, or nil if the former one is
+// not retained.
+func (t *Tail) differenceFrom(revision uint64) *configpb.Difference {
+	if d, ok := t.differences[revision]; ok {
+		return d
+	}
+	at := slices.IndexFunc(t.bases, func(d *configpb.Document) bool { return d.GetRevision() == revision })
+	if at < 0 {
+		return nil
+	}
+	if t.differences == nil {
+		t.differences = map[uint64]*configpb.Difference{}
+	}
+	d := configuration.Diff(t.bases[at], t.document)
+	t.differences[revision] = d
+	return d
+}
+
 // firstMissing returns the index of the first entry that a process lacks, given the number of entries that it
-// lacks. ok is false if these entries are not all retained, or if they are larger than smallDifferenceBytes
-// and than the document, as they can be since each entry can hold a whole document.
-func (t *Tail) firstMissing(missing uint64) (first int, ok bool) {
+// lacks, and the size of these entries. retained is false if one of them is not retained.
+func (t *Tail) firstMissing(missing uint64) (first, bytes int, retained bool) {
 	if missing > uint64(len(t.entries)) {
-		return 0, false
+		return 0, 0, false
 	}
 	first = len(t.entries) - int(missing)
-	bytes := 0
 	for _, size := range t.sizes[first:] {
 		bytes += size
 	}
-	return first, bytes <= max(t.documentBytes, smallDifferenceBytes)
+	return first, bytes, true
 }
--- a/internal/configuration/feed/tail_test.go
+++ b/internal/configuration/feed/tail_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"strings"
 	"testing"
 
@@ -20,7 +21,7 @@
 // A node cannot apply a difference with a gap, and retaining all entries would fill the memory.
 func TestFetchAnswersWithTheDifferenceOrTheDocument(t *testing.T) {
 	g := NewWithT(t)
-	tail := feed.NewTail()
+	tail := feed.NewTail(0)
 	since := func(revision uint64) *configpb.FetchReply {
 		return tail.Fetch(context.Background(), &configpb.FetchRequest{Revision: revision})
 	}
@@ -53,7 +54,7 @@
 // of a small host that starts.
 func TestFetchSendsTheSmallerOfDifferenceAndDocument(t *testing.T) {
 	g := NewWithT(t)
-	tail := feed.NewTail()
+	tail := feed.NewTail(0)
 	large := strings.Repeat("x", 40<<10)
 	for revision := uint64(1); revision <= 17; revision++ {
 		tail.Publish(
@@ -73,7 +74,7 @@
 // The operator's text of a large configuration takes seconds on the link of a small host that does not need it.
 func TestFeedOmitsTheOperatorsText(t *testing.T) {
 	g := NewWithT(t)
-	tail := feed.NewTail()
+	tail := feed.NewTail(0)
 	document := &configpb.Document{Revision: 1, Version: 3, Source: []byte(strings.Repeat("x", 100<<10)), Routes: []*configpb.Route{{Id: "r"}}}
 	entry := &configpb.Entry{Revision: 2, RequestId: "id", Change: &configpb.Change{Kind: &configpb.Change_Supersede{
 		Supersede: &configpb.Supersede{Document: document},
@@ -90,3 +91,30 @@
 	g.Expect(entries.GetEntries()[0].GetChange().GetSupersede().GetDocument().GetVersion()).To(BeEquivalentTo(3))
 	g.Expect(document.GetSource()).To(HaveLen(100<<10), "the document of the control replica is not changed")
 }
+
+// After a change of one route, a host with a small link was sent a document with all routes.
+func TestFetchSendsTheDifferenceOfLargeDocuments(t *testing.T) {
+	g := NewWithT(t)
+	tail := feed.NewTail(2)
+	document := &configpb.Document{Revision: 1, Version: 1}
+	for i := range 1400 {
+		document.Routes = append(document.Routes, &configpb.Route{Id: fmt.Sprintf("route %04d", i), PathPrefix: strings.Repeat("x", 50)})
+	}
+	for revision := uint64(1); revision <= 4; revision++ {
+		next := proto.CloneOf(document)
+		next.Revision, next.Version = revision, revision
+		next.Routes[revision].MaxAttempts = 3
+		tail.Publish(next, &configpb.Entry{Revision: revision, Change: &configpb.Change{Kind: &configpb.Change_Supersede{
+			Supersede: &configpb.Supersede{Document: next},
+		}}})
+		document = next
+	}
+	since := func(revision uint64, accepts bool) *configpb.FetchReply {
+		return tail.Fetch(context.Background(), &configpb.FetchRequest{Revision: revision, AcceptsDifference: accepts})
+	}
+	reply := since(2, true)
+	g.Expect(proto.Size(reply)).To(BeNumerically("<", 1<<10))
+	g.Expect(reply.GetDifference().GetChanged().GetRoutes()).To(HaveLen(2))
+	g.Expect(since(2, false).GetDifference()).To(BeNil(), "an older process cannot apply it")
+	g.Expect(since(1, true).GetDocument()).NotTo(BeNil(), "the base is not retained any more")
+}
--- a/internal/configuration/store/poll.go
+++ b/internal/configuration/store/poll.go
@@ -125,6 +125,8 @@
 		Revision: revision,
 		WaitMs:   wait.Milliseconds(),
 		From:     &configpb.HostStatus{Id: s.options.ID, DataCentre: s.options.DataCentre, Revision: s.Revision()},
+		// A process that has nothing in force yet is sent the whole document.
+		AcceptsDifference: revision > 0,
 	}
 }
 
--- a/internal/configuration/store/start.go
+++ b/internal/configuration/store/start.go
@@ -185,15 +185,27 @@
 	if err != nil {
 		return
 	}
-	newest := base
-	if d := reply.GetDocument(); d != nil {
-		newest = d
-	} else if documents, _, err := replay(base, reply.GetEntries()); err == nil && len(documents) > 0 {
-		newest = documents[len(documents)-1]
-	}
 	s.writeMu.Lock()
 	defer s.writeMu.Unlock()
-	s.startup.offerDocument(newest)
+	s.startup.offerDocument(newestDocument(base, reply))
+}
+
+// newestDocument returns the document that the reply to a fetch based on the given document leads to. It is the
+// given one if the reply has nothing newer that applies to it.
+func newestDocument(base *configpb.Document, reply *configpb.FetchReply) *configpb.Document {
+	if d := reply.GetDocument(); d != nil {
+		return d
+	}
+	if reply.GetDifference() != nil {
+		if d, err := configuration.Patch(base, reply.GetDifference()); err == nil {
+			return d
+		}
+		return base
+	}
+	if documents, _, err := replay(base, reply.GetEntries()); err == nil && len(documents) > 0 {
+		return documents[len(documents)-1]
+	}
+	return base
 }
 
 // startupAddresses lists the addresses to query: the control replicas and, once peers are queried, those of
--- a/internal/configuration/store/store.go
+++ b/internal/configuration/store/store.go
@@ -73,7 +73,7 @@
 	return &Store{
 		options: o,
 		file:    documentFile{folder: o.Folder},
-		tail:    feed.NewTail(),
+		tail:    feed.NewTail(0),
 		hints:   newHintQueue(),
 	}
 }
@@ -123,14 +123,30 @@
 	}
 }
 
-// applyReply applies the document or entries of a reply that are newer than the revision in force.
+// applyReply applies what a reply has that is newer than the revision in force.
 func (s *Store) applyReply(reply *configpb.FetchReply) error {
 	s.writeMu.Lock()
 	defer s.writeMu.Unlock()
-	if d := reply.GetDocument(); d != nil {
-		return s.applyDocument(d)
+	switch {
+	case reply.GetDocument() != nil:
+		return s.applyDocument(reply.GetDocument())
+	case reply.GetDifference() != nil:
+		return s.applyDifference(reply.GetDifference())
+	default:
+		return s.applyEntries(reply.GetEntries())
 	}
-	return s.applyEntries(reply.GetEntries())
+}
+
+// applyDifference ignores a difference that another reply has made unnecessary.
+func (s *Store) applyDifference(d *configpb.Difference) error {
+	if d.GetChanged().GetRevision() <= s.Revision() {
+		return nil
+	}
+	next, err := configuration.Patch(s.document(), d)
+	if err != nil {
+		return err
+	}
+	return s.applyDocument(next)
 }
 
 func (s *Store) applyDocument(d *configpb.Document) error {
--- a/internal/configuration/store/store_test.go
+++ b/internal/configuration/store/store_test.go
@@ -335,7 +335,7 @@
 			stop()
 			time.Sleep(5 * time.Second)
 		}()
-		link := &slowLink{tail: feed.NewTail()}
+		link := &slowLink{tail: feed.NewTail(0)}
 		for revision := uint64(1); revision <= 17; revision++ {
 			d := &configpb.Document{Revision: revision, Source: make([]byte, 60<<10)}
 			link.tail.Publish(d, &configpb.Entry{Revision: revision, Change: &configpb.Change{
