--- a/internal/configuration/feed/tail.go
+++ b/internal/configuration/feed/tail.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
 	"google.golang.org/protobuf/proto"
 
+	"github.com/tarragonmux/tarragonmux/internal/configuration"
 	"github.com/tarragonmux/tarragonmux/internal/invariant"
 	"github.com/tarragonmux/tarragonmux/proto/configpb"
 )
@@ -19,11 +21,15 @@
 	// maxRetainedBytes bounds the total size of the retained entries, since one entry can replace a
 	// whole document.
 	maxRetainedBytes = 8 << 20
-	// smallDifferenceBytes is the size up to which entries are sent even if the document is smaller.
+	// smallDifferenceBytes is the size up to which entries are sent even if the difference or the document is
+	// smaller, since they take less work to apply.
 	smallDifferenceBytes = 4 << 10
+	// RetainedBases is how many former documents a control replica keeps for differences. A host that polls twice
+	// a second lacks fewer revisions.
+	RetainedBases = 32
 )
 
-// Tail holds the newest document and the newest entries. It is safe for concurrent use.
+// Tail holds the newest document, the newest entries and former documents. It is safe for concurrent use.
 type Tail struct {
 	mu       sync.Mutex
 	document *configpb.Document
@@ -34,12 +40,17 @@
 	entries       []*configpb.Entry
 	sizes         []int
 	retainedBytes int
-	changed       chan struct{}
+	// bases holds up to maxBases former documents, oldest first, from which differences are computed.
+	// differences holds those to the newest document, by the revision of the base.
+	maxBases    int
+	bases       []*configpb.Document
+	differences map[uint64]*configpb.Difference
+	changed     chan struct{}
 }
 
-// NewTail returns a tail without a document.
-func NewTail() *Tail {
-	return &Tail{changed: make(chan struct{})}
+// NewTail returns a tail without a document. It replies with differences from up to maxBases former documents.
+func NewTail(maxBases int) *Tail {
+	return &Tail{maxBases: maxBases, changed: make(chan struct{})}
 }
 
 // Revision returns the newest revision, or 0 before the first.
@@ -64,15 +75,20 @@
 }
 
 // Publish sets the newest document. The entry is the one that produced it, or nil if the
-// document was received as a whole. A document that is not newer is ignored and reported as a
-// violated invariant.
+// document was received as a whole. The feed omits the operator's text of a document, which can be larger than all
+// the rest. A document that is not newer is ignored and reported as a violated invariant.
 func (t *Tail) Publish(d *configpb.Document, e *configpb.Entry) {
+	d = configuration.WithoutSource(d)
+	if e != nil {
+		e = configuration.EntryWithoutSource(e)
+	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if !invariant.Check(d.GetRevision() > t.document.GetRevision(), "configuration.feed-rises", "revision %d after %d", d.GetRevision(), t.document.GetRevision()) {
 		return
 	}
 	t.retain(d, e)
+	t.retainBase()
 	t.document, t.documentBytes = d, proto.Size(d)
 	close(t.changed)
 	t.changed = make(chan struct{})
@@ -98,6 +114,18 @@
 	t.entries, t.sizes = t.entries[drop:], t.sizes[drop:]
 }
 
+// retainBase keeps the document that is about to be replaced. Documents share what has not changed.
+func (t *Tail) retainBase() {
+	t.differences = nil
+	if t.maxBases == 0 || t.document == nil {
+		return
+	}
+	if len(t.bases) == t.maxBases {
+		t.bases = slices.Delete(t.bases, 0, 1)
+	}
+	t.bases = append(t.bases, t.document)
+}
+
 // Recent returns at most limit of the retained entries, newest first.
 func (t *Tail) Recent(limit int) []*configpb.Entry {
 	t.mu.Lock()
@@ -143,28 +171,67 @@
 	defer t.mu.Unlock()
 	newest := t.document.GetRevision()
 	reply := &configpb.FetchReply{Revision: newest}
-	if r.GetRevision() >= newest || r.GetBrief() {
+	if r.GetRevision() >= newest {
 		return reply
 	}
-	if first, ok := t.firstMissing(newest - r.GetRevision()); ok {
-		reply.Entries = append(reply.Entries, t.entries[first:]...)
+	if r.GetBrief() {
+		reply.OmittedBytes = int64(t.documentBytes)
 		return reply
 	}
-	reply.Document = t.document
+	if size := t.selectContents(r, reply); r.GetMaxBytes() > 0 && int64(size) > r.GetMaxBytes() {
+		return &configpb.FetchReply{Revision: newest, OmittedBytes: int64(size)}
+	}
 	return reply
 }
 
+// selectContents sets the entries, the difference or the document in the reply and returns the size.
+func (t *Tail) selectContents(r *configpb.FetchRequest, reply *configpb.FetchReply) int {
+	first, entryBytes, retained := t.firstMissing(t.document.GetRevision() - r.GetRevision())
+	smallest := t.documentBytes
+	if retained {
+		smallest = min(smallest, entryBytes)
+	}
+	if r.GetAcceptsDifference() && (!retained || entryBytes > smallDifferenceBytes) {
+		if difference := t.differenceFrom(r.GetRevision()); difference != nil && proto.Size(difference) < smallest {
+			reply.Difference = difference
+			return proto.Size(difference)
+		}
+	}
+	if retained && entryBytes <= max(t.documentBytes, smallDifferenceBytes) {
+		reply.Entries = append(reply.Entries, t.entries[first:]...)
+		return entryBytes
+	}
+	reply.Document = t.document
+	return t.documentBytes
+}
+
+// differenceFrom returns the difference between a former document and the newest one, or nil if the former one is
+// not retained.
+func (t *Tail) differenceFrom(revision uint64) *configpb.Difference {
+	if d, ok := t.differences[revision]; ok {
+		return d
+	}
+	at := slices.IndexFunc(t.bases, func(d *configpb.Document) bool { return d.GetRevision() == revision })
+	if at < 0 {
+		return nil
+	}
+	if t.differences == nil {
+		t.differences = map[uint64]*configpb.Difference{}
+	}
+	d := configuration.Diff(t.bases[at], t.document)
+	t.differences[revision] = d
+	return d
+}
+
 // firstMissing returns the index of the first entry that a process lacks, given the number of entries that it
-// lacks. ok is false if these entries are not all retained, or if they are larger than smallDifferenceBytes
-// and than the document, as they can be since each entry can hold a whole document.
-func (t *Tail) firstMissing(missing uint64) (first int, ok bool) {
+// lacks, and the size of these entries. retained is false if one of them is not retained.
+func (t *Tail) firstMissing(missing uint64) (first, bytes int, retained bool) {
 	if missing > uint64(len(t.entries)) {
-		return 0, false
+		return 0, 0, false
 	}
 	first = len(t.entries) - int(missing)
-	bytes := 0
 	for _, size := range t.sizes[first:] {
 		bytes += size
 	}
-	return first, bytes <= max(t.documentBytes, smallDifferenceBytes)
+	return first, bytes, true
 }
--- a/internal/configuration/store/store.go
+++ b/internal/configuration/store/store.go
@@ -50,6 +50,9 @@
 	holder  configuration.Holder
 	tail    *feed.Tail
 	hints   *hintQueue
+	// ahead holds the processes that have newer revisions with large contents.
+	ahead     *hintQueue
+	transfers transfers
 	// ready is set once the newest revision is known.
 	ready atomic.Bool
 
@@ -73,8 +76,9 @@
 	return &Store{
 		options: o,
 		file:    documentFile{folder: o.Folder},
-		tail:    feed.NewTail(),
+		tail:    feed.NewTail(0),
 		hints:   newHintQueue(),
+		ahead:   newHintQueue(),
 	}
 }
 
@@ -86,6 +90,7 @@
 	group, ctx := errgroup.WithContext(ctx)
 	group.Go(func() error { return s.poll(ctx) })
 	group.Go(func() error { return s.followHints(ctx) })
+	group.Go(func() error { return s.transferNewer(ctx) })
 	return group.Wait()
 }
 
@@ -119,18 +124,34 @@
 // Hint reports that the peer at the fleet address has the revision in force. It never blocks.
 func (s *Store) Hint(address string, revision uint64) {
 	if revision > s.Revision() {
-		s.hints.add(address, revision)
+		s.hints.add(hint{address: address, revision: revision})
 	}
 }
 
-// applyReply applies the document or entries of a reply that are newer than the revision in force.
+// applyReply applies what a reply has that is newer than the revision in force.
 func (s *Store) applyReply(reply *configpb.FetchReply) error {
 	s.writeMu.Lock()
 	defer s.writeMu.Unlock()
-	if d := reply.GetDocument(); d != nil {
-		return s.applyDocument(d)
+	switch {
+	case reply.GetDocument() != nil:
+		return s.applyDocument(reply.GetDocument())
+	case reply.GetDifference() != nil:
+		return s.applyDifference(reply.GetDifference())
+	default:
+		return s.applyEntries(reply.GetEntries())
 	}
-	return s.applyEntries(reply.GetEntries())
+}
+
+// applyDifference ignores a difference that another reply has made unnecessary.
+func (s *Store) applyDifference(d *configpb.Difference) error {
+	if d.GetChanged().GetRevision() <= s.Revision() {
+		return nil
+	}
+	next, err := configuration.Patch(s.document(), d)
+	if err != nil {
+		return err
+	}
+	return s.applyDocument(next)
 }
 
 func (s *Store) applyDocument(d *configpb.Document) error {
