dispatch: keep the rate that a server names

Cause: nothing read the rate. A dispatcher bounds the requests in flight at a server, not how many begin in a second. Class: a signal of the other side that is passed on and not obeyed.

Change: the dialect decodes the rate, completions report it, and the dispatcher spaces the requests of all nodes. Nodes report the rates to a new dispatcher, and a node without one sends its part. A response without a rate ends the limit. The estimate of the wait on arrival counts limited servers by their rate, so work that cannot be served in time is refused at once. A response with 421 comes from another server, and one without the server's mark from none; what they say about a server is no longer attributed.

State machine: rate_test.go. Stand-in: Faults.RateLimit.

--- a/internal/dispatch/doc.go
+++ b/internal/dispatch/doc.go
@@ -48,7 +48,9 @@
 // another server while their time allows, until requests have been queued for 250 ms; from then on they are
 // kept only from servers that fail nearly everything. Requests of the same kind (one route) share latency
 // statistics. By these statistics, a request is refused as deadline-unmeetable when the work queued ahead
-// of it leaves too little time. Shed responses pause a server unless most servers shed at once. Events
+// of it leaves too little time. A server that names the rate of requests that it accepts from all nodes gets no
+// more than that, spaced evenly, until a response names none; nodes report the rates to a new dispatcher, and a
+// node without one sends its part of the rate. Shed responses pause a server unless most servers shed at once. Events
 // reports each of these decisions for the log.
 //
 // # Settings
--- a/internal/dispatch/event.go
+++ b/internal/dispatch/event.go
@@ -6,7 +6,7 @@
 type Event struct {
 	Instance string
 	// Kind is one of the event constants: ejected, suspended, held, deprioritized, limited, path blocked,
-	// canary failed or returned.
+	// canary failed, returned, or rate limited and no longer limited.
 	Kind string
 	// Reason names the evidence, or the blocked path.
 	Reason string
@@ -31,6 +31,9 @@
 	eventLimited       = "limited to one slot, since the minimum keeps it"
 	eventBlocked       = "path blocked"
 	eventReturned      = "returned"
+	// eventRateLimited and eventRateLifted are recorded when a server begins and ceases to name a rate.
+	eventRateLimited = "rate limited, as the server asks"
+	eventRateLifted  = "rate no longer limited"
 	// eventCanaryFailed is recorded for a server that was already out of rotation and stays out.
 	eventCanaryFailed = "canary failed"
 )
--- a/internal/dispatch/lifecycle_test.go
+++ b/internal/dispatch/lifecycle_test.go
@@ -47,7 +47,7 @@
 	g := NewWithT(t)
 	m, now := newCollectedMachine(2)
 	g.Expect(acquire(m, now, 1, nil)[0].Kind).To(Equal(dispatch.Granted))
-	m.Complete(now, "n", 1, grant.Completion{Result: grant.OK, Total: time.Millisecond, Draining: true})
+	m.Complete(now, "n", 1, grant.Completion{Result: grant.OK, Total: time.Millisecond, ServerSignals: grant.ServerSignals{Draining: true}})
 	g.Expect(acquire(m, now, 2, nil)).To(BeEmpty())
 	g.Expect(m.View(now).Servers[0].State).To(Equal(dispatch.ViewDraining))
 }
--- a/internal/dispatch/machine.go
+++ b/internal/dispatch/machine.go
@@ -215,6 +215,7 @@
 	s.draining = false
 	s.shedWeight, s.consecutiveSheds, s.pausedUntil = 1, 0, time.Time{}
 	s.limitedUntil = time.Time{}
+	s.rate.Lift()
 	if s.state == heldAfterCrash {
 		s.state = inRotation
 		s.crashHeld = false
@@ -431,9 +432,7 @@
 	}
 	s := r.server
 	m.observeCompletion(now, r, c)
-	if c.Draining {
-		s.draining = true
-	}
+	m.observeSignals(now, s, &c)
 	m.release(now, r)
 	m.drop(r)
 	m.enforceMinimum(now)
--- a/internal/dispatch/machine_test.go
+++ b/internal/dispatch/machine_test.go
@@ -131,7 +131,10 @@
 				}
 				delete(m.granted[n], id)
 				m.machine.Complete(m.now, n, id, grant.Completion{
-					Result: grant.Result(rapid.IntRange(1, 8).Draw(t, "result")), Draining: rapid.IntRange(0, 30).Draw(t, "drain") == 0,
+					Result: grant.Result(rapid.IntRange(1, 8).Draw(t, "result")), ServerSignals: grant.ServerSignals{
+						Draining:    rapid.IntRange(0, 30).Draw(t, "drain") == 0,
+						RateLimited: rapid.IntRange(0, 10).Draw(t, "limited") == 0, Rate: rapid.Float64Range(0, 100).Draw(t, "rate"),
+					},
 					Total: time.Duration(rapid.IntRange(1, 900).Draw(t, "ms")) * time.Millisecond})
 			},
 			"cancel": func(t *rapid.T) {
--- a/internal/dispatch/placement.go
+++ b/internal/dispatch/placement.go
@@ -45,7 +45,7 @@
 		return
 	}
 	m.surveyServers(now)
-	for m.hasFreeSlot() {
+	for m.hasRoom(now) {
 		r := m.queue.next(&m.cost)
 		if r == nil {
 			break
@@ -114,7 +114,7 @@
 				failing++
 			}
 		}
-		if s.openLimit = s.limit(now); len(s.inflight) < s.openLimit {
+		if s.openLimit = s.limit(now); s.hasRoom(now) {
 			m.openServers = append(m.openServers, s)
 		}
 	}
@@ -122,8 +122,9 @@
 	m.tooManyFailing = float64(failing) >= tooManyFailingShare*float64(healthy)
 }
 
-func (m *Machine) hasFreeSlot() bool {
-	return slices.ContainsFunc(m.openServers, func(s *server) bool { return len(s.inflight) < s.openLimit })
+// hasRoom reports whether a server may get another request now.
+func (m *Machine) hasRoom(now time.Time) bool {
+	return slices.ContainsFunc(m.openServers, func(s *server) bool { return s.hasRoom(now) })
 }
 
 func (m *Machine) grantRequest(now time.Time, r *request, s *server) {
@@ -137,6 +138,7 @@
 	r.canary = s.state == onCanary
 	m.canaries.recordGrant(r.canary || m.testsIdleServer(now, s, r))
 	s.attach(r)
+	s.rate.Spend(now)
 	if now.Sub(s.lastGrant) >= resetReportTime {
 		s.previousGrant = s.lastGrant
 	}
@@ -177,7 +179,7 @@
 	}
 	bestRank, bestUtilisation := rankNone, 0.0
 	for _, s := range m.openServers {
-		if len(s.inflight) >= s.openLimit || !reachable(s) || !m.acceptsRequest(now, s, r) || m.shouldAvoid(now, s, r) || s.hasUnverifiedRequest(now) || m.shouldSkipDeprioritized(now, s, r) {
+		if !s.hasRoom(now) || !reachable(s) || !m.acceptsRequest(now, s, r) || m.shouldAvoid(now, s, r) || s.hasUnverifiedRequest(now) || m.shouldSkipDeprioritized(now, s, r) {
 			continue
 		}
 		rank := m.placementRank(now, s, r)
--- /dev/null
+++ b/internal/dispatch/rate_test.go
@@ -0,0 +1,145 @@
+package dispatch_test
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/tarragonmux/tarragonmux/internal/backend"
+	"github.com/tarragonmux/tarragonmux/internal/dispatch"
+	"github.com/tarragonmux/tarragonmux/internal/grant"
+)
+
+// rateWindow is the span in which the arrivals at a server are counted.
+const rateWindow = 4 * time.Second
+
+// rateBench drives a machine with two servers, of which "limited" names a rate in each of its responses.
+type rateBench struct {
+	*dispatch.Machine
+	now    time.Time
+	nextID uint64
+	// rate is what the server names; negative if it names none.
+	rate     float64
+	arrivals map[string][]time.Time
+}
+
+func newRateBench(rate float64) *rateBench {
+	b := &rateBench{now: time.Unix(1_000, 0), rate: rate, arrivals: map[string][]time.Time{}}
+	b.takeOver()
+	return b
+}
+
+// takeOver replaces the machine by that of a new dispatcher.
+func (b *rateBench) takeOver() {
+	b.Machine = dispatch.New(b.now, dispatch.Config{Service: "s", DefaultSlots: 4})
+	var list []backend.Server
+	for _, name := range []string{"limited", "other"} {
+		list = append(list, backend.Server{
+			Service: "s", Instance: name, Incarnation: 1, State: backend.Ready, Slots: 4, Renewed: b.now, Cutoff: time.Hour,
+		})
+	}
+	b.SetServers(b.now, list)
+	b.Connect(b.now, "n", "dc", 1, nil, nil)
+}
+
+// run sends a request every 10 ms, which takes 5 ms.
+func (b *rateBench) run(d time.Duration) {
+	for end := b.now.Add(d); b.now.Before(end); b.now = b.now.Add(5 * time.Millisecond) {
+		b.nextID++
+		b.Acquire(b.now, "n", dispatch.Request{ID: b.nextID, Deadline: b.now.Add(time.Second), Idempotent: true})
+		b.Tick(b.now)
+		var granted []dispatch.Action
+		for _, a := range b.TakeActions() {
+			if a.Kind == dispatch.Granted {
+				granted = append(granted, a)
+			}
+		}
+		b.now = b.now.Add(5 * time.Millisecond)
+		for _, a := range granted {
+			b.arrivals[a.Instance] = append(b.arrivals[a.Instance], b.now)
+			done := grant.Completion{Result: grant.OK, FirstByte: 5 * time.Millisecond, Total: 5 * time.Millisecond}
+			if a.Instance == "limited" && b.rate >= 0 {
+				done.RateLimited, done.Rate = true, b.rate
+			}
+			b.Complete(b.now, "n", a.ID, done)
+		}
+	}
+}
+
+// most returns the largest number of arrivals at a server in a window that begins at or after the given time.
+func (b *rateBench) most(instance string, from time.Time) int {
+	most := 0
+	for i, first := range b.arrivals[instance] {
+		count := 0
+		for _, at := range b.arrivals[instance][i:] {
+			if !first.Before(from) && at.Sub(first) < rateWindow {
+				count++
+			}
+		}
+		most = max(most, count)
+	}
+	return most
+}
+
+// A server that named a rate got as many requests as the others.
+func TestServerGetsNoMoreThanTheRateThatItNames(t *testing.T) {
+	for _, rate := range []float64{0, 0.5, 2.6, 20} {
+		g := NewWithT(t)
+		b := newRateBench(rate)
+		b.run(20 * time.Second)
+		named := b.arrivals["limited"][0]
+		limit := int(rateWindow.Seconds()*rate) + 2
+		g.Expect(b.most("limited", named.Add(time.Second))).To(BeNumerically("<=", limit), "rate %v", rate)
+		g.Expect(len(b.arrivals["limited"])).To(BeNumerically(">=", int(20*rate*0.9)), "the rate is used, and the server is not given up")
+		g.Expect(len(b.arrivals["other"])).To(BeNumerically(">", 1000))
+	}
+}
+
+// The limit ends with the first response that names none.
+func TestRateLimitEndsWhenTheServerNamesNone(t *testing.T) {
+	g := NewWithT(t)
+	b := newRateBench(2)
+	b.run(10 * time.Second)
+	before := len(b.arrivals["limited"])
+	b.rate = -1
+	b.run(5 * time.Second)
+	g.Expect(len(b.arrivals["limited"]) - before).To(BeNumerically(">", 100))
+}
+
+// A new dispatcher learns the rate from the nodes, not from a burst of its own requests.
+func TestRateLimitSurvivesATakeover(t *testing.T) {
+	g := NewWithT(t)
+	b := newRateBench(2)
+	b.run(10 * time.Second)
+	change := b.now
+	b.takeOver()
+	b.ReportRate(b.now, "limited", 2)
+	b.run(10 * time.Second)
+	g.Expect(b.most("limited", change)).To(BeNumerically("<=", 10))
+}
+
+// Work that limited servers cannot take in time is refused on arrival, not at its deadline.
+func TestWorkBeyondTheRatesIsRefusedAtOnce(t *testing.T) {
+	g := NewWithT(t)
+	b := newRateBench(2)
+	b.SetServers(b.now, []backend.Server{{
+		Service: "s", Instance: "limited", Incarnation: 1, State: backend.Ready, Slots: 4, Renewed: b.now, Cutoff: time.Hour,
+	}})
+	b.run(5 * time.Second)
+	refused, soon := 0, 0
+	for range 200 {
+		b.nextID++
+		b.Acquire(b.now, "n", dispatch.Request{ID: b.nextID, Deadline: b.now.Add(time.Second), Idempotent: true})
+		for _, a := range b.TakeActions() {
+			if a.Kind == dispatch.Refused {
+				refused++
+				if a.ID == b.nextID {
+					soon++
+				}
+			}
+		}
+		b.now = b.now.Add(5 * time.Millisecond)
+	}
+	g.Expect(soon).To(BeNumerically(">", 190), "of %d refused", refused)
+}
--- a/internal/dispatch/server.go
+++ b/internal/dispatch/server.go
@@ -41,6 +41,8 @@
 	limitedUntil time.Time
 	// draining is set by drain signals in responses.
 	draining bool
+	// rate is the limit that the server named in its last response.
+	rate RateLimit
 	// deductedFromPeaks is set once the slots of a leaving server no longer count as announced.
 	deductedFromPeaks bool
 	// reservedSlots are the slots that members without a stream may use in autonomous mode.
@@ -220,6 +222,11 @@
 	return min(max(int(limit), 1), s.hardLimit()-s.reservedSlots)
 }
 
+// hasRoom reports whether the server may get another request now, given its limit as of the latest survey.
+func (s *server) hasRoom(now time.Time) bool {
+	return len(s.inflight) < s.openLimit && s.rate.Allows(now)
+}
+
 // beginSlowStart lets the limit rise from one slot to all of them, as after a start.
 func (s *server) beginSlowStart(now time.Time) {
 	s.slowStartFrom = now
--- a/internal/dispatch/work.go
+++ b/internal/dispatch/work.go
@@ -84,11 +84,16 @@
 	if ahead == 0 {
 		return false
 	}
-	slots := 0
+	slots := 0.0
+	slotSeconds := m.workKindOf(q.Kind).meanSlotSeconds
 	for _, s := range m.servers {
-		slots += s.limit(now)
+		slots += min(float64(s.limit(now)), s.rate.slots(slotSeconds))
 	}
-	wait := time.Duration(ahead / float64(max(slots, 1)) * float64(time.Second))
+	if slots == 0 {
+		// A server may return at any time.
+		slots = 1
+	}
+	wait := time.Duration(ahead / slots * float64(time.Second))
 	left := q.Deadline.Sub(now) - m.requiredTime(q, false)
 	return float64(wait) > unmeetableWaitFactor*float64(left)
 }
--- a/internal/dispatchrpc/channel.go
+++ b/internal/dispatchrpc/channel.go
@@ -304,7 +304,7 @@
 	cfg := &c.client.config
 	hello := &dispatchpb.Hello{
 		Node: cfg.Node, Incarnation: cfg.Incarnation, DataCentre: cfg.DataCentre, Service: shardName,
-		WantsServers: cfg.Sink != nil,
+		WantsServers: cfg.Sink != nil, Rates: c.ratesToProto(),
 	}
 	for _, h := range c.held {
 		hello.Outstanding = append(hello.Outstanding, h.toOutstanding(now))
--- a/internal/dispatchrpc/convert.go
+++ b/internal/dispatchrpc/convert.go
@@ -55,7 +55,9 @@
 		Result:    grant.Result(c.Result),
 		FirstByte: time.Duration(c.FirstByteUs) * time.Microsecond,
 		Total:     time.Duration(c.TotalUs) * time.Microsecond,
-		Draining:  c.Draining,
+		ServerSignals: grant.ServerSignals{
+			Draining: c.Draining, RateLimited: c.RateLimited, Rate: c.Rate,
+		},
 	}
 }
 
@@ -66,6 +68,8 @@
 		FirstByteUs: c.FirstByte.Microseconds(),
 		TotalUs:     c.Total.Microseconds(),
 		Draining:    c.Draining,
+		RateLimited: c.RateLimited,
+		Rate:        c.Rate,
 	}
 }
 
--- a/internal/dispatchrpc/lease.go
+++ b/internal/dispatchrpc/lease.go
@@ -88,6 +88,7 @@
 	}
 	h.completed = true
 	delete(c.held, h.id)
+	c.recordSignals(time.Now(), h.server.Instance, &done)
 	if h.server.Autonomous {
 		c.recordAutonomousResult(time.Now(), h.server.Instance, done.Result)
 	}
--- a/internal/entry/dialect.go
+++ b/internal/entry/dialect.go
@@ -1,7 +1,9 @@
 package entry
 
 import (
+	"math"
 	"net/http"
+	"strconv"
 	"strings"
 	"time"
 
@@ -37,6 +39,9 @@
 	AddressReassigned func(status int, h http.Header) bool
 	// Draining reports whether a response states that its backend server is draining.
 	Draining func(h http.Header) bool
+	// RateLimit returns the rate of requests that the backend server of a response accepts from all hosts together, in
+	// requests per second; ok is false if it names none.
+	RateLimit func(h http.Header) (rate float64, ok bool)
 	// HasServerMark reports whether a successful response has the header with which backend servers
 	// identify themselves; nil means that there is no such header.
 	HasServerMark func(h http.Header) bool
@@ -54,6 +59,12 @@
 	BuiltInPaths bool
 }
 
+// ParseRate parses a rate in requests per second; ok is false if the text is not a decimal number of at least 0.
+func ParseRate(text string) (rate float64, ok bool) {
+	rate, err := strconv.ParseFloat(text, 64)
+	return rate, err == nil && rate >= 0 && !math.IsInf(rate, 1)
+}
+
 // Native returns the default dialect, with the headers that this package defines.
 func Native() *Dialect {
 	return &Dialect{
@@ -70,6 +81,7 @@
 		Draining: func(h http.Header) bool {
 			return strings.EqualFold(h.Get(headerState), stateDraining)
 		},
+		RateLimit: func(h http.Header) (rate float64, ok bool) { return ParseRate(h.Get(headerRateLimit)) },
 		WriteProblem: func(w http.ResponseWriter, p *problem.Problem, requestID string) int {
 			p.Write(w, requestID)
 			return p.Status()
--- a/internal/entry/exchange.go
+++ b/internal/entry/exchange.go
@@ -66,8 +66,9 @@
 	// complete body if bodyComplete is set.
 	responseBody []byte
 	bodyComplete bool
-	draining     bool
-	completed    bool
+	// signals is what the server said about itself in the response.
+	signals   grant.ServerSignals
+	completed bool
 }
 
 // refuse returns a refusal with the outcome of all attempts so far.
--- a/internal/entry/fakes_test.go
+++ b/internal/entry/fakes_test.go
@@ -87,6 +87,7 @@
 	// queued keeps requests queued until their context ends.
 	queued   bool
 	results  []grant.Result
+	signals  []grant.ServerSignals
 	open     int
 	purposes []grant.Purpose
 	advised  chan struct{}
@@ -128,6 +129,13 @@
 	return slices.Clone(f.results)
 }
 
+// lastSignals returns what the server of the last completed grant said about itself.
+func (f *fakeGrants) lastSignals() grant.ServerSignals {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.signals[len(f.signals)-1]
+}
+
 func (f *fakeGrants) outstanding() int {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -153,6 +161,7 @@
 		defer g.source.mu.Unlock()
 		g.source.open--
 		g.source.results = append(g.source.results, c.Result)
+		g.source.signals = append(g.source.signals, c.ServerSignals)
 	})
 }
 
--- a/internal/entry/forward.go
+++ b/internal/entry/forward.go
@@ -35,22 +35,29 @@
 	}
 	x.response = resp
 	dialect := f.cfg.Dialect
-	if dialect.Draining(resp.Header) {
-		x.draining = true
-		f.cfg.Backends.MarkDraining(server.Service, server.Instance)
-	}
 	if dialect.AddressReassigned(resp.Status, resp.Header) {
 		return f.failRejected(x, grant.ConnectFailed, "another backend server has the address")
 	}
-	if dialect.NotRun(resp.Status, resp.Header) {
-		return f.failRejected(x, grant.Shed, "the backend server rejected the request before running it")
-	}
 	if dialect.HasServerMark != nil && resp.Status < http.StatusMultipleChoices && !dialect.HasServerMark(resp.Header) {
 		return f.failResponse(x, errNoServerMark)
 	}
+	x.signals = dialect.signals(resp.Header)
+	if x.signals.Draining {
+		f.cfg.Backends.MarkDraining(server.Service, server.Instance)
+	}
+	if dialect.NotRun(resp.Status, resp.Header) {
+		return f.failRejected(x, grant.Shed, "the backend server rejected the request before running it")
+	}
 	return f.bufferResponse(x)
 }
 
+// signals returns what the server says about itself in a response.
+func (d *Dialect) signals(h http.Header) grant.ServerSignals {
+	signals := grant.ServerSignals{Draining: d.Draining(h)}
+	signals.Rate, signals.RateLimited = d.RateLimit(h)
+	return signals
+}
+
 // errNoServerMark means that a successful response lacks the header with which backend servers identify
 // themselves.
 var errNoServerMark = errors.New("the answer does not come from a backend server")
@@ -289,7 +296,7 @@
 		x.cancelAttempt()
 	}
 	x.grant.Complete(grant.Completion{
-		Result: result, FirstByte: x.timeToFirstByte, Total: time.Since(x.sentAt), Draining: x.draining,
+		Result: result, FirstByte: x.timeToFirstByte, Total: time.Since(x.sentAt), ServerSignals: x.signals,
 	})
 }
 
--- a/internal/entry/headers.go
+++ b/internal/entry/headers.go
@@ -13,6 +13,7 @@
 	headerKey       = "Idempotency-Key"
 	headerState     = "Tarragon-State"
 	headerOutcome   = "Tarragon-Outcome"
+	headerRateLimit = "Tarragon-Rate-Limit"
 
 	// headerPrefix is the prefix of headers that callers and backend servers address to the proxy itself.
 	// They are not passed on.
--- /dev/null
+++ b/internal/entry/signals_test.go
@@ -0,0 +1,43 @@
+package entry_test
+
+import (
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/tarragonmux/tarragonmux/internal/entry"
+	"github.com/tarragonmux/tarragonmux/internal/grant"
+	"github.com/tarragonmux/tarragonmux/internal/standin"
+)
+
+var _ = Describe("What a backend server says about itself", func() {
+	// The dispatcher limits the rate for all hosts, so it must learn of it with the end of the request.
+	It("reaches the dispatcher, and not the caller", func() {
+		b := newStandin(standin.Config{WorkTime: -1})
+		b.SetFaults(standin.Faults{RateLimit: 2.5})
+		f := start(nil, b.Address())
+		a := f.do("GET", "/read", "")
+		Expect(a.status).To(Equal(200))
+		Expect(a.header).NotTo(HaveKey("Tarragon-Rate-Limit"))
+		Expect(f.grants.lastSignals()).To(Equal(grant.ServerSignals{RateLimited: true, Rate: 2.5}))
+		b.SetFaults(standin.Faults{})
+		Expect(f.do("GET", "/read", "").status).To(Equal(200))
+		Expect(f.grants.lastSignals()).To(BeZero())
+	})
+
+	DescribeTable("names a rate as a decimal number of at least 0", func(text string, rate float64, valid bool) {
+		parsed, ok := entry.ParseRate(text)
+		Expect(ok).To(Equal(valid))
+		if valid {
+			Expect(parsed).To(Equal(rate))
+		}
+	},
+		Entry("whole", "3", 3.0, true),
+		Entry("fraction", "0.25", 0.25, true),
+		Entry("zero", "0", 0.0, true),
+		Entry("missing", "", 0.0, false),
+		Entry("negative", "-1", 0.0, false),
+		Entry("not a number", "NaN", 0.0, false),
+		Entry("infinite", "Inf", 0.0, false),
+		Entry("another text", "many", 0.0, false),
+	)
+})
--- a/internal/grant/grant.go
+++ b/internal/grant/grant.go
@@ -92,6 +92,16 @@
 	return resultNames[r]
 }
 
+// ServerSignals is what a server says about itself in a response.
+type ServerSignals struct {
+	// Draining is set when the server signalled that it is draining.
+	Draining bool
+	// RateLimited is set if the server names the rate of requests that it accepts from all nodes together. Rate is
+	// that rate in requests per second.
+	RateLimited bool
+	Rate        float64
+}
+
 // Completion reports the end of a granted request.
 type Completion struct {
 	Result Result
@@ -99,8 +109,13 @@
 	FirstByte time.Duration
 	// Total is the time from sending to the end.
 	Total time.Duration
-	// Draining is set when the server signalled that it is draining.
-	Draining bool
+	// ServerSignals are those of the response; zero without one.
+	ServerSignals
+}
+
+// Responded reports whether the server responded, so that missing signals mean that it no longer sends them.
+func (c *Completion) Responded() bool {
+	return c.Result == OK || c.Result == Error || c.Result == Shed
 }
 
 // Grant is the permission to send one request to one backend server.
--- a/internal/standin/faults.go
+++ b/internal/standin/faults.go
@@ -21,6 +21,9 @@
 	ErrorShare float64 `json:"error_share,omitempty"`
 	// TruncateShare is the fraction of responses whose body is truncated to half its length, 0 to 1.
 	TruncateShare float64 `json:"truncate_share,omitempty"`
+	// RateLimit is the rate in requests per second that each response to work names, as that which the server
+	// accepts from all hosts together; 0 means that it names none.
+	RateLimit float64 `json:"rate_limit,omitempty"`
 	// ReportUnhealthy makes the health endpoint report a healthy server as unhealthy.
 	ReportUnhealthy bool `json:"report_unhealthy,omitempty"`
 	// ReportIdle makes the load endpoint and the announcements report a load of 0.
@@ -45,6 +48,8 @@
 		return "slow_factor must not be negative"
 	case f.ErrorShare < 0 || f.ErrorShare > 1:
 		return "error_share must be 0 to 1"
+	case f.RateLimit < 0:
+		return "rate_limit must not be negative"
 	case f.TruncateShare < 0 || f.TruncateShare > 1:
 		return "truncate_share must be 0 to 1"
 	default:
--- a/internal/standin/work.go
+++ b/internal/standin/work.go
@@ -26,6 +26,7 @@
 	headerTimeout   = "Grpc-Timeout"
 	headerState     = "Tarragon-State"
 	headerOutcome   = "Tarragon-Outcome"
+	headerRateLimit = "Tarragon-Rate-Limit"
 
 	maxBodyBytes     = 64 << 20
 	maxResponseBytes = 64 << 20
@@ -51,6 +52,9 @@
 	if state == backend.Draining {
 		w.Header().Set(headerState, "draining")
 	}
+	if rate := s.Faults().RateLimit; rate > 0 {
+		w.Header().Set(headerRateLimit, strconv.FormatFloat(rate, 'f', -1, 64))
+	}
 	if state != backend.Ready {
 		s.reject(w, "not ready")
 		return
