dispatch: send nothing to a server that asked the host to pause

A server that rejected a request with 503 and Retry-After got further requests from the same host within the pause.

Cause: the header was read in whole seconds, and only to tell the caller. The dispatcher holds a server that sheds for 20 to 500 ms whatever it asks for. The same class as the rate: a signal that is passed on and not obeyed.

Change: the pause is part of what a completion reports. The dispatcher leaves the server out for that node until the pause ends, refuses at once what cannot wait so long, with the end of the first pause as the time to come back, and does not let waiting requests of a paused node hold up those of others. Nodes report pauses to a new dispatcher and keep them without one.

--- a/internal/dispatch/machine.go
+++ b/internal/dispatch/machine.go
@@ -44,6 +44,8 @@
 	stats              Stats
 	lastSweep          time.Time
 	lastQuantiles      time.Time
+	// pass numbers the calls of dispatchQueued.
+	pass uint64
 	// candidates are the usable servers, and openServers those of them with free slots, as of the latest
 	// call of surveyServers. tooManyFailing is set if skipping the deprioritized ones would leave too few.
 	candidates, openServers []*server
@@ -216,6 +218,7 @@
 	s.shedWeight, s.consecutiveSheds, s.pausedUntil = 1, 0, time.Time{}
 	s.limitedUntil = time.Time{}
 	s.rate.Lift()
+	s.endPauses()
 	if s.state == heldAfterCrash {
 		s.state = inRotation
 		s.crashHeld = false
@@ -430,9 +433,8 @@
 	if r == nil || r.state != stateGranted {
 		return
 	}
-	s := r.server
 	m.observeCompletion(now, r, c)
-	m.observeSignals(now, s, &c)
+	m.observeSignals(now, r, &c)
 	m.release(now, r)
 	m.drop(r)
 	m.enforceMinimum(now)
@@ -467,11 +469,16 @@
 }
 
 func (m *Machine) refuse(n *node, id uint64, kind problem.Kind) {
-	m.stats.Refused++
 	wait := refusalRetryAfter
 	if kind == problem.PoisonRequest || kind == problem.DeadlinePassed {
 		wait = 0
 	}
+	m.refuseFor(n, id, kind, wait)
+}
+
+// refuseFor refuses a request and tells the caller to retry it after the given time.
+func (m *Machine) refuseFor(n *node, id uint64, kind problem.Kind, wait time.Duration) {
+	m.stats.Refused++
 	m.emit(n, Action{Kind: Refused, ID: id, Refusal: kind, RetryAfter: wait})
 }
 
--- /dev/null
+++ b/internal/dispatch/pause_test.go
@@ -0,0 +1,119 @@
+package dispatch_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/tarragonmux/tarragonmux/internal/backend"
+	"github.com/tarragonmux/tarragonmux/internal/dispatch"
+	"github.com/tarragonmux/tarragonmux/internal/grant"
+	"github.com/tarragonmux/tarragonmux/internal/problem"
+)
+
+// pauseBench drives a machine with some servers and two nodes.
+type pauseBench struct {
+	*dispatch.Machine
+	now    time.Time
+	nextID uint64
+}
+
+func newPauseBench(servers int) *pauseBench {
+	b := &pauseBench{now: time.Unix(1_000, 0)}
+	b.Machine = dispatch.New(b.now, dispatch.Config{Service: "s", DefaultSlots: 4})
+	var list []backend.Server
+	for i := range servers {
+		list = append(list, backend.Server{
+			Service: "s", Instance: fmt.Sprint("s", i), Incarnation: 1, State: backend.Ready, Slots: 4, Renewed: b.now, Cutoff: time.Hour,
+		})
+	}
+	b.SetServers(b.now, list)
+	b.Connect(b.now, "n", "dc", 1, nil, nil)
+	b.Connect(b.now, "o", "dc", 1, nil, nil)
+	b.now = b.now.Add(dispatch.CollectionPeriod)
+	b.Tick(b.now)
+	return b
+}
+
+// request sends a request of the node that may wait for the given time, and returns the dispatcher's action on it; the
+// kind is 0 if it waits.
+func (b *pauseBench) request(node string, patience time.Duration) dispatch.Action {
+	b.nextID++
+	b.Acquire(b.now, node, dispatch.Request{ID: b.nextID, Deadline: b.now.Add(patience), Idempotent: true})
+	return b.action(b.nextID)
+}
+
+func (b *pauseBench) action(id uint64) dispatch.Action {
+	for _, a := range b.TakeActions() {
+		if a.ID == id {
+			return a
+		}
+	}
+	return dispatch.Action{}
+}
+
+// pause lets the server of the node's next request ask the node to pause.
+func (b *pauseBench) pause(g *WithT, node string, pause time.Duration) {
+	a := b.request(node, time.Second)
+	g.Expect(a.Kind).To(Equal(dispatch.Granted))
+	b.Complete(b.now, node, a.ID, grant.Completion{
+		Result: grant.Shed, Total: time.Millisecond, ServerSignals: grant.ServerSignals{Pause: pause},
+	})
+	// The server's own pause after a rejection is shorter.
+	b.now = b.now.Add(50 * time.Millisecond)
+	b.Tick(b.now)
+}
+
+// A server that asked a host to come back later got further requests from it at once.
+func TestServerGetsNoRequestsOfANodeThatItAskedToPause(t *testing.T) {
+	g := NewWithT(t)
+	b := newPauseBench(1)
+	b.pause(g, "n", 2*time.Second)
+	waiting := b.request("n", 3*time.Second)
+	g.Expect(waiting.Kind).To(BeZero(), "the pause ends before the deadline")
+	waitingID := b.nextID
+	g.Expect(b.request("o", time.Second).Kind).To(Equal(dispatch.Granted), "the pause concerns one node")
+	b.now = b.now.Add(1900 * time.Millisecond)
+	b.Tick(b.now)
+	g.Expect(b.action(waitingID).Kind).To(BeZero())
+	b.now = b.now.Add(100 * time.Millisecond)
+	b.Tick(b.now)
+	g.Expect(b.action(waitingID).Kind).To(Equal(dispatch.Granted))
+}
+
+// A request that cannot be sent before its deadline must not wait, and its caller is told when the pause ends.
+func TestRequestsThatAPauseOutlastsAreRefusedAtOnce(t *testing.T) {
+	g := NewWithT(t)
+	b := newPauseBench(1)
+	b.pause(g, "n", 2*time.Second)
+	refused := b.request("n", time.Second)
+	g.Expect(refused.Kind).To(Equal(dispatch.Refused))
+	g.Expect(refused.Refusal).To(Equal(problem.NoCapacity))
+	g.Expect(refused.RetryAfter).To(BeNumerically("~", 2*time.Second, 100*time.Millisecond))
+}
+
+// Requests of a node that all servers asked to pause must not hold up those of other nodes behind them.
+func TestPausedNodeDoesNotHoldUpOthers(t *testing.T) {
+	g := NewWithT(t)
+	b := newPauseBench(2)
+	b.pause(g, "n", 2*time.Second)
+	b.pause(g, "n", 2*time.Second)
+	for range 200 {
+		g.Expect(b.request("n", 5*time.Second).Kind).To(BeZero())
+	}
+	g.Expect(b.request("o", 5*time.Second).Kind).To(Equal(dispatch.Granted))
+}
+
+// A pause must outlast the dispatcher that learned of it, and end with a restart of the server.
+func TestPauseIsReportedToANewDispatcher(t *testing.T) {
+	g := NewWithT(t)
+	b := newPauseBench(1)
+	b.ReportSignals(b.now, "n", "s0", grant.ServerSignals{Pause: 2 * time.Second})
+	g.Expect(b.request("n", time.Second).Kind).To(Equal(dispatch.Refused))
+	b.SetServers(b.now, []backend.Server{{
+		Service: "s", Instance: "s0", Incarnation: 2, State: backend.Ready, Slots: 4, Renewed: b.now, Cutoff: time.Hour,
+	}})
+	g.Expect(b.request("n", time.Second).Kind).To(Equal(dispatch.Granted))
+}
--- a/internal/dispatch/placement.go
+++ b/internal/dispatch/placement.go
@@ -17,8 +17,11 @@
 	// unverifiedPenalty is added to the utilisation of a server that is not recentlyVerified, for
 	// non-idempotent work.
 	unverifiedPenalty = 0.4
-	// maxDeferred bounds how many requests that no free server may serve are skipped in one pass.
-	maxDeferred = 16
+	// maxDeferred bounds how many requests that no free server may serve are skipped in one pass, and
+	// maxPausedDeferred how many more are skipped without a look at the servers, since these want no requests from
+	// their node.
+	maxDeferred       = 16
+	maxPausedDeferred = 1024
 	// recentSlowFactor is how many times the service's median the recent median of a server may be before
 	// the server is suspected and, if it is local, another data centre is preferred.
 	recentSlowFactor = 2
@@ -44,13 +47,20 @@
 	if now.Before(m.started.Add(CollectionPeriod)) || m.queue.length() == 0 {
 		return
 	}
+	m.pass++
 	m.surveyServers(now)
-	for m.hasRoom(now) {
+	skipped := 0
+	for m.hasRoom(now) && skipped < maxPausedDeferred {
 		r := m.queue.next(&m.cost)
 		if r == nil {
 			break
 		}
-		if !m.dispatchRequest(now, r) && len(m.deferred) >= maxDeferred {
+		if r.node.pausedInPass == m.pass && len(r.Exclude) == 0 && m.refusalReason(now, r) == "" {
+			m.deferRequest(r)
+			skipped++
+			continue
+		}
+		if !m.dispatchRequest(now, r) && len(m.deferred)-skipped >= maxDeferred {
 			break
 		}
 	}
@@ -72,18 +82,35 @@
 	}
 	s, possible := m.selectServer(now, r)
 	if !possible {
-		m.refuseQueued(r, problem.NoCapacity)
+		m.refuseUnservable(now, r)
 		return true
 	}
 	if s == nil {
-		m.queue.remove(r)
-		m.deferred = append(m.deferred, r)
+		m.deferRequest(r)
 		return false
 	}
 	m.grantRequest(now, r, s)
 	return true
 }
 
+// deferRequest takes a request out of the queue until the end of the pass.
+func (m *Machine) deferRequest(r *request) {
+	m.queue.remove(r)
+	m.deferred = append(m.deferred, r)
+}
+
+// refuseUnservable refuses a request that no server may serve before its deadline. If servers have asked its node to
+// pause, the caller is told when the first pause ends.
+func (m *Machine) refuseUnservable(now time.Time, r *request) {
+	wait := refusalRetryAfter
+	if left := m.firstPauseEnd(now, r.node); left > 0 {
+		wait = left
+	}
+	m.queue.remove(r)
+	m.refuseFor(r.node, r.ID, problem.NoCapacity, wait)
+	m.drop(r)
+}
+
 // refusalReason repeats the checks whose result may have changed while the request was queued.
 func (m *Machine) refusalReason(now time.Time, r *request) problem.Kind {
 	switch {
@@ -174,12 +201,18 @@
 	reachable := func(s *server) bool {
 		return s.pathBlocked(now, r.node) == badPaths && !slices.Contains(r.Exclude, s.Instance)
 	}
-	if !slices.ContainsFunc(m.candidates, reachable) {
+	servableInTime := func(s *server) bool { return reachable(s) && s.pauseEnd(now, r.node).Before(r.Deadline) }
+	if !slices.ContainsFunc(m.candidates, servableInTime) {
 		return nil, false
 	}
 	bestRank, bestUtilisation := rankNone, 0.0
+	allPaused := true
 	for _, s := range m.openServers {
-		if !s.hasRoom(now) || !reachable(s) || !m.acceptsRequest(now, s, r) || m.shouldAvoid(now, s, r) || s.hasUnverifiedRequest(now) || m.shouldSkipDeprioritized(now, s, r) {
+		if !s.hasRoom(now) || !s.wantsRequestsOf(now, r.node) {
+			continue
+		}
+		allPaused = false
+		if !reachable(s) || !m.acceptsRequest(now, s, r) || m.shouldAvoid(now, s, r) || s.hasUnverifiedRequest(now) || m.shouldSkipDeprioritized(now, s, r) {
 			continue
 		}
 		rank := m.placementRank(now, s, r)
@@ -192,6 +225,9 @@
 			best, bestRank, bestUtilisation = s, rank, utilisation
 		}
 	}
+	if allPaused {
+		r.node.pausedInPass = m.pass
+	}
 	return best, true
 }
 
--- a/internal/dispatch/rate.go
+++ b/internal/dispatch/rate.go
@@ -2,10 +2,7 @@
 
 import (
 	"math"
-	"strconv"
 	"time"
-
-	"github.com/tarragonmux/tarragonmux/internal/grant"
 )
 
 const (
@@ -68,35 +65,3 @@
 	}
 	return slotSeconds / l.interval.Seconds()
 }
-
-// observeSignals applies what a server said about itself in a response.
-func (m *Machine) observeSignals(now time.Time, s *server, c *grant.Completion) {
-	if c.Draining {
-		s.draining = true
-	}
-	if !c.Responded() {
-		return
-	}
-	switch {
-	case c.RateLimited:
-		m.limitRate(now, s, c.Rate)
-	case s.rate.Limited():
-		s.rate.Lift()
-		m.recordEvent(now, s, eventRateLifted, "")
-	}
-}
-
-func (m *Machine) limitRate(now time.Time, s *server, rate float64) {
-	if !s.rate.Limited() {
-		m.recordEvent(now, s, eventRateLimited, strconv.FormatFloat(rate, 'g', 3, 64)+" requests/s")
-	}
-	s.rate.Set(now, max(rate, MinRate), 1)
-}
-
-// ReportRate applies the rate that a server named in its last response to a node, in requests per second. Nodes report
-// it to a new dispatcher.
-func (m *Machine) ReportRate(now time.Time, instance string, rate float64) {
-	if s := m.byName[instance]; s != nil && !s.rate.Limited() {
-		m.limitRate(now, s, rate)
-	}
-}
--- a/internal/dispatch/request.go
+++ b/internal/dispatch/request.go
@@ -130,6 +130,8 @@
 	// until then.
 	isolatedUntil time.Time
 	lastResponse  time.Time
+	// pausedInPass is the last pass in which all servers with room had asked this node to pause.
+	pausedInPass uint64
 	// overdueServers counts the servers with an overdue request of the node, provided that no server has
 	// responded to the node since the request was sent.
 	overdueServers int
--- a/internal/dispatch/server.go
+++ b/internal/dispatch/server.go
@@ -43,6 +43,9 @@
 	draining bool
 	// rate is the limit that the server named in its last response.
 	rate RateLimit
+	// pausesUntil is the latest end of a pause that the server asked of a node; it saves the look-up while there is
+	// none.
+	pausesUntil time.Time
 	// deductedFromPeaks is set once the slots of a leaving server no longer count as announced.
 	deductedFromPeaks bool
 	// reservedSlots are the slots that members without a stream may use in autonomous mode.
@@ -102,6 +105,8 @@
 	blockedUntil time.Time
 	blockCount   int
 	blockedAt    time.Time
+	// pausedUntil is until when the server wants no requests from the node.
+	pausedUntil time.Time
 }
 
 // sample is one completed request.
--- /dev/null
+++ b/internal/dispatch/signals.go
@@ -0,0 +1,94 @@
+package dispatch
+
+import (
+	"strconv"
+	"time"
+
+	"github.com/tarragonmux/tarragonmux/internal/grant"
+)
+
+// observeSignals applies what the server of a request said about itself in its response.
+func (m *Machine) observeSignals(now time.Time, r *request, c *grant.Completion) {
+	if !c.Responded() && !c.Draining {
+		return
+	}
+	m.applySignals(now, r.server, r.node, c.ServerSignals)
+	if s := r.server; c.Responded() && !c.RateLimited && s.rate.Limited() {
+		s.rate.Lift()
+		m.recordEvent(now, s, eventRateLifted, "")
+	}
+}
+
+// ReportSignals applies what a server said about itself in its last responses to a node, which reports it to a new
+// dispatcher.
+func (m *Machine) ReportSignals(now time.Time, id, instance string, signals grant.ServerSignals) {
+	s, n := m.byName[instance], m.nodes[id]
+	if s == nil || n == nil {
+		return
+	}
+	if s.rate.Limited() {
+		// Another node may have heard from the server later.
+		signals.RateLimited = false
+	}
+	m.applySignals(now, s, n, signals)
+}
+
+func (m *Machine) applySignals(now time.Time, s *server, n *node, signals grant.ServerSignals) {
+	if signals.Draining {
+		s.draining = true
+	}
+	if signals.Pause > 0 {
+		s.pauseFor(n, now.Add(signals.Pause))
+	}
+	if !signals.RateLimited {
+		return
+	}
+	if !s.rate.Limited() {
+		m.recordEvent(now, s, eventRateLimited, strconv.FormatFloat(signals.Rate, 'g', 3, 64)+" requests/s")
+	}
+	s.rate.Set(now, max(signals.Rate, MinRate), 1)
+}
+
+// pauseFor records until when the server wants no requests from the node.
+func (s *server) pauseFor(n *node, until time.Time) {
+	s.path(n.nodeKey).pausedUntil = until
+	if until.After(s.pausesUntil) {
+		s.pausesUntil = until
+	}
+}
+
+// endPauses ends the pauses for all nodes.
+func (s *server) endPauses() {
+	s.pausesUntil = time.Time{}
+	for _, p := range s.paths {
+		p.pausedUntil = time.Time{}
+	}
+}
+
+// pauseEnd returns until when the server wants no requests from the node; it is not after now if it takes them.
+func (s *server) pauseEnd(now time.Time, n *node) time.Time {
+	if !now.Before(s.pausesUntil) {
+		return now
+	}
+	if p := s.paths[n.nodeKey]; p != nil {
+		return p.pausedUntil
+	}
+	return now
+}
+
+// wantsRequestsOf reports whether the server has not asked the node to pause.
+func (s *server) wantsRequestsOf(now time.Time, n *node) bool {
+	return !now.Before(s.pauseEnd(now, n))
+}
+
+// firstPauseEnd returns how long it takes until the first usable server that wants no requests from the node takes
+// them again; 0 if there is none.
+func (m *Machine) firstPauseEnd(now time.Time, n *node) time.Duration {
+	first := time.Duration(0)
+	for _, s := range m.candidates {
+		if left := s.pauseEnd(now, n).Sub(now); left > 0 && (first == 0 || left < first) {
+			first = left
+		}
+	}
+	return first
+}
--- a/internal/dispatchrpc/alone.go
+++ b/internal/dispatchrpc/alone.go
@@ -41,8 +41,6 @@
 	// rounding, from 0 to below 1 and drawn at random, is added to this host's part of the retry floor. It
 	// decides whether the host may send a retry when its part is less than one.
 	rounding float64
-	// rates are this host's parts of the rates that servers named in their last responses to it, by instance.
-	rates map[string]*namedRate
 	// failedAt is when a server last failed a request that this host sent without a dispatcher, by
 	// instance.
 	failedAt map[string]time.Time
@@ -130,9 +128,7 @@
 	}
 	c.sendCancel(q)
 	c.autonomy.budget.Spend(now, extra)
-	if named := c.autonomy.rates[s.Instance]; named != nil {
-		named.share.Spend(now)
-	}
+	c.countRequest(now, s.Instance)
 	c.autonomy.unreportedGrant = c.connected
 	c.resolve(q, acquireResult{grant: c.addHeldGrant(now, q, s)})
 }
@@ -172,10 +168,7 @@
 func (c *channel) selectServer(now time.Time, r *grant.Request) (best grant.Server, ok bool) {
 	mostFree, ties, bestFailedRecently := 0, 0, false
 	for _, s := range c.client.config.Registry.Servers(c.service) {
-		if !s.Usable(now) || c.outInLastView(now, s.Instance) || slices.Contains(r.Exclude, s.Instance) {
-			continue
-		}
-		if !c.rateAllows(now, s) {
+		if !s.Usable(now) || c.outInLastView(now, s.Instance) || slices.Contains(r.Exclude, s.Instance) || !c.serverAccepts(now, s) {
 			continue
 		}
 		free := c.autonomy.shares[s.Instance] - c.heldCount(s.Instance)
--- a/internal/dispatchrpc/channel.go
+++ b/internal/dispatchrpc/channel.go
@@ -49,6 +49,8 @@
 	// term is the term of the last view.
 	term     uint64
 	autonomy autonomyState
+	// serverStates is what servers said about themselves to this node, by instance.
+	serverStates map[string]*serverState
 	// closed is set when the node no longer follows the service.
 	closed bool
 }
@@ -70,12 +72,13 @@
 func newChannel(c *Client, service string, cancel context.CancelFunc) *channel {
 	return &channel{
 		client: c, service: service, cancel: cancel,
-		queued:    map[uint64]*queuedRequest{},
-		held:      map[uint64]*heldGrant{},
-		outgoing:  &dispatchpb.NodeBatch{},
-		wake:      make(chan struct{}, 1),
-		lastHeard: time.Now(),
-		autonomy:  autonomyState{rounding: rand.Float64()},
+		queued:       map[uint64]*queuedRequest{},
+		held:         map[uint64]*heldGrant{},
+		outgoing:     &dispatchpb.NodeBatch{},
+		wake:         make(chan struct{}, 1),
+		lastHeard:    time.Now(),
+		serverStates: map[string]*serverState{},
+		autonomy:     autonomyState{rounding: rand.Float64()},
 	}
 }
 
@@ -304,7 +307,7 @@
 	cfg := &c.client.config
 	hello := &dispatchpb.Hello{
 		Node: cfg.Node, Incarnation: cfg.Incarnation, DataCentre: cfg.DataCentre, Service: shardName,
-		WantsServers: cfg.Sink != nil, Rates: c.ratesToProto(),
+		WantsServers: cfg.Sink != nil, Signals: c.signalsToProto(now),
 	}
 	for _, h := range c.held {
 		hello.Outstanding = append(hello.Outstanding, h.toOutstanding(now))
--- a/internal/dispatchrpc/convert.go
+++ b/internal/dispatchrpc/convert.go
@@ -57,6 +57,7 @@
 		Total:     time.Duration(c.TotalUs) * time.Microsecond,
 		ServerSignals: grant.ServerSignals{
 			Draining: c.Draining, RateLimited: c.RateLimited, Rate: c.Rate,
+			Pause: time.Duration(c.PauseMs) * time.Millisecond,
 		},
 	}
 }
@@ -70,6 +71,13 @@
 		Draining:    c.Draining,
 		RateLimited: c.RateLimited,
 		Rate:        c.Rate,
+		PauseMs:     c.Pause.Milliseconds(),
+	}
+}
+
+func signalsFromProto(s *dispatchpb.ServerSignals) grant.ServerSignals {
+	return grant.ServerSignals{
+		RateLimited: s.RateLimited, Rate: s.Rate, Pause: time.Duration(s.PauseLeftMs) * time.Millisecond,
 	}
 }
 
--- a/internal/entry/dialect.go
+++ b/internal/entry/dialect.go
@@ -42,6 +42,8 @@
 	// RateLimit returns the rate of requests that the backend server of a response accepts from all hosts together, in
 	// requests per second; ok is false if it names none.
 	RateLimit func(h http.Header) (rate float64, ok bool)
+	// Pause returns how long the backend server of a response wants no requests from this host; 0 if it does not say.
+	Pause func(status int, h http.Header) time.Duration
 	// HasServerMark reports whether a successful response has the header with which backend servers
 	// identify themselves; nil means that there is no such header.
 	HasServerMark func(h http.Header) bool
@@ -59,10 +61,40 @@
 	BuiltInPaths bool
 }
 
-// ParseRate parses a rate in requests per second; ok is false if the text is not a decimal number of at least 0.
-func ParseRate(text string) (rate float64, ok bool) {
-	rate, err := strconv.ParseFloat(text, 64)
-	return rate, err == nil && rate >= 0 && !math.IsInf(rate, 1)
+// ParseNumber parses a decimal number of at least 0, such as a rate in requests per second; ok is false if the text is
+// none.
+func ParseNumber(text string) (number float64, ok bool) {
+	number, err := strconv.ParseFloat(text, 64)
+	return number, err == nil && number >= 0 && !math.IsInf(number, 1)
+}
+
+// maxPause bounds how long a backend server may ask this host to pause.
+const maxPause = time.Hour
+
+// UnavailableFor returns for how long a response states that its server is unavailable, by a status of 503 and
+// Retry-After; 0 if it does not state it.
+func UnavailableFor(status int, h http.Header) time.Duration {
+	if status != http.StatusServiceUnavailable {
+		return 0
+	}
+	return retryAfter(time.Now(), h)
+}
+
+// retryAfter returns the delay in a Retry-After header, which holds a number of seconds or a time of day. It is 0 if
+// there is none or it is malformed.
+func retryAfter(now time.Time, h http.Header) time.Duration {
+	text := h.Get("Retry-After")
+	if text == "" {
+		return 0
+	}
+	if seconds, ok := ParseNumber(text); ok {
+		return time.Duration(min(seconds, maxPause.Seconds()) * float64(time.Second))
+	}
+	at, err := http.ParseTime(text)
+	if err != nil {
+		return 0
+	}
+	return min(max(at.Sub(now), 0), maxPause)
 }
 
 // Native returns the default dialect, with the headers that this package defines.
@@ -81,7 +113,8 @@
 		Draining: func(h http.Header) bool {
 			return strings.EqualFold(h.Get(headerState), stateDraining)
 		},
-		RateLimit: func(h http.Header) (rate float64, ok bool) { return ParseRate(h.Get(headerRateLimit)) },
+		RateLimit: func(h http.Header) (rate float64, ok bool) { return ParseNumber(h.Get(headerRateLimit)) },
+		Pause:     UnavailableFor,
 		WriteProblem: func(w http.ResponseWriter, p *problem.Problem, requestID string) int {
 			p.Write(w, requestID)
 			return p.Status()
--- a/internal/entry/forward.go
+++ b/internal/entry/forward.go
@@ -41,7 +41,7 @@
 	if dialect.HasServerMark != nil && resp.Status < http.StatusMultipleChoices && !dialect.HasServerMark(resp.Header) {
 		return f.failResponse(x, errNoServerMark)
 	}
-	x.signals = dialect.signals(resp.Header)
+	x.signals = dialect.signals(resp)
 	if x.signals.Draining {
 		f.cfg.Backends.MarkDraining(server.Service, server.Instance)
 	}
@@ -52,9 +52,9 @@
 }
 
 // signals returns what the server says about itself in a response.
-func (d *Dialect) signals(h http.Header) grant.ServerSignals {
-	signals := grant.ServerSignals{Draining: d.Draining(h)}
-	signals.Rate, signals.RateLimited = d.RateLimit(h)
+func (d *Dialect) signals(resp *roundtrip.Response) grant.ServerSignals {
+	signals := grant.ServerSignals{Draining: d.Draining(resp.Header), Pause: d.Pause(resp.Status, resp.Header)}
+	signals.Rate, signals.RateLimited = d.RateLimit(resp.Header)
 	return signals
 }
 
@@ -196,7 +196,7 @@
 
 // failRejected ends an attempt whose server rejected the request before running it.
 func (f *forward) failRejected(x *Exchange, result grant.Result, detail string) error {
-	delay := retryAfter(x.response.Header)
+	delay := retryAfter(time.Now(), x.response.Header)
 	if x.response.Buffered() {
 		// The connection can be reused after the response was read to its end. A response that has not
 		// arrived completely is not waited for; its connection is closed instead.
--- a/internal/entry/relay.go
+++ b/internal/entry/relay.go
@@ -4,9 +4,7 @@
 	"io"
 	"net/http"
 	"slices"
-	"strconv"
 	"sync"
-	"time"
 
 	"github.com/tarragonmux/tarragonmux/internal/attempt"
 	"github.com/tarragonmux/tarragonmux/internal/entry/roundtrip"
@@ -139,13 +137,4 @@
 	return kept
 }
 
-// retryAfter returns the delay in a Retry-After header, in whole seconds, or 0 if there is none.
-func retryAfter(h http.Header) time.Duration {
-	seconds, err := strconv.ParseUint(h.Get("Retry-After"), 10, 16)
-	if err != nil {
-		return 0
-	}
-	return time.Duration(seconds) * time.Second
-}
-
 var _ io.Reader = (*roundtrip.Response)(nil)
--- a/internal/entry/signals_test.go
+++ b/internal/entry/signals_test.go
@@ -1,6 +1,9 @@
 package entry_test
 
 import (
+	"net/http"
+	"time"
+
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
@@ -24,8 +27,29 @@
 		Expect(f.grants.lastSignals()).To(BeZero())
 	})
 
+	It("includes how long it wants no requests from this host", func() {
+		b := newStandin(standin.Config{WorkTime: -1})
+		b.SetFaults(standin.Faults{PauseMS: 1500})
+		f := start(nil, b.Address())
+		Expect(f.do("GET", "/read", "").status).To(Equal(503))
+		Expect(f.grants.lastSignals()).To(Equal(grant.ServerSignals{Pause: 1500 * time.Millisecond}))
+	})
+
+	DescribeTable("states a pause with a status of 503", func(status int, text string, shortest, longest time.Duration) {
+		pause := entry.UnavailableFor(status, http.Header{"Retry-After": {text}})
+		Expect(pause).To(And(BeNumerically(">=", shortest), BeNumerically("<=", longest)))
+	},
+		Entry("seconds", 503, "2", 2*time.Second, 2*time.Second),
+		Entry("a fraction", 503, "0.25", 250*time.Millisecond, 250*time.Millisecond),
+		Entry("a time of day", 503, time.Now().Add(10*time.Second).UTC().Format(http.TimeFormat), 5*time.Second, 10*time.Second),
+		Entry("a past time", 503, "Mon, 02 Jan 2006 15:04:05 GMT", time.Duration(0), time.Duration(0)),
+		Entry("very long", 503, "1e30", time.Hour, time.Hour),
+		Entry("malformed", 503, "soon", time.Duration(0), time.Duration(0)),
+		Entry("another status", 429, "2", time.Duration(0), time.Duration(0)),
+	)
+
 	DescribeTable("names a rate as a decimal number of at least 0", func(text string, rate float64, valid bool) {
-		parsed, ok := entry.ParseRate(text)
+		parsed, ok := entry.ParseNumber(text)
 		Expect(ok).To(Equal(valid))
 		if valid {
 			Expect(parsed).To(Equal(rate))
--- a/internal/grant/grant.go
+++ b/internal/grant/grant.go
@@ -100,6 +100,8 @@
 	// that rate in requests per second.
 	RateLimited bool
 	Rate        float64
+	// Pause is how long the server wants no requests from this node; 0 if it does not say.
+	Pause time.Duration
 }
 
 // Completion reports the end of a granted request.
--- a/internal/standin/faults.go
+++ b/internal/standin/faults.go
@@ -24,6 +24,8 @@
 	// RateLimit is the rate in requests per second that each response to work names, as that which the server
 	// accepts from all hosts together; 0 means that it names none.
 	RateLimit float64 `json:"rate_limit,omitempty"`
+	// PauseMS makes the server reject all work and ask each host to pause for this many milliseconds; 0 means no.
+	PauseMS int64 `json:"pause_ms,omitempty"`
 	// ReportUnhealthy makes the health endpoint report a healthy server as unhealthy.
 	ReportUnhealthy bool `json:"report_unhealthy,omitempty"`
 	// ReportIdle makes the load endpoint and the announcements report a load of 0.
@@ -48,6 +50,8 @@
 		return "slow_factor must not be negative"
 	case f.ErrorShare < 0 || f.ErrorShare > 1:
 		return "error_share must be 0 to 1"
+	case f.PauseMS < 0:
+		return "pause_ms must not be negative"
 	case f.RateLimit < 0:
 		return "rate_limit must not be negative"
 	case f.TruncateShare < 0 || f.TruncateShare > 1:
--- a/internal/standin/work.go
+++ b/internal/standin/work.go
@@ -59,6 +59,11 @@
 		s.reject(w, "not ready")
 		return
 	}
+	if pause := s.Faults().PauseMS; pause > 0 {
+		w.Header().Set("Retry-After", strconv.FormatFloat(float64(pause)/1000, 'f', -1, 64))
+		s.reject(w, "pause")
+		return
+	}
 	hash := sha256.New()
 	read, err := io.Copy(hash, io.LimitReader(r.Body, maxBodyBytes))
 	if err != nil {
