Keep a server out that says in its responses that it leaves

On the users' platform a server that leaves says so in all its responses; hosts that had passed such a response on sent it further requests.

Cause: the platform's dialect did not decode it. In the product the signal reached the dispatcher of the moment only: the next one, and the next complete list of servers, brought the server back.

Change: the dialect decodes the header. A host records the departure of the process, so that no list brings it back, reports it to a new dispatcher, and returns grants for it. Lists are applied before the grants of the same message, so that a restarted server is known as a new process.

--- a/internal/attach/servers.go
+++ b/internal/attach/servers.go
@@ -128,9 +128,15 @@
 	return ErrAnnouncementsRefused
 }
 
-// MarkDraining implements backend.Registry; the dispatcher learns of it from the completion.
+// MarkDraining implements backend.Registry; the dispatcher learns of it from the completion. The process of the server
+// stays out when a dispatcher that does not know of it sends its list.
 func (s *Servers) MarkDraining(service, instance string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	for _, b := range s.byService[service] {
+		if b.Instance == instance && b.Incarnation > 0 {
+			s.departures.record(time.Now(), instance, b.Incarnation)
+		}
+	}
 	s.byService[service] = slices.DeleteFunc(slices.Clone(s.byService[service]), func(b backend.Server) bool { return b.Instance == instance })
 }
--- a/internal/dispatch/pause_test.go
+++ b/internal/dispatch/pause_test.go
@@ -110,10 +110,21 @@
 func TestPauseIsReportedToANewDispatcher(t *testing.T) {
 	g := NewWithT(t)
 	b := newPauseBench(1)
-	b.ReportSignals(b.now, "n", "s0", grant.ServerSignals{Pause: 2 * time.Second})
+	b.ReportSignals(b.now, "n", "s0", 0, grant.ServerSignals{Pause: 2 * time.Second})
 	g.Expect(b.request("n", time.Second).Kind).To(Equal(dispatch.Refused))
 	b.SetServers(b.now, []backend.Server{{
 		Service: "s", Instance: "s0", Incarnation: 2, State: backend.Ready, Slots: 4, Renewed: b.now, Cutoff: time.Hour,
 	}})
 	g.Expect(b.request("n", time.Second).Kind).To(Equal(dispatch.Granted))
 }
+
+// A server that left was used again by the next dispatcher, since it had told only the one before. What a former process
+// said must not take out its successor.
+func TestLeavingServerIsReportedToANewDispatcher(t *testing.T) {
+	g := NewWithT(t)
+	b := newPauseBench(1)
+	b.ReportSignals(b.now, "n", "s0", 7, grant.ServerSignals{Draining: true})
+	g.Expect(b.request("o", time.Second).Kind).To(Equal(dispatch.Granted))
+	b.ReportSignals(b.now, "n", "s0", 1, grant.ServerSignals{Draining: true})
+	g.Expect(b.request("o", time.Second).Kind).NotTo(Equal(dispatch.Granted))
+}
--- a/internal/dispatch/rate_test.go
+++ b/internal/dispatch/rate_test.go
@@ -114,7 +114,7 @@
 	b.run(10 * time.Second)
 	change := b.now
 	b.takeOver()
-	b.ReportSignals(b.now, "n", "limited", grant.ServerSignals{RateLimited: true, Rate: 2})
+	b.ReportSignals(b.now, "n", "limited", 1, grant.ServerSignals{RateLimited: true, Rate: 2})
 	b.run(10 * time.Second)
 	g.Expect(b.most("limited", change)).To(BeNumerically("<=", 10))
 }
--- a/internal/dispatch/signals.go
+++ b/internal/dispatch/signals.go
@@ -19,11 +19,11 @@
 	}
 }
 
-// ReportSignals applies what a server said about itself in its last responses to a node, which reports it to a new
-// dispatcher.
-func (m *Machine) ReportSignals(now time.Time, id, instance string, signals grant.ServerSignals) {
+// ReportSignals applies what a process of a server, or any one if the incarnation is 0, said about itself in its last
+// responses to a node, which reports it to a new dispatcher.
+func (m *Machine) ReportSignals(now time.Time, id, instance string, incarnation uint64, signals grant.ServerSignals) {
 	s, n := m.byName[instance], m.nodes[id]
-	if s == nil || n == nil {
+	if s == nil || n == nil || incarnation != 0 && incarnation != s.Incarnation {
 		return
 	}
 	if s.rate.Limited() {
--- a/internal/dispatchrpc/channel.go
+++ b/internal/dispatchrpc/channel.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -186,6 +187,9 @@
 	c.responded = true
 	c.unansweredStreams = 0
 	c.received += uint64(len(b.Grants) + len(b.Refuses) + len(b.Advises))
+	if b.Servers != nil && c.client.config.Sink != nil {
+		c.client.config.Sink.ApplyUpdate(c.service, b.Servers)
+	}
 	for _, g := range b.Grants {
 		c.receiveGrant(now, g)
 	}
@@ -202,9 +206,6 @@
 	if b.View != nil {
 		c.applyView(b.View)
 	}
-	if b.Servers != nil && c.client.config.Sink != nil {
-		c.client.config.Sink.ApplyUpdate(c.service, b.Servers)
-	}
 	return true
 }
 
@@ -223,31 +224,35 @@
 		c.wakeWriter()
 		return
 	}
+	if c.hasLeft(now, g.Instance) {
+		c.returnGrant(now, q, g)
+		return
+	}
 	h := c.addHeldGrant(now, q, grant.Server{Service: c.service, Instance: g.Instance, Address: g.Address})
-	h.server.DataCentre = c.dataCentre(g.Instance)
 	h.expires = now.Add(time.Duration(g.ExpiresMs) * time.Millisecond)
 	c.resolve(q, acquireResult{grant: h})
 }
 
+// returnGrant gives a grant back unused and requests another one at another server.
+func (c *channel) returnGrant(now time.Time, q *queuedRequest, g *dispatchpb.Grant) {
+	c.outgoing.Completes = append(c.outgoing.Completes, completionToProto(g.Id, grant.Completion{Result: grant.Unused}))
+	delete(c.queued, q.id)
+	q.request.Exclude = append(slices.Clip(q.request.Exclude), g.Instance)
+	c.enqueue(now, q)
+}
+
 // addHeldGrant records a grant that this node holds.
 func (c *channel) addHeldGrant(now time.Time, q *queuedRequest, s grant.Server) *heldGrant {
+	listed, _ := c.listed(s.Instance)
+	s.DataCentre = listed.DataCentre
 	h := &heldGrant{
-		channel: c, id: q.id, server: s, sent: now, expires: now.Add(dispatch.GrantExpiry),
+		channel: c, id: q.id, server: s, incarnation: listed.Incarnation, sent: now, expires: now.Add(dispatch.GrantExpiry),
 		priority: q.request.Priority, idempotent: q.request.Idempotent, fingerprint: q.request.Fingerprint,
 	}
 	c.held[q.id] = h
 	return h
 }
 
-func (c *channel) dataCentre(instance string) string {
-	for _, s := range c.client.config.Registry.Servers(c.service) {
-		if s.Instance == instance {
-			return s.DataCentre
-		}
-	}
-	return ""
-}
-
 func (c *channel) applyView(v *dispatchpb.View) {
 	ejected, crashed := map[string]bool{}, map[string]bool{}
 	for _, s := range v.Servers {
--- a/internal/dispatchrpc/convert.go
+++ b/internal/dispatchrpc/convert.go
@@ -77,7 +77,7 @@
 
 func signalsFromProto(s *dispatchpb.ServerSignals) grant.ServerSignals {
 	return grant.ServerSignals{
-		RateLimited: s.RateLimited, Rate: s.Rate, Pause: time.Duration(s.PauseLeftMs) * time.Millisecond,
+		Draining: s.Draining, RateLimited: s.RateLimited, Rate: s.Rate, Pause: time.Duration(s.PauseLeftMs) * time.Millisecond,
 	}
 }
 
--- a/internal/dispatchrpc/lease.go
+++ b/internal/dispatchrpc/lease.go
@@ -10,9 +10,11 @@
 
 // heldGrant is a grant that this node holds. The channel's mutex guards its mutable fields.
 type heldGrant struct {
-	channel     *channel
-	id          uint64
-	server      grant.Server
+	channel *channel
+	id      uint64
+	server  grant.Server
+	// incarnation is that of the server at the time of the grant; 0 if unknown.
+	incarnation uint64
 	sent        time.Time
 	expires     time.Time
 	priority    priority.Priority
@@ -88,7 +90,7 @@
 	}
 	h.completed = true
 	delete(c.held, h.id)
-	c.recordSignals(time.Now(), h.server.Instance, &done)
+	c.recordSignals(time.Now(), h, &done)
 	if h.server.Autonomous {
 		c.recordAutonomousResult(time.Now(), h.server.Instance, done.Result)
 	}
--- a/internal/dispatchrpc/signals.go
+++ b/internal/dispatchrpc/signals.go
@@ -10,10 +10,15 @@
 	"github.com/tarragonmux/tarragonmux/proto/dispatchpb"
 )
 
+// leavingRetention is how long this node remembers a server that left and is no longer listed.
+const leavingRetention = time.Minute
+
 // serverState is what a server said about itself in its last responses to this node.
 type serverState struct {
 	// incarnation is that of the server at the time.
 	incarnation uint64
+	// leavingSince is when the server first said that it is draining; zero if it did not.
+	leavingSince time.Time
 	// rate is what the server accepts in requests per second from all nodes together, if rateLimited is set.
 	rateLimited bool
 	rate        float64
@@ -23,21 +28,26 @@
 	pausedUntil time.Time
 }
 
-// recordSignals records what a server said about itself in a response. The caller holds the mutex.
-func (c *channel) recordSignals(now time.Time, instance string, done *grant.Completion) {
-	if !done.Responded() {
+// applies reports whether anything that the server said still applies.
+func (s *serverState) applies(now time.Time) bool {
+	return s.rateLimited || now.Before(s.pausedUntil) || !s.leavingSince.IsZero() && now.Sub(s.leavingSince) < leavingRetention
+}
+
+// recordSignals records what the server of a grant said about itself in its response. The caller holds the mutex.
+func (c *channel) recordSignals(now time.Time, h *heldGrant, done *grant.Completion) {
+	if !done.Responded() && !done.Draining {
 		return
 	}
-	state := c.serverStates[instance]
-	if state == nil {
-		if !done.RateLimited && done.Pause <= 0 {
+	state := c.serverStates[h.server.Instance]
+	if state == nil || state.incarnation != h.incarnation {
+		if !done.RateLimited && !done.Draining && done.Pause <= 0 {
 			return
 		}
-		state = &serverState{}
-		c.serverStates[instance] = state
+		state = &serverState{incarnation: h.incarnation}
+		c.serverStates[h.server.Instance] = state
 	}
-	if incarnation := c.incarnation(instance); incarnation != state.incarnation {
-		*state = serverState{incarnation: incarnation}
+	if done.Draining && state.leavingSince.IsZero() {
+		state.leavingSince = now
 	}
 	if done.Pause > 0 {
 		state.pausedUntil = now.Add(done.Pause)
@@ -52,14 +62,25 @@
 	state.share.Set(now, max(done.Rate, dispatch.MinRate)/float64(max(c.hostCount(settings), 1)), rand.Float64())
 }
 
-// incarnation returns the incarnation of a server as this node knows it; 0 if unknown.
-func (c *channel) incarnation(instance string) uint64 {
+// listed returns a server as this node knows it; ok is false if it is not listed.
+func (c *channel) listed(instance string) (s backend.Server, ok bool) {
 	for _, s := range c.client.config.Registry.Servers(c.service) {
 		if s.Instance == instance {
-			return s.Incarnation
+			return s, true
 		}
 	}
-	return 0
+	return backend.Server{}, false
+}
+
+// hasLeft reports whether the server told this node that it leaves. A dispatcher may not know it if it took over in
+// the meantime, or if the server was not listed for a while.
+func (c *channel) hasLeft(now time.Time, instance string) bool {
+	state := c.serverStates[instance]
+	if state == nil || state.leavingSince.IsZero() || !state.applies(now) {
+		return false
+	}
+	s, ok := c.listed(instance)
+	return !ok || s.Incarnation == state.incarnation
 }
 
 // serverAccepts reports whether the server accepts a request that this node sends now without a dispatcher, by what
@@ -73,7 +94,7 @@
 		delete(c.serverStates, s.Instance)
 		return true
 	}
-	return !now.Before(state.pausedUntil) && state.share.Allows(now)
+	return state.leavingSince.IsZero() && !now.Before(state.pausedUntil) && state.share.Allows(now)
 }
 
 // countRequest counts a request that this node sends to the server without a dispatcher.
@@ -85,20 +106,14 @@
 
 // signalsToProto lists what servers said, as far as it applies, for a new dispatcher. It forgets the rest.
 func (c *channel) signalsToProto(now time.Time) (signals []*dispatchpb.ServerSignals) {
-	if len(c.serverStates) == 0 {
-		return nil
-	}
-	known := c.serverStates
-	c.serverStates = map[string]*serverState{}
-	for _, s := range c.client.config.Registry.Servers(c.service) {
-		state := known[s.Instance]
-		if state == nil || state.incarnation != s.Incarnation || !state.rateLimited && !now.Before(state.pausedUntil) {
+	for instance, state := range c.serverStates {
+		if s, ok := c.listed(instance); !state.applies(now) || ok && s.Incarnation != state.incarnation {
+			delete(c.serverStates, instance)
 			continue
 		}
-		c.serverStates[s.Instance] = state
 		signals = append(signals, &dispatchpb.ServerSignals{
-			Instance: s.Instance, RateLimited: state.rateLimited, Rate: state.rate,
-			PauseLeftMs: max(state.pausedUntil.Sub(now).Milliseconds(), 0),
+			Instance: instance, Incarnation: state.incarnation, Draining: !state.leavingSince.IsZero(),
+			RateLimited: state.rateLimited, Rate: state.rate, PauseLeftMs: max(state.pausedUntil.Sub(now).Milliseconds(), 0),
 		})
 	}
 	return signals
