entry: end all requests before a stopping process is killed

It can happen here: a connection that is not idle when the host stops listening is served on, and a request ends at its own deadline, which may be after the process is killed.

Cause: a leaving host did not compare the deadline of a request with the time that its process has left.

Change: a request that comes once callers should no longer use the host, and whose deadline is beyond the end of the process, is refused as not run; callers can send it to another host. All other requests get the end of the process as their deadline, so that each ends with a response that states its outcome.

The two new tests failed before: 200 for a request with 2 s on a process with 0.85 s left, and no response within the time.

--- a/internal/app/attached.go
+++ b/internal/app/attached.go
@@ -142,6 +142,7 @@
 		Endpoints: func(string, string) []entry.Endpoint { return nil },
 		Ready:     st.Ready,
 		LeaveFor:  s.Discovery.LeaveFor.D(),
+		StopAfter: s.Discovery.StopAfter.D(),
 		Observer:  entry.Observers{requests, burnObserver{recorder}},
 		Log:       logger,
 		Pool:      roundtrip.Config{Dial: backendDial(o)},
--- a/internal/entry/config.go
+++ b/internal/entry/config.go
@@ -75,12 +75,17 @@
 	// LeaveFor is how long a leaving host continues to accept connections; 0 means the time to live
 	// of the endpoint list plus a margin of 2 s.
 	LeaveFor time.Duration
+	// StopAfter is the time from Server.Leave within which every request must have its response, since the process
+	// is then killed; 0 means no bound.
+	StopAfter time.Duration
 	// Observer is notified of each finished request; nil means none.
 	Observer Observer
 	// Log receives the log messages; nil discards them.
 	Log *log.Logger
 	// Pool configures the connections to backend servers.
 	Pool roundtrip.Config
+
+	stopping *stopSchedule
 }
 
 func (c Config) withDefaults() Config {
@@ -105,6 +110,7 @@
 		c.Log = logging.Discard()
 	}
 	c.Log = c.Log.WithPrefix("entry")
+	c.stopping = newStopSchedule(c.LeaveFor, c.StopAfter)
 	return c
 }
 
--- a/internal/entry/deadline.go
+++ b/internal/entry/deadline.go
@@ -17,16 +17,17 @@
 
 // deadlines is the filter that sets the deadline of a request.
 type deadlines struct {
-	next    Filter
-	dialect *Dialect
+	next     Filter
+	dialect  *Dialect
+	stopping *stopSchedule
 }
 
 func newDeadline(_ context.Context, next Filter, cfg *Config, _ string) (Filter, error) {
-	return &deadlines{next: next, dialect: cfg.Dialect}, nil
+	return &deadlines{next: next, dialect: cfg.Dialect, stopping: cfg.stopping}, nil
 }
 
 // Handle takes the deadline from the caller or else from the route, and limits it to the route's
-// timeout and to MaxDeadline.
+// timeout, to MaxDeadline and, on a host that leaves, to the time that its process has left.
 func (f *deadlines) Handle(x *Exchange) error {
 	timeout := orDefault(x.match.DefaultDeadline, DefaultDeadline)
 	value, ok := singleValue(x.r.Header, f.dialect.Deadline)
@@ -39,11 +40,17 @@
 	if x.match.Timeout > 0 {
 		timeout = min(timeout, x.match.Timeout)
 	}
-	x.deadline = x.arrivedAt.Add(min(timeout, MaxDeadline))
+	deadline, err := f.stopping.limit(x.arrivedAt, x.arrivedAt.Add(min(timeout, MaxDeadline)))
+	if err != nil {
+		return err
+	}
+	x.deadline = deadline
 	if !time.Now().Before(x.deadline) {
 		return problem.New(problem.DeadlinePassed, problem.NotRun, "")
 	}
-	ctx, cancel := context.WithDeadline(x.ctx, x.deadline)
+	bound, release := f.stopping.bind(x.ctx, time.Until(x.deadline))
+	defer release()
+	ctx, cancel := context.WithDeadline(bound, x.deadline)
 	defer cancel()
 	x.ctx = ctx
 	x.setWriteDeadline()
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -107,6 +107,7 @@
 // Leave marks the host as leaving: responses ask callers to close their connections.
 func (s *Server) Leave() {
 	s.leaving.Store(true)
+	s.cfg.stopping.begin(time.Now())
 }
 
 // Leaving reports whether the host is leaving. All hosts must omit a leaving host from their
@@ -128,7 +129,7 @@
 	case <-timer.C:
 	case <-ctx.Done():
 	}
-	// Each request ends at its own deadline, so this wait is bounded.
+	// Each request ends at its own deadline, or at the end of Config.StopAfter, so this wait is bounded.
 	err := s.stopServing(context.WithoutCancel(ctx))
 	s.cancelOnce.Do(s.cancel)
 	s.cfg.Log.Info("stopped; no request is in flight")
--- a/internal/entry/shutdown_test.go
+++ b/internal/entry/shutdown_test.go
@@ -172,4 +172,48 @@
 		Expect(<-f.served).To(Succeed())
 		f.served <- nil
 	})
+
+	// Requests that came late in a planned stop were passed on and cut without a response when the process was killed.
+	It("refuses requests that come late and may outlast the process", func() {
+		b := newStandin(standin.Config{Slots: 64, WorkTime: time.Millisecond})
+		f := start(func(c *entry.Config) { c.LeaveFor, c.StopAfter = 50*time.Millisecond, time.Second }, b.Address())
+		long, short := f.open(), f.open()
+		for _, c := range []*rawCaller{long, short} {
+			Expect(c.roundTrip("GET /read HTTP/1.1\r\nHost: a\r\n\r\n", "")).To(Equal(200))
+			c.send("GET /read HTTP/1.1\r\n")
+		}
+		stopped := make(chan error, 1)
+		go func() { stopped <- f.server.Shutdown(context.Background()) }()
+		time.Sleep(150 * time.Millisecond)
+		before := b.Arrivals()
+		Expect(long.roundTrip("Grpc-Timeout: 2S\r\nHost: a\r\n\r\n", "close")).To(Equal(503))
+		Expect(b.Arrivals()).To(Equal(before), "no server got it")
+		Expect(short.roundTrip("Grpc-Timeout: 400m\r\nHost: a\r\n\r\n", "close")).To(Equal(200))
+		Expect(<-stopped).To(Succeed())
+		Expect(<-f.served).To(Succeed())
+		f.served <- nil
+	})
+
+	// A request that outlasts the process must end with a response that states its outcome.
+	It("answers requests in flight before the process ends", func() {
+		b := newStandin(standin.Config{Slots: 64, WorkTime: time.Millisecond})
+		f := start(func(c *entry.Config) { c.LeaveFor, c.StopAfter = 50*time.Millisecond, time.Second }, b.Address())
+		early, late := make(chan callerResponse, 1), make(chan callerResponse, 1)
+		go func() { early <- f.do("GET", "/read", "", "Standin-Work", "20s", "Grpc-Timeout", "25S") }()
+		Eventually(b.Arrivals).Should(Equal(1))
+		begun := time.Now()
+		stopped := make(chan error, 1)
+		go func() { stopped <- f.server.Shutdown(context.Background()) }()
+		Eventually(f.server.Leaving).Should(BeTrue())
+		go func() { late <- f.do("GET", "/read", "", "Standin-Work", "20s", "Grpc-Timeout", "25S") }()
+		for _, responses := range []chan callerResponse{early, late} {
+			response := <-responses
+			Expect(response.err).NotTo(HaveOccurred())
+			Expect(response.status).To(Equal(504))
+		}
+		Expect(time.Since(begun)).To(BeNumerically("<", time.Second))
+		Expect(<-stopped).To(Succeed())
+		Expect(<-f.served).To(Succeed())
+		f.served <- nil
+	})
 })
