--- a/internal/entry/roundtrip/mismatched_test.go
+++ b/internal/entry/roundtrip/mismatched_test.go
@@ -93,3 +93,40 @@
 	}
 	g.Expect(p.Open()).To(BeZero())
 }
+
+// A server that stops within the head of its response must not have sent a response with an empty or a short body.
+// The body may end with the connection, so the end of the connection is no error there.
+func TestTruncatedHeadsAreNoResponses(t *testing.T) {
+	g := NewWithT(t)
+	body := "all of the body"
+	for _, framing := range []string{"Content-Length: 15\r\n", "Transfer-Encoding: chunked\r\n", ""} {
+		head := "HTTP/1.1 200 OK\r\nX-Id: 7\r\n" + framing + "X-Last: value\r\n\r\n"
+		for cut := range len(head) {
+			address := listen(t, func(_ int, c net.Conn, br *bufio.Reader) {
+				defer c.Close()
+				if _, err := http.ReadRequest(br); err == nil {
+					_, _ = io.WriteString(c, head[:cut])
+				}
+			})
+			got, err := fetchEcho(newPool(t, roundtrip.Config{}), address)
+			g.Expect(err).To(HaveOccurred(), "%q was taken for a response with the body %q", head[:cut], got)
+		}
+		if framing == "" {
+			continue
+		}
+		text := body
+		if framing != "Content-Length: 15\r\n" {
+			text = "f\r\n" + body + "\r\n0\r\n\r\n"
+		}
+		for cut := range len(text) {
+			address := listen(t, func(_ int, c net.Conn, br *bufio.Reader) {
+				defer c.Close()
+				if _, err := http.ReadRequest(br); err == nil {
+					_, _ = io.WriteString(c, head+text[:cut])
+				}
+			})
+			got, err := fetchEcho(newPool(t, roundtrip.Config{}), address)
+			g.Expect(err).To(HaveOccurred(), "%q was taken for the whole body", got)
+		}
+	}
+}
