feed: bound the former documents by their size

Cause: 32 documents with thousands of routes, each sent whole by an operator, take tens of megabytes on a control host, whose memory is small. Change: 4 MiB encoded at most, and at least one.

--- a/internal/configuration/feed/tail.go
+++ b/internal/configuration/feed/tail.go
@@ -27,6 +27,9 @@
 	// RetainedBases is how many former documents a control replica keeps for differences. A host that polls twice
 	// a second lacks fewer revisions.
 	RetainedBases = 32
+	// maxBaseBytes bounds the encoded size of the former documents, which take a few times as much memory when an
+	// operator sends whole documents.
+	maxBaseBytes = 4 << 20
 )
 
 // Tail holds the newest document, the newest entries and former documents. It is safe for concurrent use.
@@ -40,10 +43,13 @@
 	entries       []*configpb.Entry
 	sizes         []int
 	retainedBytes int
-	// bases holds up to maxBases former documents, oldest first, from which differences are computed.
-	// differences holds those to the newest document, by the revision of the base.
+	// bases holds up to maxBases former documents, oldest first, from which differences are computed. baseSizes holds
+	// their encoded sizes, and baseBytes the sum of these. differences holds the differences to the newest document,
+	// by the revision of the base.
 	maxBases    int
 	bases       []*configpb.Document
+	baseSizes   []int
+	baseBytes   int
 	differences map[uint64]*configpb.Difference
 	changed     chan struct{}
 }
@@ -120,10 +126,13 @@
 	if t.maxBases == 0 || t.document == nil {
 		return
 	}
-	if len(t.bases) == t.maxBases {
-		t.bases = slices.Delete(t.bases, 0, 1)
-	}
 	t.bases = append(t.bases, t.document)
+	t.baseSizes = append(t.baseSizes, t.documentBytes)
+	t.baseBytes += t.documentBytes
+	for len(t.bases) > t.maxBases || t.baseBytes > maxBaseBytes && len(t.bases) > 1 {
+		t.baseBytes -= t.baseSizes[0]
+		t.bases, t.baseSizes = slices.Delete(t.bases, 0, 1), slices.Delete(t.baseSizes, 0, 1)
+	}
 }
 
 // Recent returns at most limit of the retained entries, newest first.
--- a/internal/configuration/feed/tail_test.go
+++ b/internal/configuration/feed/tail_test.go
@@ -117,4 +117,12 @@
 	g.Expect(reply.GetDifference().GetChanged().GetRoutes()).To(HaveLen(2))
 	g.Expect(since(2, false).GetDifference()).To(BeNil(), "an older process cannot apply it")
 	g.Expect(since(1, true).GetDocument()).NotTo(BeNil(), "the base is not retained any more")
+	large := &configpb.Document{Teams: []*configpb.Team{{Id: strings.Repeat("x", 3<<20)}}}
+	for revision := uint64(5); revision <= 7; revision++ {
+		next := proto.CloneOf(large)
+		next.Revision = revision
+		tail.Publish(next, nil)
+	}
+	g.Expect(since(6, true).GetDifference()).NotTo(BeNil())
+	g.Expect(since(5, true).GetDocument()).NotTo(BeNil(), "the former documents are too large to be retained")
 }
