--- a/internal/dispatch/doc.go
+++ b/internal/dispatch/doc.go
@@ -51,8 +51,8 @@
 // of it leaves too little time. A server that names the rate of requests that it accepts from all nodes gets no
 // more than that, spaced evenly, until a response names none; nodes report the rates to a new dispatcher, and a
 // node without one sends its part of the rate. A server that asks a node to pause gets no requests from that node
-// until then; a request that no server accepts before its deadline is refused at once. Shed responses pause a server unless most servers shed at once. Events
-// reports each of these decisions for the log.
+// until then; a request that no server accepts before its deadline is refused at once. Shed responses pause a
+// server unless most servers shed at once. Events reports each of these decisions for the log.
 //
 // # Settings
 //
--- a/internal/entry/signals_test.go
+++ b/internal/entry/signals_test.go
@@ -35,13 +35,19 @@
 		Expect(f.grants.lastSignals()).To(Equal(grant.ServerSignals{Pause: 1500 * time.Millisecond}))
 	})
 
+	It("states a pause that ends at a time of day", func() {
+		until := time.Now().Add(10 * time.Second).UTC().Format(http.TimeFormat)
+		pause := entry.UnavailableFor(503, http.Header{"Retry-After": {until}})
+		Expect(pause).To(And(BeNumerically(">", 5*time.Second), BeNumerically("<=", 10*time.Second)))
+	})
+
 	DescribeTable("states a pause with a status of 503", func(status int, text string, shortest, longest time.Duration) {
 		pause := entry.UnavailableFor(status, http.Header{"Retry-After": {text}})
 		Expect(pause).To(And(BeNumerically(">=", shortest), BeNumerically("<=", longest)))
 	},
 		Entry("seconds", 503, "2", 2*time.Second, 2*time.Second),
 		Entry("a fraction", 503, "0.25", 250*time.Millisecond, 250*time.Millisecond),
-		Entry("a time of day", 503, time.Now().Add(10*time.Second).UTC().Format(http.TimeFormat), 5*time.Second, 10*time.Second),
+		Entry("a time of day", 503, "Fri, 01 Jan 2100 00:00:00 GMT", time.Hour, time.Hour),
 		Entry("a past time", 503, "Mon, 02 Jan 2006 15:04:05 GMT", time.Duration(0), time.Duration(0)),
 		Entry("very long", 503, "1e30", time.Hour, time.Hour),
 		Entry("malformed", 503, "soon", time.Duration(0), time.Duration(0)),
