--- a/internal/app/attached.go
+++ b/internal/app/attached.go
@@ -81,7 +81,11 @@
 	return client, holder, nil
 }
 
-func newAttachedStore(lc fx.Lifecycle, b *background, s *settings.Settings, a *attach.Client, holder *storeHolder, client feed.Client, logger *log.Logger) *store.Store {
+func newAttachedStore(lc fx.Lifecycle, b *background, s *settings.Settings, a *attach.Client, holder *storeHolder, client feed.Client, registry *prometheus.Registry, logger *log.Logger) (*store.Store, error) {
+	metrics, err := store.NewMetrics(registry)
+	if err != nil {
+		return nil, err
+	}
 	folder := ""
 	if s.DataFolder != "" {
 		folder = filepath.Join(s.DataFolder, "configuration")
@@ -94,10 +98,11 @@
 		Discover:   a.ControlHosts,
 		Client:     client,
 		Folder:     folder,
+		Metrics:    metrics,
 		Logger:     logger.WithPrefix("configuration"),
 	})
 	startComponent(lc, b, "configuration", holder.store.Run)
-	return holder.store
+	return holder.store, nil
 }
 
 // documentOrEmpty returns a function that returns the document in force, or an empty one before there is any.
--- a/internal/app/node.go
+++ b/internal/app/node.go
@@ -102,7 +102,11 @@
 	return snapshot.Document()
 }
 
-func newStore(lc fx.Lifecycle, b *background, s *settings.Settings, client feed.Client, logger *log.Logger) *store.Store {
+func newStore(lc fx.Lifecycle, b *background, s *settings.Settings, client feed.Client, registry *prometheus.Registry, logger *log.Logger) (*store.Store, error) {
+	metrics, err := store.NewMetrics(registry)
+	if err != nil {
+		return nil, err
+	}
 	folder := ""
 	if s.DataFolder != "" {
 		folder = filepath.Join(s.DataFolder, "configuration")
@@ -115,10 +119,11 @@
 		Peers:      s.Peers,
 		Client:     client,
 		Folder:     folder,
+		Metrics:    metrics,
 		Logger:     logger.WithPrefix("configuration"),
 	})
 	startComponent(lc, b, "configuration", configStore.Run)
-	return configStore
+	return configStore, nil
 }
 
 func controlAddresses(s *settings.Settings) []string {
--- a/internal/configuration/store/poll.go
+++ b/internal/configuration/store/poll.go
@@ -116,7 +116,7 @@
 	defer cancel()
 	request := s.newRequest(s.Revision(), wait)
 	request.MaxBytes = maxInlineBytes
-	reply, err := s.options.Client.Fetch(fetchCtx, address, request)
+	reply, err := s.sendFetch(fetchCtx, address, request)
 	if err != nil {
 		return err
 	}
@@ -130,6 +130,15 @@
 	return err
 }
 
+// sendFetch sends a fetch to a process and measures the reply.
+func (s *Store) sendFetch(ctx context.Context, address string, r *configpb.FetchRequest) (*configpb.FetchReply, error) {
+	reply, err := s.options.Client.Fetch(ctx, address, r)
+	if err == nil {
+		s.options.Metrics.observeReply(reply)
+	}
+	return reply, err
+}
+
 func (s *Store) newRequest(revision uint64, wait time.Duration) *configpb.FetchRequest {
 	return &configpb.FetchRequest{
 		Revision: revision,
--- a/internal/configuration/store/start.go
+++ b/internal/configuration/store/start.go
@@ -114,7 +114,7 @@
 			break
 		}
 		group.Go(func() error {
-			reply, err := s.options.Client.Fetch(ctx, address, request)
+			reply, err := s.sendFetch(ctx, address, request)
 			if err != nil {
 				return nil
 			}
@@ -152,7 +152,7 @@
 			addresses = append(addresses, r.address)
 		}
 	}
-	s.transfers.run(ctx, addresses, replies[0].bytes, func(ctx context.Context, address string) bool {
+	s.transfer(ctx, addresses, replies[0].bytes, func(ctx context.Context, address string) bool {
 		s.fetchNewerFrom(ctx, address)
 		return s.startupDocument().GetRevision() >= newest
 	})
@@ -162,7 +162,7 @@
 // process is tried.
 func (s *Store) fetchNewerFrom(ctx context.Context, address string) {
 	base := s.startupDocument()
-	reply, err := s.options.Client.Fetch(ctx, address, s.newRequest(base.GetRevision(), 0))
+	reply, err := s.sendFetch(ctx, address, s.newRequest(base.GetRevision(), 0))
 	if err != nil {
 		return
 	}
--- a/internal/configuration/store/store.go
+++ b/internal/configuration/store/store.go
@@ -39,6 +39,8 @@
 	// Folder is where the document is stored, such as the data folder's "configuration"; if empty, nothing
 	// is stored.
 	Folder string
+	// Metrics may be nil.
+	Metrics *Metrics
 	// Logger may be nil.
 	Logger *log.Logger
 }
--- a/internal/configuration/store/transfer.go
+++ b/internal/configuration/store/transfer.go
@@ -76,13 +76,29 @@
 	return succeeded
 }
 
+// transfer fetches contents by transfers.run. It measures the transfer and logs its result.
+func (s *Store) transfer(ctx context.Context, addresses []string, size int64, fetch func(ctx context.Context, address string) bool) {
+	began := time.Now()
+	succeeded := s.transfers.run(ctx, addresses, size, fetch)
+	if ctx.Err() != nil {
+		return
+	}
+	took := time.Since(began)
+	s.options.Metrics.observeTransfer(took, succeeded)
+	if !succeeded {
+		s.options.Logger.Warn("could not transfer the configuration in time", "in_force", s.Revision(), "bytes", size, "processes", len(addresses), "took_ms", took.Milliseconds())
+		return
+	}
+	s.options.Logger.Info("transferred the configuration", "in_force", s.Revision(), "bytes", size, "took_ms", took.Milliseconds())
+}
+
 // transferNewer fetches large contents of newer revisions from the processes that have them, until the context
 // ends.
 func (s *Store) transferNewer(ctx context.Context) error {
 	for ctx.Err() == nil {
 		before := s.Revision()
 		if addresses, size := s.ahead.takeAbove(before); len(addresses) > 0 {
-			s.transfers.run(ctx, addresses, size, func(ctx context.Context, address string) bool {
+			s.transfer(ctx, addresses, size, func(ctx context.Context, address string) bool {
 				return s.fetchContents(ctx, address) && s.Revision() > before
 			})
 			continue
@@ -98,7 +114,7 @@
 // fetchContents fetches and applies what is newer than the revision in force, whatever its size, and reports
 // whether that succeeded.
 func (s *Store) fetchContents(ctx context.Context, address string) bool {
-	reply, err := s.options.Client.Fetch(ctx, address, s.newRequest(s.Revision(), 0))
+	reply, err := s.sendFetch(ctx, address, s.newRequest(s.Revision(), 0))
 	if err == nil {
 		err = s.applyReply(reply)
 	}
