Obey what a server says in the head of a long response at once

Cause: signals were part of the completion of a request. Change: a grant takes them once the head is read, the node applies them and tells the dispatcher with its next message.

'reaches the dispatcher before a long response ends' (entry) and TestSignalsApplyBeforeTheResponseEnds fail with the two calls taken out and pass.

--- a/internal/bench/entry/fakes.go
+++ b/internal/bench/entry/fakes.go
@@ -55,11 +55,12 @@
 	}, nil
 }
 
-func (g *fixedGrant) Server() grant.Server      { return g.server }
-func (g *fixedGrant) Expires() time.Time        { return g.expires }
-func (g *fixedGrant) FirstByte()                {}
-func (g *fixedGrant) Advised() <-chan struct{}  { return nil }
-func (g *fixedGrant) Complete(grant.Completion) {}
+func (g *fixedGrant) Server() grant.Server        { return g.server }
+func (g *fixedGrant) Expires() time.Time          { return g.expires }
+func (g *fixedGrant) FirstByte()                  {}
+func (g *fixedGrant) Signals(grant.ServerSignals) {}
+func (g *fixedGrant) Advised() <-chan struct{}    { return nil }
+func (g *fixedGrant) Complete(grant.Completion)   {}
 
 // noClaims refuses every claim; the benchmark sends only idempotent requests, which need none.
 type noClaims struct{}
--- a/internal/dispatch/baseline/source.go
+++ b/internal/dispatch/baseline/source.go
@@ -118,6 +118,9 @@
 
 func (h *heldGrant) FirstByte() {}
 
+// Signals implements grant.Grant.
+func (h *heldGrant) Signals(grant.ServerSignals) {}
+
 // Advised returns a channel that is never closed: a node does not learn what other nodes see.
 func (h *heldGrant) Advised() <-chan struct{} { return nil }
 
--- a/internal/dispatchrpc/convert.go
+++ b/internal/dispatchrpc/convert.go
@@ -75,6 +75,18 @@
 	}
 }
 
+func responseSignalsToProto(id uint64, s grant.ServerSignals) *dispatchpb.ResponseSignals {
+	return &dispatchpb.ResponseSignals{
+		Id: id, Draining: s.Draining, RateLimited: s.RateLimited, Rate: s.Rate, PauseMs: s.Pause.Milliseconds(),
+	}
+}
+
+func responseSignalsFromProto(s *dispatchpb.ResponseSignals) grant.ServerSignals {
+	return grant.ServerSignals{
+		Draining: s.Draining, RateLimited: s.RateLimited, Rate: s.Rate, Pause: time.Duration(s.PauseMs) * time.Millisecond,
+	}
+}
+
 func signalsFromProto(s *dispatchpb.ServerSignals) grant.ServerSignals {
 	return grant.ServerSignals{
 		Draining: s.Draining, RateLimited: s.RateLimited, Rate: s.Rate, Pause: time.Duration(s.PauseLeftMs) * time.Millisecond,
--- a/internal/dispatchrpc/lease.go
+++ b/internal/dispatchrpc/lease.go
@@ -53,6 +53,21 @@
 	c.outgoing.Progress.FirstByte = append(c.outgoing.Progress.FirstByte, h.id)
 }
 
+// Signals records what the server says about itself, and reports it to the dispatcher, if there is one.
+func (h *heldGrant) Signals(s grant.ServerSignals) {
+	c := h.channel
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if h.completed {
+		return
+	}
+	c.recordSignals(time.Now(), h, s)
+	if c.connected {
+		c.outgoing.ResponseSignals = append(c.outgoing.ResponseSignals, responseSignalsToProto(h.id, s))
+		c.wakeWriter()
+	}
+}
+
 // Advised returns a channel that is closed when the request should be retried on another server.
 func (h *heldGrant) Advised() <-chan struct{} {
 	h.channel.mu.Lock()
@@ -90,7 +105,9 @@
 	}
 	h.completed = true
 	delete(c.held, h.id)
-	c.recordSignals(time.Now(), h, &done)
+	if done.Responded() || done.Draining {
+		c.recordSignals(time.Now(), h, done.ServerSignals)
+	}
 	if h.server.Autonomous {
 		c.recordAutonomousResult(time.Now(), h.server.Instance, done.Result)
 	}
--- a/internal/dispatchrpc/runner.go
+++ b/internal/dispatchrpc/runner.go
@@ -274,6 +274,9 @@
 func (r *runner) applyBatch(now time.Time, sess *session, batch *dispatchpb.NodeBatch) {
 	sess.recordMessage(now, batch)
 	r.machine.RecordContact(now, sess.node, batch.GetProgress().GetReceived())
+	for _, s := range batch.ResponseSignals {
+		r.machine.Signals(now, sess.node, s.Id, responseSignalsFromProto(s))
+	}
 	for _, c := range batch.Completes {
 		r.machine.Complete(now, sess.node, c.Id, completionFromProto(c))
 	}
--- a/internal/dispatchrpc/signals.go
+++ b/internal/dispatchrpc/signals.go
@@ -34,32 +34,29 @@
 }
 
 // recordSignals records what the server of a grant said about itself in its response. The caller holds the mutex.
-func (c *channel) recordSignals(now time.Time, h *heldGrant, done *grant.Completion) {
-	if !done.Responded() && !done.Draining {
-		return
-	}
+func (c *channel) recordSignals(now time.Time, h *heldGrant, signals grant.ServerSignals) {
 	state := c.serverStates[h.server.Instance]
 	if state == nil || state.incarnation != h.incarnation {
-		if !done.RateLimited && !done.Draining && done.Pause <= 0 {
+		if signals == (grant.ServerSignals{}) {
 			return
 		}
 		state = &serverState{incarnation: h.incarnation}
 		c.serverStates[h.server.Instance] = state
 	}
-	if done.Draining && state.leavingSince.IsZero() {
+	if signals.Draining && state.leavingSince.IsZero() {
 		state.leavingSince = now
 	}
-	if done.Pause > 0 {
-		state.pausedUntil = now.Add(done.Pause)
+	if signals.Pause > 0 {
+		state.pausedUntil = now.Add(signals.Pause)
 	}
-	state.rateLimited, state.rate = done.RateLimited, done.Rate
-	if !done.RateLimited {
+	state.rateLimited, state.rate = signals.RateLimited, signals.Rate
+	if !signals.RateLimited {
 		state.share.Lift()
 		return
 	}
 	settings, _ := c.client.config.Settings.Service(c.service)
 	// Hosts that lose their dispatcher together begin at different times.
-	state.share.Set(now, max(done.Rate, dispatch.MinRate)/float64(max(c.hostCount(settings), 1)), rand.Float64())
+	state.share.Set(now, max(signals.Rate, dispatch.MinRate)/float64(max(c.hostCount(settings), 1)), rand.Float64())
 }
 
 // listed returns a server as this node knows it; ok is false if it is not listed.
--- a/internal/dispatchrpc/stream_test.go
+++ b/internal/dispatchrpc/stream_test.go
@@ -268,3 +268,23 @@
 	f.g.Expect(err).NotTo(HaveOccurred())
 	h.Complete(grant.Completion{Result: grant.OK, Total: time.Millisecond})
 }
+
+// A response can last for minutes. What its head says about the server must apply from then on, for all nodes.
+func TestSignalsApplyBeforeTheResponseEnds(t *testing.T) {
+	f := newFleet(t, 3, 2, 3)
+	f.elect(f.nodes[0])
+	f.waitReady()
+	open, err := f.nodes[1].request(time.Second)
+	f.g.Expect(err).NotTo(HaveOccurred())
+	leaving := open.Server().Instance
+	open.Signals(grant.ServerSignals{Draining: true})
+	granted := func() string {
+		h, err := f.nodes[2].request(time.Second)
+		f.g.Expect(err).NotTo(HaveOccurred())
+		h.Complete(grant.Completion{Result: grant.OK, Total: time.Millisecond})
+		return h.Server().Instance
+	}
+	f.g.Eventually(granted).ShouldNot(Equal(leaving))
+	f.g.Consistently(granted, 300*time.Millisecond, 5*time.Millisecond).ShouldNot(Equal(leaving))
+	open.Complete(grant.Completion{Result: grant.OK, Total: time.Millisecond})
+}
--- a/internal/entry/fakes_test.go
+++ b/internal/entry/fakes_test.go
@@ -85,9 +85,11 @@
 	hedgeGrantDelay time.Duration
 	refusal         error
 	// queued keeps requests queued until their context ends.
-	queued   bool
-	results  []grant.Result
-	signals  []grant.ServerSignals
+	queued  bool
+	results []grant.Result
+	signals []grant.ServerSignals
+	// early is what was reported before the ends of the responses.
+	early    []grant.ServerSignals
 	open     int
 	purposes []grant.Purpose
 	advised  chan struct{}
@@ -136,6 +138,13 @@
 	return f.signals[len(f.signals)-1]
 }
 
+// earlySignals returns what servers said about themselves before the ends of their responses.
+func (f *fakeGrants) earlySignals() []grant.ServerSignals {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return slices.Clone(f.early)
+}
+
 func (f *fakeGrants) outstanding() int {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -152,8 +161,13 @@
 func (g *fakeGrant) Server() grant.Server {
 	return grant.Server{Service: "cuefeed", Instance: g.address, Address: g.address, DataCentre: "a"}
 }
-func (g *fakeGrant) Expires() time.Time       { return g.expires }
-func (g *fakeGrant) FirstByte()               {}
+func (g *fakeGrant) Expires() time.Time { return g.expires }
+func (g *fakeGrant) FirstByte()         {}
+func (g *fakeGrant) Signals(s grant.ServerSignals) {
+	g.source.mu.Lock()
+	defer g.source.mu.Unlock()
+	g.source.early = append(g.source.early, s)
+}
 func (g *fakeGrant) Advised() <-chan struct{} { return g.source.advised }
 func (g *fakeGrant) Complete(c grant.Completion) {
 	g.once.Do(func() {
--- a/internal/entry/forward.go
+++ b/internal/entry/forward.go
@@ -45,6 +45,9 @@
 	if x.signals.Draining {
 		f.cfg.Backends.MarkDraining(server.Service, server.Instance)
 	}
+	if x.signals != (grant.ServerSignals{}) {
+		x.grant.Signals(x.signals)
+	}
 	if dialect.NotRun(resp.Status, resp.Header) {
 		return f.failRejected(x, grant.Shed, "the backend server rejected the request before running it")
 	}
--- a/internal/entry/signals_test.go
+++ b/internal/entry/signals_test.go
@@ -2,6 +2,9 @@
 
 import (
 	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"sync"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -27,6 +30,30 @@
 		Expect(f.grants.lastSignals()).To(BeZero())
 	})
 
+	// A download lasts for minutes, and a server that leaves must get no further requests meanwhile.
+	It("reaches the dispatcher before a long response ends", func() {
+		const length = 1 << 20
+		released := make(chan struct{})
+		b := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set("Tarragon-State", "draining")
+			w.Header().Set("Content-Length", strconv.Itoa(length))
+			w.WriteHeader(http.StatusOK)
+			_ = http.NewResponseController(w).Flush()
+			<-released
+			_, _ = w.Write(make([]byte, length))
+		}))
+		release := sync.OnceFunc(func() { close(released) })
+		defer b.Close()
+		defer release()
+		f := start(nil, b.Listener.Addr().String())
+		response := make(chan callerResponse, 1)
+		go func() { response <- f.do("GET", "/read", "") }()
+		Eventually(f.grants.earlySignals).Should(ConsistOf(grant.ServerSignals{Draining: true}))
+		Expect(f.grants.ended()).To(BeEmpty())
+		release()
+		Expect((<-response).status).To(Equal(200))
+	})
+
 	It("includes how long it wants no requests from this host", func() {
 		b := newStandin(standin.Config{WorkTime: -1})
 		b.SetFaults(standin.Faults{PauseMS: 1500})
--- a/internal/grant/grant.go
+++ b/internal/grant/grant.go
@@ -128,6 +128,8 @@
 	Expires() time.Time
 	// FirstByte reports that the response has begun.
 	FirstByte()
+	// Signals reports what the server says about itself in the head of its response, which may end much later.
+	Signals(ServerSignals)
 	// Advised returns a channel that is closed when the request should be retried on another server
 	// immediately, because its own server was ejected.
 	Advised() <-chan struct{}
