dispatchrpc: return late grants for servers that asked this host to pause

Cause: only grants for servers that leave were checked against what the server had told this host. Change: those for paused servers are returned as well, and another server is requested.

--- a/internal/dispatchrpc/channel.go
+++ b/internal/dispatchrpc/channel.go
@@ -224,7 +224,7 @@
 		c.wakeWriter()
 		return
 	}
-	if c.hasLeft(now, g.Instance) {
+	if c.wantsNoRequests(now, g.Instance) {
 		c.returnGrant(now, q, g)
 		return
 	}
--- a/internal/dispatchrpc/signals.go
+++ b/internal/dispatchrpc/signals.go
@@ -69,11 +69,12 @@
 	return backend.Server{}, false
 }
 
-// hasLeft reports whether the server told this node that it leaves. A dispatcher may not know it if it took over in
-// the meantime, or if the server was not listed for a while.
-func (c *channel) hasLeft(now time.Time, instance string) bool {
+// wantsNoRequests reports whether the server told this node that it leaves or asked it to pause. The dispatcher may not
+// know it: it granted the request before it heard of that, took over in the meantime, or the server was not listed for
+// a while.
+func (c *channel) wantsNoRequests(now time.Time, instance string) bool {
 	state := c.serverStates[instance]
-	if state == nil || state.leavingSince.IsZero() || !state.applies(now) {
+	if state == nil || !state.applies(now) || state.leavingSince.IsZero() && !now.Before(state.pausedUntil) {
 		return false
 	}
 	s, ok := c.listed(instance)
