dispatchrpc: hosts alone refuse what no server takes in time

A host without a dispatcher kept a request until its deadline although all servers had asked it to pause for longer, leave, or have a rate of which the host's part comes later.

Cause: without a free server a request waited, whatever the reason. Change: it is refused at once, as not run, if no server takes requests before its deadline.

TestHostsAloneRefuseWhatNoServerTakesInTime: with the check taken out the request waited; passes.

--- a/internal/dispatch/rate.go
+++ b/internal/dispatch/rate.go
@@ -44,7 +44,15 @@
 
 // Allows reports whether a request may be sent now.
 func (l *RateLimit) Allows(now time.Time) bool {
-	return l.interval == 0 || !now.Before(l.next)
+	return l.Wait(now) == 0
+}
+
+// Wait returns how long it takes until a request may be sent; 0 if one may be sent now.
+func (l *RateLimit) Wait(now time.Time) time.Duration {
+	if l.interval == 0 {
+		return 0
+	}
+	return max(l.next.Sub(now), 0)
 }
 
 // Spend counts a request that is sent now.
--- a/internal/dispatchrpc/alone.go
+++ b/internal/dispatchrpc/alone.go
@@ -120,6 +120,13 @@
 	}
 	s, ok := c.selectServer(now, &q.request)
 	if !ok {
+		if wait, known := c.shortestWait(now, &q.request); known && !now.Add(wait).Before(q.request.Deadline) {
+			// Other hosts, or a dispatcher by then, may have room sooner than this host alone.
+			wait = min(wait, noServerTimeout)
+			c.sendCancel(q)
+			c.resolve(q, acquireResult{problem: problem.New(problem.NoCapacity, problem.NotRun, "no backend server takes requests in time").After(wait)})
+			return
+		}
 		if len(c.client.config.Registry.Servers(c.service)) == 0 && now.Sub(q.queuedAt) >= noServerTimeout {
 			c.sendCancel(q)
 			c.resolve(q, acquireResult{problem: problem.New(problem.NoCapacity, problem.NotRun, "no backend server is known and no dispatcher answers").After(noServerTimeout)})
--- a/internal/dispatchrpc/signals.go
+++ b/internal/dispatchrpc/signals.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/tarragonmux/tarragonmux/internal/backend"
@@ -82,17 +83,38 @@
 }
 
 // serverAccepts reports whether the server accepts a request that this node sends now without a dispatcher, by what
-// it said. What a former process of the server said does not count.
+// it said.
 func (c *channel) serverAccepts(now time.Time, s backend.Server) bool {
+	wait, ever := c.serverWait(now, s)
+	return ever && wait == 0
+}
+
+// serverWait returns how long it takes until the server accepts a request that this node sends without a dispatcher, by
+// what it said; ever is false if it leaves. What a former process of the server said does not count.
+func (c *channel) serverWait(now time.Time, s backend.Server) (wait time.Duration, ever bool) {
 	state := c.serverStates[s.Instance]
 	if state == nil {
-		return true
+		return 0, true
 	}
 	if state.incarnation != s.Incarnation {
 		delete(c.serverStates, s.Instance)
-		return true
+		return 0, true
+	}
+	return max(state.pausedUntil.Sub(now), state.share.Wait(now)), state.leavingSince.IsZero()
+}
+
+// shortestWait returns how long it takes until a server accepts a request that this node sends without a dispatcher, by
+// what the servers said; ok is false if there is no server.
+func (c *channel) shortestWait(now time.Time, r *grant.Request) (shortest time.Duration, ok bool) {
+	for _, s := range c.client.config.Registry.Servers(c.service) {
+		if !s.Usable(now) || slices.Contains(r.Exclude, s.Instance) {
+			continue
+		}
+		if wait, ever := c.serverWait(now, s); ever && (!ok || wait < shortest) {
+			shortest, ok = wait, true
+		}
 	}
-	return state.leavingSince.IsZero() && !now.Before(state.pausedUntil) && state.share.Allows(now)
+	return shortest, ok
 }
 
 // countRequest counts a request that this node sends to the server without a dispatcher.
--- a/internal/dispatchrpc/signals_test.go
+++ b/internal/dispatchrpc/signals_test.go
@@ -1,6 +1,7 @@
 package dispatchrpc
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -8,6 +9,7 @@
 
 	"github.com/tarragonmux/tarragonmux/internal/grant"
 	"github.com/tarragonmux/tarragonmux/internal/priority"
+	"github.com/tarragonmux/tarragonmux/internal/problem"
 	"github.com/tarragonmux/tarragonmux/proto/dispatchpb"
 )
 
@@ -60,3 +62,26 @@
 		g.Expect(waiting.granted()).To(Equal("s1"))
 	}
 }
+
+// A host without a dispatcher kept requests until their deadlines although no server took any before.
+func TestHostsAloneRefuseWhatNoServerTakesInTime(t *testing.T) {
+	g := NewWithT(t)
+	now := time.Unix(1000, 0)
+	c := disconnectedChannel(now)
+	c.client.config.Settings = retryBounds{0.2, 56}
+	for i, signals := range []grant.ServerSignals{
+		{Pause: 3 * time.Second}, {Pause: 4 * time.Second}, {Draining: true}, {RateLimited: true, Rate: 0.2},
+	} {
+		c.recordSignals(now, &heldGrant{server: grant.Server{Instance: fmt.Sprint("s", i)}}, signals)
+	}
+	c.countRequest(now, "s3")
+	short, long := c.queue(now, time.Second), c.queue(now, 10*time.Second)
+	c.serveAutonomously(now)
+	var refused acquireResult
+	g.Expect(short.done).To(Receive(&refused))
+	g.Expect(refused.problem.Outcome).To(Equal(problem.NotRun))
+	g.Expect(refused.problem.RetryAfter).To(And(BeNumerically(">", 0), BeNumerically("<=", 3*time.Second)))
+	g.Expect(long.granted()).To(BeEmpty())
+	c.serveAutonomously(now.Add(3 * time.Second))
+	g.Expect(long.granted()).To(Equal("s0"))
+}
