dispatch: refuse at once what no rate allows in time

With a single server that names 0.2 requests per second, a request with a deadline of 1 s waited for it, although the next one may be sent only 5 s after the last.

Cause: the estimate on arrival counts the work queued ahead, and there was none. Change: a request is refused, as not run, if no usable server's rate allows one before the request must be sent; its caller is told when the first does.

TestRequestsThatNoRateAllowsInTimeAreRefusedAtOnce: waited with the check taken out; passes.

--- a/internal/dispatch/machine.go
+++ b/internal/dispatch/machine.go
@@ -337,6 +337,10 @@
 		m.refuse(n, q.ID, kind)
 		return
 	}
+	if wait := m.rateWait(now); wait > 0 && !now.Add(wait).Before(m.latestStart(&q)) {
+		m.refuseFor(n, q.ID, problem.NoCapacity, wait)
+		return
+	}
 	r := m.newRequest()
 	*r = request{Request: q, node: n, state: stateQueued, arrived: now}
 	r.due = m.dueTime(now, &q)
--- a/internal/dispatch/placement.go
+++ b/internal/dispatch/placement.go
@@ -201,7 +201,7 @@
 	reachable := func(s *server) bool {
 		return s.pathBlocked(now, r.node) == badPaths && !slices.Contains(r.Exclude, s.Instance)
 	}
-	latestStart := r.Deadline.Add(-m.requiredTime(&r.Request, false))
+	latestStart := m.latestStart(&r.Request)
 	servableInTime := func(s *server) bool { return reachable(s) && s.pauseEnd(now, r.node).Before(latestStart) }
 	if !slices.ContainsFunc(m.candidates, servableInTime) {
 		return nil, false
--- a/internal/dispatch/rate_test.go
+++ b/internal/dispatch/rate_test.go
@@ -143,3 +143,18 @@
 	}
 	g.Expect(soon).To(BeNumerically(">", 190), "of %d refused", refused)
 }
+
+// A request that no rate allows before its deadline waited for it although nothing was queued ahead of it.
+func TestRequestsThatNoRateAllowsInTimeAreRefusedAtOnce(t *testing.T) {
+	g := NewWithT(t)
+	b := newPauseBench(1)
+	b.ReportSignals(b.now, "n", "s0", 1, grant.ServerSignals{RateLimited: true, Rate: 0.2})
+	refused := b.request("n", time.Second)
+	g.Expect(refused.Kind).To(Equal(dispatch.Refused))
+	g.Expect(refused.RetryAfter).To(Equal(5 * time.Second))
+	g.Expect(b.request("n", 6*time.Second).Kind).To(BeZero(), "the rate allows it in time")
+	waiting := b.nextID
+	b.now = b.now.Add(5 * time.Second)
+	b.Tick(b.now)
+	g.Expect(b.action(waiting).Kind).To(Equal(dispatch.Granted))
+}
--- a/internal/dispatch/signals.go
+++ b/internal/dispatch/signals.go
@@ -81,6 +81,25 @@
 	return !now.Before(s.pauseEnd(now, n))
 }
 
+// rateWait returns how long it takes until the rate of a usable server allows a request; 0 if one does now, or if there
+// is no usable server.
+func (m *Machine) rateWait(now time.Time) time.Duration {
+	shortest := time.Duration(0)
+	for _, s := range m.servers {
+		if !s.usable(now) {
+			continue
+		}
+		wait := s.rate.Wait(now)
+		if wait == 0 {
+			return 0
+		}
+		if shortest == 0 || wait < shortest {
+			shortest = wait
+		}
+	}
+	return shortest
+}
+
 // firstPauseEnd returns how long it takes until the first usable server that wants no requests from the node takes
 // them again; 0 if there is none.
 func (m *Machine) firstPauseEnd(now time.Time, n *node) time.Duration {
--- a/internal/dispatch/work.go
+++ b/internal/dispatch/work.go
@@ -72,6 +72,11 @@
 	return k.median
 }
 
+// latestStart returns until when a request must be sent to be worth a slot.
+func (m *Machine) latestStart(r *Request) time.Time {
+	return r.Deadline.Add(-m.requiredTime(r, false))
+}
+
 // unmeetableWaitFactor is the ratio of the expected wait to the time left above which a request is refused
 // on arrival. The estimate is rough, and queued requests may be cancelled.
 const unmeetableWaitFactor = 1.25
