--- a/internal/dispatchrpc/signals_test.go
+++ b/internal/dispatchrpc/signals_test.go
@@ -85,3 +85,54 @@
 	c.serveAutonomously(now.Add(3 * time.Second))
 	g.Expect(long.granted()).To(Equal("s0"))
 }
+
+// Hosts that lose their dispatcher together must keep the rate of a server together, and use it.
+func TestHostsAloneKeepTheRateTogether(t *testing.T) {
+	g := NewWithT(t)
+	const hosts, rate, window, duration = 48, 10.0, 4 * time.Second, 20 * time.Second
+	begin := time.Unix(1000, 0)
+	var fleet []*channel
+	for range hosts {
+		c := disconnectedChannel(begin)
+		c.client.config.Registry = c.client.config.Registry.(fixedRegistry)[:1]
+		c.client.config.Settings = retryBounds{0.2, 56}
+		c.client.config.Hosts = func() int { return hosts }
+		c.recordSignals(begin, &heldGrant{server: grant.Server{Instance: "s0"}}, grant.ServerSignals{RateLimited: true, Rate: rate})
+		fleet = append(fleet, c)
+	}
+	var sent []time.Time
+	for now := begin; now.Before(begin.Add(duration)); now = now.Add(10 * time.Millisecond) {
+		for _, c := range fleet {
+			if s, ok := c.selectServer(now, &grant.Request{}); ok {
+				c.countRequest(now, s.Instance)
+				sent = append(sent, now)
+			}
+		}
+	}
+	most, first := 0, 0
+	for last, at := range sent {
+		for at.Sub(sent[first]) >= window {
+			first++
+		}
+		most = max(most, last-first+1)
+	}
+	g.Expect(float64(most)).To(BeNumerically("<=", 1.5*rate*window.Seconds()+5))
+	g.Expect(float64(len(sent))).To(BeNumerically(">=", 0.8*rate*duration.Seconds()))
+}
+
+// What a former process said must not bind the next one at its place, nor be told to a new dispatcher.
+func TestSignalsEndWithTheProcessOfTheServer(t *testing.T) {
+	g := NewWithT(t)
+	now := time.Unix(1000, 0)
+	c := disconnectedChannel(now)
+	former := &heldGrant{server: grant.Server{Instance: "s0"}, incarnation: 1}
+	c.client.config.Registry.(fixedRegistry)[0].Incarnation = 1
+	c.recordSignals(now, former, grant.ServerSignals{Draining: true, Pause: time.Minute})
+	g.Expect(c.countSelected(now)).NotTo(HaveKey("s0"))
+	g.Expect(c.wantsNoRequests(now, "s0")).To(BeTrue())
+	g.Expect(c.signalsToProto(now)).To(HaveLen(1))
+	c.client.config.Registry.(fixedRegistry)[0].Incarnation = 2
+	g.Expect(c.wantsNoRequests(now, "s0")).To(BeFalse())
+	g.Expect(c.countSelected(now)).To(HaveKey("s0"))
+	g.Expect(c.signalsToProto(now)).To(BeEmpty())
+}
