agreement: bound the exchanges of a replica in a large group

Change: a voting replica has as many exchanges as in a group of five, so that each peer's turn comes later, within a second. A replica that does not vote exchanges as often as before.

--- a/internal/agreement/identity.go
+++ b/internal/agreement/identity.go
@@ -180,13 +180,18 @@
 	return peers
 }
 
-// exchangeWithPeers starts an exchange with every peer that has none in flight.
+// exchangeWithPeers starts an exchange with every peer that has none in flight and is due for one.
 func (r *Replica) exchangeWithPeers(ctx context.Context) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	request := r.peerRequest()
-	for id, m := range r.peers() {
-		if r.exchanging[id] || r.now().Sub(r.peerResponses[id].at) < ExchangeInterval/2 {
+	peers := r.peers()
+	interval := ExchangeInterval
+	if r.state == Voting {
+		interval = settledExchangeInterval(len(peers))
+	}
+	for id, m := range peers {
+		if r.exchanging[id] || r.now().Sub(r.peerResponses[id].at) < interval-ExchangeInterval/2 {
 			continue
 		}
 		r.exchanging[id] = true
@@ -194,6 +199,14 @@
 	}
 }
 
+// settledExchangeInterval is the time between two exchanges of a voting replica with each peer. The exchanges of a
+// replica in a large group are as many as in a group of five.
+func settledExchangeInterval(peers int) time.Duration {
+	const peersPerInterval = 4
+	interval := ExchangeInterval * time.Duration(peers) / peersPerInterval
+	return min(max(interval, ExchangeInterval), responseLifetime/2)
+}
+
 // peerRequest must be called with r.mu held.
 func (r *Replica) peerRequest() *agreementpb.PeerRequest {
 	return &agreementpb.PeerRequest{
--- a/internal/agreement/replica.go
+++ b/internal/agreement/replica.go
@@ -42,7 +42,8 @@
 )
 
 const (
-	// ExchangeInterval is the time between two exchanges of journal sequences with each peer.
+	// ExchangeInterval is the time between two exchanges of journal sequences with each peer in a group of up to five
+	// members, and of a replica that does not vote.
 	ExchangeInterval = 200 * time.Millisecond
 	// peerTimeout bounds one exchange.
 	peerTimeout = time.Second
