attach: poll a majority of a large control group, with two to spare

The second part of the cause: each control host polled all others for departures three times a second. A departure that was confirmed is known to a majority, so a majority suffices.

Change: the polls go to a majority and two more members, those that responded last, and to all if too few of them did. Groups of up to five are polled as before; of 19 members, 12 are. TestPollsOfALargeGroupReachAMajority (members fail between polls).

--- a/internal/attach/departures_test.go
+++ b/internal/attach/departures_test.go
@@ -1,6 +1,8 @@
 package attach
 
 import (
+	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -115,3 +117,41 @@
 	s.ApplyDepartures(now.Add(time.Hour), now.Add(time.Hour), nil)
 	g.Expect(s.CurrentAsOf()).To(Equal(now), "departures from the time in between have expired")
 }
+
+// In a fleet with 19 control hosts, the polls of all members took more of the hosts than their other work. Polls must
+// still reach a majority when some members fail, and all members when too many do.
+func TestPollsOfALargeGroupReachAMajority(t *testing.T) {
+	g := NewWithT(t)
+	var group []hostset.Host
+	for i := range 19 {
+		group = append(group, hostset.Host{FleetAddress: fmt.Sprint(i)})
+	}
+	now := time.Unix(1000, 0)
+	var f freshness
+	poll := func(failed int) int {
+		targets := f.pollTargets(group, now.Add(-responsiveFor))
+		for _, h := range targets {
+			if slices.Index(group, h) >= failed {
+				f.recordResponse(h.FleetAddress, now)
+			}
+		}
+		now = now.Add(pollInterval)
+		return len(targets)
+	}
+	g.Expect(poll(0)).To(Equal(19))
+	for range 10 {
+		g.Expect(poll(0)).To(Equal(12))
+	}
+	for failed := range 10 {
+		last := now
+		for range 2 {
+			poll(failed)
+		}
+		g.Expect(f.majorityPolledAt(group)).To(BeTemporally(">=", last), "%d members failed", failed)
+		for range 3 {
+			poll(0)
+		}
+	}
+	small := group[:5]
+	g.Expect(f.pollTargets(small, now.Add(-responsiveFor))).To(HaveLen(5))
+}
--- a/internal/attach/freshness.go
+++ b/internal/attach/freshness.go
@@ -7,6 +7,9 @@
 	"github.com/tarragonmux/tarragonmux/internal/hostset"
 )
 
+// sparePolls is how many members may fail to respond to a poll before it reaches no majority.
+const sparePolls = 2
+
 // freshness tracks how current the departures of a control host are. A departure is confirmed by a
 // majority of the control group, so a host that has polled a majority after the confirmation knows it.
 // It is a pure state machine and not safe for concurrent use.
@@ -54,3 +57,20 @@
 	slices.SortFunc(times, func(a, b time.Time) int { return b.Compare(a) })
 	return times[len(group)/2]
 }
+
+// pollTargets selects the members of a group to poll, given in the order of preference: those that suffice for a
+// majority with some to spare, first the ones that responded to a poll since the given time. It selects all of them if
+// too few did.
+func (f *freshness) pollTargets(group []hostset.Host, since time.Time) []hostset.Host {
+	enough := len(group)/2 + 1 + sparePolls
+	responsive := make([]hostset.Host, 0, len(group))
+	for _, h := range group {
+		if f.polledAt[h.FleetAddress].After(since) {
+			responsive = append(responsive, h)
+		}
+	}
+	if len(responsive) < enough {
+		return group
+	}
+	return responsive[:enough]
+}
--- a/internal/attach/tracker.go
+++ b/internal/attach/tracker.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/tarragonmux/tarragonmux/internal/backend"
+	"github.com/tarragonmux/tarragonmux/internal/hostset"
 	"github.com/tarragonmux/tarragonmux/internal/logging"
 	"github.com/tarragonmux/tarragonmux/proto/fleetpb"
 )
@@ -18,6 +19,8 @@
 	pollInterval = 300 * time.Millisecond
 	// pollTimeout bounds the poll of one member.
 	pollTimeout = 500 * time.Millisecond
+	// responsiveFor is for how long after a poll a member that responded is preferred to others.
+	responsiveFor = pollInterval + pollInterval/2
 	// departuresMaxAge is the age at which departures no longer count as current. Departures of this
 	// age mean that two polls in a row failed.
 	departuresMaxAge = 800 * time.Millisecond
@@ -59,7 +62,7 @@
 	defer running.Wait()
 	for {
 		t.syncWithRegistry(time.Now())
-		for _, address := range t.membersToPoll() {
+		for _, address := range t.membersToPoll(time.Now()) {
 			running.Go(func() { t.poll(ctx, address) })
 		}
 		select {
@@ -71,16 +74,21 @@
 	}
 }
 
-// membersToPoll lists the members of the control group without a poll in progress and records their polls
-// as in progress.
-func (t *tracker) membersToPoll() (list []string) {
+// membersToPoll lists members of the control group without a poll in progress and records their polls as in
+// progress.
+func (t *tracker) membersToPoll(now time.Time) (list []string) {
 	fleet := t.opts.Source.Fleet()
 	if fleet == nil {
 		return nil
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	for _, h := range slices.Concat(fleet.Hosts, fleet.PreviousHosts) {
+	since := now.Add(-responsiveFor)
+	targets := t.freshness.pollTargets(t.rotate(fleet.Hosts), since)
+	if len(fleet.PreviousHosts) > 0 {
+		targets = slices.Concat(targets, t.freshness.pollTargets(t.rotate(fleet.PreviousHosts), since))
+	}
+	for _, h := range targets {
 		if h.FleetAddress != t.opts.Address && !t.polling[h.FleetAddress] {
 			t.polling[h.FleetAddress] = true
 			list = append(list, h.FleetAddress)
@@ -89,6 +97,12 @@
 	return list
 }
 
+// rotate returns the hosts beginning with this one, so that the polls of all hosts are spread evenly.
+func (t *tracker) rotate(hosts []hostset.Host) []hostset.Host {
+	i := max(slices.IndexFunc(hosts, func(h hostset.Host) bool { return h.FleetAddress == t.opts.Address }), 0)
+	return slices.Concat(hosts[i:], hosts[:i])
+}
+
 func (t *tracker) poll(ctx context.Context, address string) {
 	t.mu.Lock()
 	request := t.seen[address]
