hostset: at most nine voters for a lease

Cause: all 19 control hosts voted for each lease. A holder on a quarter of a core sends a renewal to each of them every 150 ms, and needs the replies of ten within 360 ms. Change: up to nine control hosts vote. Fleets with up to nine keep the promise that the dispatcher is on the side of most control hosts; in larger ones, five voters have to be cut off together with a minority.

TestVotingGroupsOfControlHostsAreBounded; TestDispatcherIsOnTheSideOfMostControlHosts holds.

--- a/internal/app/discovery.go
+++ b/internal/app/discovery.go
@@ -121,7 +121,7 @@
 		return g.fleet
 	}
 	g.derivedFrom, g.epoch, g.usesPrevious = d, group.GetEpoch(), usesPrevious
-	g.fleet = &hostset.Fleet{HostsRevision: group.GetEpoch(), AllVote: true}
+	g.fleet = &hostset.Fleet{HostsRevision: group.GetEpoch(), LargeVotingGroups: true}
 	for _, m := range group.GetMembers() {
 		g.fleet.Hosts = append(g.fleet.Hosts, hostset.Host{ID: m.GetId(), FleetAddress: m.GetAddress()})
 	}
--- a/internal/hostset/doc.go
+++ b/internal/hostset/doc.go
@@ -6,7 +6,7 @@
 //
 //   - The host set of a service is up to 48 nodes, taken round-robin from its data centres.
 //   - The voting group is the first five nodes of the host set, so that the loss of one of three
-//     data centres costs at most two voters. If the hosts are the control hosts of a fleet, all of them
+//     data centres costs at most two voters. If the hosts are the control hosts of a fleet, up to nine
 //     vote: a majority of five could be on the side of few control hosts in a network partition.
 //   - The list of endpoints for a caller has 4 nodes of the host set. Nodes that are leaving, dead,
 //     not ready, or cannot reach the service are never in it. Suspect nodes are used only if there
--- a/internal/hostset/hostset.go
+++ b/internal/hostset/hostset.go
@@ -12,8 +12,11 @@
 const (
 	// MaxHosts bounds the host set of a service, in nodes.
 	MaxHosts = 48
-	// VotingGroupSize is the size of a voting group, in nodes, unless all hosts vote.
-	VotingGroupSize = 5
+	// VotingGroupSize is the usual size of a voting group, in nodes, and LargeVotingGroupSize that of the groups
+	// which should be on the side of most hosts in a network partition. A holder renews its lease at each voter, so
+	// larger groups cost holders more than they can spare.
+	VotingGroupSize      = 5
+	LargeVotingGroupSize = 9
 )
 
 // Host is one node of the hosts list.
@@ -41,8 +44,8 @@
 	// HostsRevision is the revision of the last change of hosts.
 	HostsRevision uint64
 	Services      []Service
-	// AllVote makes every host a voter of every service.
-	AllVote bool
+	// LargeVotingGroups makes up to LargeVotingGroupSize hosts the voters of a service.
+	LargeVotingGroups bool
 }
 
 // Source returns the hosts and services of the configuration in force, or nil before the first
@@ -99,8 +102,8 @@
 // previous group is empty if there was no change.
 func (f *Fleet) VotingGroups(s Service) (current, previous []Host) {
 	size := VotingGroupSize
-	if f.AllVote {
-		size = max(len(f.Hosts), len(f.PreviousHosts))
+	if f.LargeVotingGroups {
+		size = LargeVotingGroupSize
 	}
 	return selectHostSet(s, f.Hosts, size), selectHostSet(s, f.PreviousHosts, size)
 }
--- a/internal/hostset/hostset_test.go
+++ b/internal/hostset/hostset_test.go
@@ -192,6 +192,20 @@
 	})
 }
 
+// With all of 19 control hosts as voters, renewals took so much of the holders that they lost their leases. Up to nine
+// hosts, all must vote: a majority of fewer voters may be a minority of the hosts.
+func TestVotingGroupsOfControlHostsAreBounded(t *testing.T) {
+	for hosts, voters := range map[int]int{3: 3, 5: 5, 7: 7, 9: 9, 11: 9, 19: 9} {
+		g := NewWithT(t)
+		f := &hostset.Fleet{LargeVotingGroups: true}
+		for i := range hosts {
+			f.Hosts = append(f.Hosts, hostset.Host{ID: fmt.Sprint("h", i)})
+		}
+		current, _ := f.VotingGroups(hostset.Service{Name: "s"})
+		g.Expect(current).To(HaveLen(voters), "%d hosts", hosts)
+	}
+}
+
 // Guards against the same few hosts voting for every service.
 func TestVotersAreEven(t *testing.T) {
 	g := NewWithT(t)
