Apply what servers say in the order in which they said it

Cause: signals took effect when a request ended or a host reported them, however old they were. Class: a report without the time of its evidence. Change: a rate applies as of the arrival of the head that named it, at dispatchers and at hosts without one, and an older one changes nothing. Hosts state the age of what they report. A pause counts from the head as well, and a late response of a former process of the server is ignored.

TestResponsesThatBeganBeforeTheRateWasNamedDoNotEndIt, ...WasLiftedDoNotBringItBack failed before; TestReportsOfFormerRatesDoNotBringThemBack and TestHostsKeepWhatTheLatestResponseSaid came with the change.

--- a/internal/dispatch/machine.go
+++ b/internal/dispatch/machine.go
@@ -218,6 +218,7 @@
 	s.shedWeight, s.consecutiveSheds, s.pausedUntil = 1, 0, time.Time{}
 	s.limitedUntil = time.Time{}
 	s.rate.Lift()
+	s.rateAsOf = time.Time{}
 	s.endPauses()
 	if s.state == heldAfterCrash {
 		s.state = inRotation
@@ -433,7 +434,7 @@
 		return
 	}
 	if r := n.requests[request]; r != nil && r.state == stateGranted {
-		m.applySignals(now, r.server, n, signals)
+		m.applySignals(now, now, r.server, n, signals)
 	}
 }
 
--- a/internal/dispatch/pause_test.go
+++ b/internal/dispatch/pause_test.go
@@ -54,11 +54,15 @@
 	return dispatch.Action{}
 }
 
+// granted sends a request of the node, which must be granted at once, and returns its id.
+func (b *pauseBench) granted(g *WithT, node string) uint64 {
+	g.Expect(b.request(node, 10*time.Second).Kind).To(Equal(dispatch.Granted))
+	return b.nextID
+}
+
 // pause lets the server of the node's next request ask the node to pause.
 func (b *pauseBench) pause(g *WithT, node string, pause time.Duration) {
-	a := b.request(node, time.Second)
-	g.Expect(a.Kind).To(Equal(dispatch.Granted))
-	b.Complete(b.now, node, a.ID, grant.Completion{
+	b.Complete(b.now, node, b.granted(g, node), grant.Completion{
 		Result: grant.Shed, Total: time.Millisecond, ServerSignals: grant.ServerSignals{Pause: pause},
 	})
 	// The server's own pause after a rejection is shorter.
@@ -110,7 +114,7 @@
 func TestPauseIsReportedToANewDispatcher(t *testing.T) {
 	g := NewWithT(t)
 	b := newPauseBench(1)
-	b.ReportSignals(b.now, "n", "s0", 0, grant.ServerSignals{Pause: 2 * time.Second})
+	b.ReportSignals(b.now, b.now, "n", "s0", 0, grant.ServerSignals{Pause: 2 * time.Second})
 	g.Expect(b.request("n", time.Second).Kind).To(Equal(dispatch.Refused))
 	b.SetServers(b.now, []backend.Server{{
 		Service: "s", Instance: "s0", Incarnation: 2, State: backend.Ready, Slots: 4, Renewed: b.now, Cutoff: time.Hour,
@@ -123,8 +127,8 @@
 func TestLeavingServerIsReportedToANewDispatcher(t *testing.T) {
 	g := NewWithT(t)
 	b := newPauseBench(1)
-	b.ReportSignals(b.now, "n", "s0", 7, grant.ServerSignals{Draining: true})
+	b.ReportSignals(b.now, b.now, "n", "s0", 7, grant.ServerSignals{Draining: true})
 	g.Expect(b.request("o", time.Second).Kind).To(Equal(dispatch.Granted))
-	b.ReportSignals(b.now, "n", "s0", 1, grant.ServerSignals{Draining: true})
+	b.ReportSignals(b.now, b.now, "n", "s0", 1, grant.ServerSignals{Draining: true})
 	g.Expect(b.request("o", time.Second).Kind).NotTo(Equal(dispatch.Granted))
 }
--- a/internal/dispatch/rate_test.go
+++ b/internal/dispatch/rate_test.go
@@ -114,7 +114,7 @@
 	b.run(10 * time.Second)
 	change := b.now
 	b.takeOver()
-	b.ReportSignals(b.now, "n", "limited", 1, grant.ServerSignals{RateLimited: true, Rate: 2})
+	b.ReportSignals(b.now, b.now, "n", "limited", 1, grant.ServerSignals{RateLimited: true, Rate: 2})
 	b.run(10 * time.Second)
 	g.Expect(b.most("limited", change)).To(BeNumerically("<=", 10))
 }
@@ -148,7 +148,7 @@
 func TestRequestsThatNoRateAllowsInTimeAreRefusedAtOnce(t *testing.T) {
 	g := NewWithT(t)
 	b := newPauseBench(1)
-	b.ReportSignals(b.now, "n", "s0", 1, grant.ServerSignals{RateLimited: true, Rate: 0.2})
+	b.ReportSignals(b.now, b.now, "n", "s0", 1, grant.ServerSignals{RateLimited: true, Rate: 0.2})
 	refused := b.request("n", time.Second)
 	g.Expect(refused.Kind).To(Equal(dispatch.Refused))
 	g.Expect(refused.RetryAfter).To(Equal(5 * time.Second))
@@ -158,3 +158,50 @@
 	b.Tick(b.now)
 	g.Expect(b.action(waiting).Kind).To(Equal(dispatch.Granted))
 }
+
+// A response that began before the server named its rate, and ended after it, ended the limit.
+func TestResponsesThatBeganBeforeTheRateWasNamedDoNotEndIt(t *testing.T) {
+	g := NewWithT(t)
+	b := newPauseBench(1)
+	long, short := b.granted(g, "n"), b.granted(g, "o")
+	b.now = b.now.Add(2 * time.Second)
+	b.Signals(b.now, "o", short, grant.ServerSignals{RateLimited: true, Rate: 0.5})
+	b.now = b.now.Add(100 * time.Millisecond)
+	b.Complete(b.now, "n", long, grant.Completion{Result: grant.OK, FirstByte: time.Second, Total: 2100 * time.Millisecond})
+	g.Expect(b.request("n", 10*time.Second).Kind).To(BeZero(), "the next request is due 2 s after the rate was named")
+	b.now = b.now.Add(1900 * time.Millisecond)
+	b.Tick(b.now)
+	g.Expect(b.action(b.nextID).Kind).To(Equal(dispatch.Granted))
+}
+
+// A response whose server no longer limited its rate when it ended brought the limit back.
+func TestResponsesThatBeganBeforeTheRateWasLiftedDoNotBringItBack(t *testing.T) {
+	g := NewWithT(t)
+	b := newPauseBench(1)
+	long, short := b.granted(g, "n"), b.granted(g, "o")
+	limited := grant.ServerSignals{RateLimited: true, Rate: 0.5}
+	b.Signals(b.now, "n", long, limited)
+	b.now = b.now.Add(2 * time.Second)
+	b.Complete(b.now, "o", short, grant.Completion{Result: grant.OK, FirstByte: 2 * time.Second, Total: 2 * time.Second})
+	b.now = b.now.Add(100 * time.Millisecond)
+	b.Complete(b.now, "n", long, grant.Completion{Result: grant.OK, Total: 2100 * time.Millisecond, ServerSignals: limited})
+	for range 3 {
+		g.Expect(b.request("n", 10*time.Second).Kind).To(Equal(dispatch.Granted))
+	}
+}
+
+// A host that had not heard from a server for long, and lost its stream for a moment, brought back a rate that the server
+// no longer named.
+func TestReportsOfFormerRatesDoNotBringThemBack(t *testing.T) {
+	g := NewWithT(t)
+	b := newPauseBench(1)
+	first, last := b.granted(g, "n"), b.granted(g, "o")
+	limited := grant.ServerSignals{RateLimited: true, Rate: 0.5}
+	b.Signals(b.now, "n", first, limited)
+	heard := b.now
+	b.now = b.now.Add(10 * time.Second)
+	b.Complete(b.now, "o", last, grant.Completion{Result: grant.OK, FirstByte: 10 * time.Second, Total: 10 * time.Second})
+	b.ReportSignals(b.now, heard, "n", "s0", 1, limited)
+	b.granted(g, "n")
+	b.granted(g, "o")
+}
--- a/internal/dispatch/server.go
+++ b/internal/dispatch/server.go
@@ -41,8 +41,9 @@
 	limitedUntil time.Time
 	// draining is set by drain signals in responses.
 	draining bool
-	// rate is the limit that the server named in its last response.
-	rate RateLimit
+	// rate is the limit that the server named in its last response, and rateAsOf when that response arrived.
+	rate     RateLimit
+	rateAsOf time.Time
 	// pausesUntil is the latest end of a pause that the server asked of a node; it saves the look-up while there is
 	// none.
 	pausesUntil time.Time
--- a/internal/dispatch/signals.go
+++ b/internal/dispatch/signals.go
@@ -7,51 +7,54 @@
 	"github.com/tarragonmux/tarragonmux/internal/grant"
 )
 
-// observeSignals applies what the server of a request said about itself in its response.
+// observeSignals applies what the server of a request said about itself in the head of its response, which may have
+// arrived long before the response ended.
 func (m *Machine) observeSignals(now time.Time, r *request, c *grant.Completion) {
-	if !c.Responded() && !c.Draining {
-		return
-	}
-	m.applySignals(now, r.server, r.node, c.ServerSignals)
-	if s := r.server; c.Responded() && !c.RateLimited && s.rate.Limited() {
-		s.rate.Lift()
-		m.recordEvent(now, s, eventRateLifted, "")
+	if c.HasHead() {
+		m.applySignals(now, now.Add(-c.HeadAge()), r.server, r.node, c.ServerSignals)
 	}
 }
 
-// ReportSignals applies what a process of a server, or any one if the incarnation is 0, said about itself in its last
-// responses to a node, which reports it to a new dispatcher.
-func (m *Machine) ReportSignals(now time.Time, id, instance string, incarnation uint64, signals grant.ServerSignals) {
+// ReportSignals applies what a process of a server, or any one if the incarnation is 0, said about itself to a node,
+// which reports it to a new dispatcher. The last response of the server arrived at the given time.
+func (m *Machine) ReportSignals(now, arrived time.Time, id, instance string, incarnation uint64, signals grant.ServerSignals) {
 	s, n := m.byName[instance], m.nodes[id]
 	if s == nil || n == nil || incarnation != 0 && incarnation != s.Incarnation {
 		return
 	}
-	if s.rate.Limited() {
-		// Another node may have heard from the server later.
-		signals.RateLimited = false
-	}
-	m.applySignals(now, s, n, signals)
+	m.applySignals(now, arrived, s, n, signals)
 }
 
-func (m *Machine) applySignals(now time.Time, s *server, n *node, signals grant.ServerSignals) {
+// applySignals applies what a server said about itself in the head of a response that arrived at the given time.
+func (m *Machine) applySignals(now, arrived time.Time, s *server, n *node, signals grant.ServerSignals) {
 	if signals.Draining {
 		s.draining = true
 	}
 	if signals.Pause > 0 {
-		s.pauseFor(n, now.Add(signals.Pause))
+		s.pauseFor(n, arrived.Add(signals.Pause))
 	}
-	if !signals.RateLimited {
+	if arrived.Before(s.rateAsOf) {
 		return
 	}
-	if !s.rate.Limited() {
-		m.recordEvent(now, s, eventRateLimited, strconv.FormatFloat(signals.Rate, 'g', 3, 64)+" requests/s")
+	s.rateAsOf = arrived
+	limited := s.rate.Limited()
+	switch {
+	case signals.RateLimited:
+		if !limited {
+			m.recordEvent(now, s, eventRateLimited, strconv.FormatFloat(signals.Rate, 'g', 3, 64)+" requests/s")
+		}
+		s.rate.Set(now, max(signals.Rate, MinRate), 1)
+	case limited:
+		s.rate.Lift()
+		m.recordEvent(now, s, eventRateLifted, "")
 	}
-	s.rate.Set(now, max(signals.Rate, MinRate), 1)
 }
 
-// pauseFor records until when the server wants no requests from the node.
+// pauseFor records until when the server wants no requests from the node, unless it asked for a longer pause.
 func (s *server) pauseFor(n *node, until time.Time) {
-	s.path(n.nodeKey).pausedUntil = until
+	if p := s.path(n.nodeKey); until.After(p.pausedUntil) {
+		p.pausedUntil = until
+	}
 	if until.After(s.pausesUntil) {
 		s.pausesUntil = until
 	}
--- a/internal/dispatchrpc/convert.go
+++ b/internal/dispatchrpc/convert.go
@@ -87,10 +87,14 @@
 	}
 }
 
-func signalsFromProto(s *dispatchpb.ServerSignals) grant.ServerSignals {
-	return grant.ServerSignals{
-		Draining: s.Draining, RateLimited: s.RateLimited, Rate: s.Rate, Pause: time.Duration(s.PauseLeftMs) * time.Millisecond,
+// signalsFromProto returns what a server said about itself to a node, and when the last response arrived there.
+func signalsFromProto(now time.Time, s *dispatchpb.ServerSignals) (signals grant.ServerSignals, arrived time.Time) {
+	age := time.Duration(s.AgeMs) * time.Millisecond
+	signals = grant.ServerSignals{Draining: s.Draining, RateLimited: s.RateLimited, Rate: s.Rate}
+	if s.PauseLeftMs > 0 {
+		signals.Pause = age + time.Duration(s.PauseLeftMs)*time.Millisecond
 	}
+	return signals, now.Add(-age)
 }
 
 func outstandingFromProto(now time.Time, hello *dispatchpb.Hello) []dispatch.Outstanding {
--- a/internal/dispatchrpc/lease.go
+++ b/internal/dispatchrpc/lease.go
@@ -105,8 +105,8 @@
 	}
 	h.completed = true
 	delete(c.held, h.id)
-	if done.Responded() || done.Draining {
-		c.recordSignals(time.Now(), h, done.ServerSignals)
+	if done.HasHead() {
+		c.recordSignals(time.Now().Add(-done.HeadAge()), h, done.ServerSignals)
 	}
 	if h.server.Autonomous {
 		c.recordAutonomousResult(time.Now(), h.server.Instance, done.Result)
--- a/internal/dispatchrpc/runner.go
+++ b/internal/dispatchrpc/runner.go
@@ -199,7 +199,8 @@
 	r.sessions[hello.Node] = sess
 	r.machine.Connect(now, hello.Node, hello.DataCentre, hello.Incarnation, outstandingFromProto(now, hello), hello.Ejected)
 	for _, s := range hello.Signals {
-		r.machine.ReportSignals(now, hello.Node, s.Instance, s.Incarnation, signalsFromProto(s))
+		signals, arrived := signalsFromProto(now, s)
+		r.machine.ReportSignals(now, arrived, hello.Node, s.Instance, s.Incarnation, signals)
 	}
 	// The first message ends the node's autonomous mode, so it must not wait for a heartbeat.
 	// Computing it for each of many returning nodes would take longer than a lease.
--- a/internal/dispatchrpc/signals.go
+++ b/internal/dispatchrpc/signals.go
@@ -18,6 +18,8 @@
 type serverState struct {
 	// incarnation is that of the server at the time.
 	incarnation uint64
+	// heardAt is when the last of these responses arrived.
+	heardAt time.Time
 	// leavingSince is when the server first said that it is draining; zero if it did not.
 	leavingSince time.Time
 	// rate is what the server accepts in requests per second from all nodes together, if rateLimited is set.
@@ -34,9 +36,13 @@
 	return s.rateLimited || now.Before(s.pausedUntil) || !s.leavingSince.IsZero() && now.Sub(s.leavingSince) < leavingRetention
 }
 
-// recordSignals records what the server of a grant said about itself in its response. The caller holds the mutex.
-func (c *channel) recordSignals(now time.Time, h *heldGrant, signals grant.ServerSignals) {
+// recordSignals records what the server of a grant said about itself in the head of a response that arrived at the given
+// time. The caller holds the mutex.
+func (c *channel) recordSignals(arrived time.Time, h *heldGrant, signals grant.ServerSignals) {
 	state := c.serverStates[h.server.Instance]
+	if state != nil && h.incarnation < state.incarnation {
+		return
+	}
 	if state == nil || state.incarnation != h.incarnation {
 		if signals == (grant.ServerSignals{}) {
 			return
@@ -45,11 +51,15 @@
 		c.serverStates[h.server.Instance] = state
 	}
 	if signals.Draining && state.leavingSince.IsZero() {
-		state.leavingSince = now
+		state.leavingSince = arrived
 	}
 	if signals.Pause > 0 {
-		state.pausedUntil = now.Add(signals.Pause)
+		state.pausedUntil = latest(state.pausedUntil, arrived.Add(signals.Pause))
+	}
+	if arrived.Before(state.heardAt) {
+		return
 	}
+	state.heardAt = arrived
 	state.rateLimited, state.rate = signals.RateLimited, signals.Rate
 	if !signals.RateLimited {
 		state.share.Lift()
@@ -57,7 +67,7 @@
 	}
 	settings, _ := c.client.config.Settings.Service(c.service)
 	// Hosts that lose their dispatcher together begin at different times.
-	state.share.Set(now, max(signals.Rate, dispatch.MinRate)/float64(max(c.hostCount(settings), 1)), rand.Float64())
+	state.share.Set(arrived, max(signals.Rate, dispatch.MinRate)/float64(max(c.hostCount(settings), 1)), rand.Float64())
 }
 
 // listed returns a server as this node knows it; ok is false if it is not listed.
@@ -134,6 +144,7 @@
 		signals = append(signals, &dispatchpb.ServerSignals{
 			Instance: instance, Incarnation: state.incarnation, Draining: !state.leavingSince.IsZero(),
 			RateLimited: state.rateLimited, Rate: state.rate, PauseLeftMs: max(state.pausedUntil.Sub(now).Milliseconds(), 0),
+			AgeMs: now.Sub(state.heardAt).Milliseconds(),
 		})
 	}
 	return signals
--- a/internal/dispatchrpc/signals_test.go
+++ b/internal/dispatchrpc/signals_test.go
@@ -136,3 +136,26 @@
 	g.Expect(c.countSelected(now)).To(HaveKey("s0"))
 	g.Expect(c.signalsToProto(now)).To(BeEmpty())
 }
+
+// A long response that began before the server named its rate ended the limit at the host, as did one of its former
+// process.
+func TestHostsKeepWhatTheLatestResponseSaid(t *testing.T) {
+	g := NewWithT(t)
+	now := time.Now()
+	c := disconnectedChannel(now)
+	c.client.config.Settings = retryBounds{0.2, 56}
+	c.client.config.Registry.(fixedRegistry)[0].Incarnation = 2
+	response := func(incarnation uint64) *heldGrant {
+		return &heldGrant{channel: c, server: grant.Server{Instance: "s0"}, incarnation: incarnation}
+	}
+	c.recordSignals(now, response(2), grant.ServerSignals{RateLimited: true, Rate: 2})
+	response(2).Complete(grant.Completion{Result: grant.OK, FirstByte: time.Millisecond, Total: time.Minute})
+	response(1).Complete(grant.Completion{Result: grant.OK, ServerSignals: grant.ServerSignals{Draining: true}})
+	reported := c.signalsToProto(now.Add(3 * time.Second))
+	g.Expect(reported).To(HaveLen(1))
+	g.Expect(reported[0].RateLimited).To(BeTrue())
+	g.Expect(reported[0].Draining).To(BeFalse())
+	g.Expect(reported[0].AgeMs).To(BeEquivalentTo(3000))
+	response(2).Complete(grant.Completion{Result: grant.OK, FirstByte: time.Millisecond, Total: time.Millisecond})
+	g.Expect(c.signalsToProto(now.Add(3 * time.Second))).To(BeEmpty())
+}
--- a/internal/grant/grant.go
+++ b/internal/grant/grant.go
@@ -115,9 +115,15 @@
 	ServerSignals
 }
 
-// Responded reports whether the server responded, so that missing signals mean that it no longer sends them.
-func (c *Completion) Responded() bool {
-	return c.Result == OK || c.Result == Error || c.Result == Shed
+// HasHead reports whether the head of a response arrived, so that missing signals mean that the server no longer sends
+// them.
+func (c *Completion) HasHead() bool {
+	return c.Result == OK || c.Result == Error || c.Result == Shed || c.ServerSignals != (ServerSignals{})
+}
+
+// HeadAge returns for how long the head of the response has been known at the end of the request.
+func (c *Completion) HeadAge() time.Duration {
+	return c.Total - c.FirstByte
 }
 
 // Grant is the permission to send one request to one backend server.
