dispatch: apply a raised rate at once

A server that named 0.2 requests per second and then more got its next request up to 5 s later.

Cause: the time of the next request was that of the former rate. Change: the next request comes within an interval of the new rate.

TestRaisedRateAppliesAtOnce failed before.

--- a/internal/dispatch/rate.go
+++ b/internal/dispatch/rate.go
@@ -23,12 +23,16 @@
 }
 
 // Set sets the rate in requests per second, which must be above 0. The first request comes after the part of an
-// interval that firstShare states, from 0 to 1.
+// interval that firstShare states, from 0 to 1. After a change, the next one comes within an interval of the new rate.
 func (l *RateLimit) Set(now time.Time, rate, firstShare float64) {
 	limited := l.interval > 0
 	l.interval = max(time.Duration(float64(time.Second)/rate), 1)
-	if !limited {
+	latestNext := now.Add(l.interval)
+	switch {
+	case !limited:
 		l.next = now.Add(time.Duration(firstShare * float64(l.interval)))
+	case l.next.After(latestNext):
+		l.next = latestNext
 	}
 }
 
--- a/internal/dispatch/rate_test.go
+++ b/internal/dispatch/rate_test.go
@@ -205,3 +205,17 @@
 	b.granted(g, "n")
 	b.granted(g, "o")
 }
+
+// A server that raised its rate got its next request only after the interval of the former rate.
+func TestRaisedRateAppliesAtOnce(t *testing.T) {
+	g := NewWithT(t)
+	b := newPauseBench(1)
+	first, second := b.granted(g, "n"), b.granted(g, "o")
+	b.Signals(b.now, "n", first, grant.ServerSignals{RateLimited: true, Rate: 0.2})
+	b.now = b.now.Add(500 * time.Millisecond)
+	b.Signals(b.now, "o", second, grant.ServerSignals{RateLimited: true, Rate: 2})
+	g.Expect(b.request("n", 10*time.Second).Kind).To(BeZero())
+	b.now = b.now.Add(500 * time.Millisecond)
+	b.Tick(b.now)
+	g.Expect(b.action(b.nextID).Kind).To(Equal(dispatch.Granted))
+}
