dispatchrpc: remember servers that take long to leave

Cause: the host forgot what the server said after a minute, and told the next dispatcher nothing. Change: it applies for an hour without another response, several times the ten minutes that a request may last. A server without an incarnation is remembered for a minute as before, since its next process looks the same.

TestServersThatTakeLongToLeaveGetNoRequests failed before.

--- a/internal/dispatchrpc/signals.go
+++ b/internal/dispatchrpc/signals.go
@@ -11,8 +11,14 @@
 	"github.com/tarragonmux/tarragonmux/proto/dispatchpb"
 )
 
-// leavingRetention is how long this node remembers a server that left and is no longer listed.
-const leavingRetention = time.Minute
+const (
+	// signalRetention is how long what a server said applies without another response of it. A server that leaves
+	// stays until its last request has ended, which takes ten minutes at most.
+	signalRetention = time.Hour
+	// unknownProcessRetention is the same for a server without an incarnation, whose next process cannot be told from
+	// the one that spoke.
+	unknownProcessRetention = time.Minute
+)
 
 // serverState is what a server said about itself in its last responses to this node.
 type serverState struct {
@@ -20,8 +26,8 @@
 	incarnation uint64
 	// heardAt is when the last of these responses arrived.
 	heardAt time.Time
-	// leavingSince is when the server first said that it is draining; zero if it did not.
-	leavingSince time.Time
+	// leaving is set once the server has said that it is draining.
+	leaving bool
 	// rate is what the server accepts in requests per second from all nodes together, if rateLimited is set.
 	rateLimited bool
 	rate        float64
@@ -33,7 +39,11 @@
 
 // applies reports whether anything that the server said still applies.
 func (s *serverState) applies(now time.Time) bool {
-	return s.rateLimited || now.Before(s.pausedUntil) || !s.leavingSince.IsZero() && now.Sub(s.leavingSince) < leavingRetention
+	retention := signalRetention
+	if s.incarnation == 0 {
+		retention = unknownProcessRetention
+	}
+	return now.Before(s.pausedUntil) || (s.leaving || s.rateLimited) && now.Sub(s.heardAt) < retention
 }
 
 // recordSignals records what the server of a grant said about itself in the head of a response that arrived at the given
@@ -50,9 +60,7 @@
 		state = &serverState{incarnation: h.incarnation}
 		c.serverStates[h.server.Instance] = state
 	}
-	if signals.Draining && state.leavingSince.IsZero() {
-		state.leavingSince = arrived
-	}
+	state.leaving = state.leaving || signals.Draining
 	if signals.Pause > 0 {
 		state.pausedUntil = latest(state.pausedUntil, arrived.Add(signals.Pause))
 	}
@@ -85,7 +93,7 @@
 // a while.
 func (c *channel) wantsNoRequests(now time.Time, instance string) bool {
 	state := c.serverStates[instance]
-	if state == nil || !state.applies(now) || state.leavingSince.IsZero() && !now.Before(state.pausedUntil) {
+	if state == nil || !state.applies(now) || !state.leaving && !now.Before(state.pausedUntil) {
 		return false
 	}
 	s, ok := c.listed(instance)
@@ -110,7 +118,7 @@
 		delete(c.serverStates, s.Instance)
 		return 0, true
 	}
-	return max(state.pausedUntil.Sub(now), state.share.Wait(now)), state.leavingSince.IsZero()
+	return max(state.pausedUntil.Sub(now), state.share.Wait(now)), !state.leaving
 }
 
 // shortestWait returns how long it takes until a server accepts a request that this node sends without a dispatcher, by
@@ -142,7 +150,7 @@
 			continue
 		}
 		signals = append(signals, &dispatchpb.ServerSignals{
-			Instance: instance, Incarnation: state.incarnation, Draining: !state.leavingSince.IsZero(),
+			Instance: instance, Incarnation: state.incarnation, Draining: state.leaving,
 			RateLimited: state.rateLimited, Rate: state.rate, PauseLeftMs: max(state.pausedUntil.Sub(now).Milliseconds(), 0),
 			AgeMs: now.Sub(state.heardAt).Milliseconds(),
 		})
--- a/internal/dispatchrpc/signals_test.go
+++ b/internal/dispatchrpc/signals_test.go
@@ -159,3 +159,16 @@
 	response(2).Complete(grant.Completion{Result: grant.OK, FirstByte: time.Millisecond, Total: time.Millisecond})
 	g.Expect(c.signalsToProto(now.Add(3 * time.Second))).To(BeEmpty())
 }
+
+// A server that took longer than a minute to leave got requests again once its departure was forgotten.
+func TestServersThatTakeLongToLeaveGetNoRequests(t *testing.T) {
+	g := NewWithT(t)
+	now := time.Unix(1000, 0)
+	c := disconnectedChannel(now)
+	c.client.config.Registry.(fixedRegistry)[0].Incarnation = 1
+	c.recordSignals(now, &heldGrant{server: grant.Server{Instance: "s0"}, incarnation: 1}, grant.ServerSignals{Draining: true})
+	now = now.Add(10 * time.Minute)
+	g.Expect(c.wantsNoRequests(now, "s0")).To(BeTrue())
+	g.Expect(c.signalsToProto(now)).To(HaveLen(1))
+	g.Expect(c.countSelected(now)).NotTo(HaveKey("s0"))
+}
