dispatchrpc: forget servers that left while the stream lasts

Cause: entries were dropped only at the start of a stream. Change: a node that hears more looks for ended ones every ten seconds.

TestHostsForgetServersThatLeftLongAgo failed before: 3,000 entries after 50 hours, fewer than 100 are the bound.

--- a/internal/dispatchrpc/channel.go
+++ b/internal/dispatchrpc/channel.go
@@ -50,8 +50,10 @@
 	// term is the term of the last view.
 	term     uint64
 	autonomy autonomyState
-	// serverStates is what servers said about themselves to this node, by instance.
-	serverStates map[string]*serverState
+	// serverStates is what servers said about themselves to this node, by instance. statesCheckedAt is when those that
+	// no longer apply were last looked for.
+	serverStates    map[string]*serverState
+	statesCheckedAt time.Time
 	// closed is set when the node no longer follows the service.
 	closed bool
 }
--- a/internal/dispatchrpc/signals.go
+++ b/internal/dispatchrpc/signals.go
@@ -1,6 +1,7 @@
 package dispatchrpc
 
 import (
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -18,6 +19,8 @@
 	// unknownProcessRetention is the same for a server without an incarnation, whose next process cannot be told from
 	// the one that spoke.
 	unknownProcessRetention = time.Minute
+	// forgetInterval is how often a node looks for what no longer applies, while it hears more.
+	forgetInterval = 10 * time.Second
 )
 
 // serverState is what a server said about itself in its last responses to this node.
@@ -57,6 +60,9 @@
 		if signals == (grant.ServerSignals{}) {
 			return
 		}
+		if arrived.Sub(c.statesCheckedAt) >= forgetInterval {
+			c.forgetEndedStates(arrived)
+		}
 		state = &serverState{incarnation: h.incarnation}
 		c.serverStates[h.server.Instance] = state
 	}
@@ -142,13 +148,23 @@
 	}
 }
 
+// forgetEndedStates drops what no longer applies, and what former processes said.
+func (c *channel) forgetEndedStates(now time.Time) {
+	c.statesCheckedAt = now
+	incarnations := map[string]uint64{}
+	for _, s := range c.client.config.Registry.Servers(c.service) {
+		incarnations[s.Instance] = s.Incarnation
+	}
+	maps.DeleteFunc(c.serverStates, func(instance string, state *serverState) bool {
+		current, listed := incarnations[instance]
+		return !state.applies(now) || listed && current != state.incarnation
+	})
+}
+
 // signalsToProto lists what servers said, as far as it applies, for a new dispatcher. It forgets the rest.
 func (c *channel) signalsToProto(now time.Time) (signals []*dispatchpb.ServerSignals) {
+	c.forgetEndedStates(now)
 	for instance, state := range c.serverStates {
-		if s, ok := c.listed(instance); !state.applies(now) || ok && s.Incarnation != state.incarnation {
-			delete(c.serverStates, instance)
-			continue
-		}
 		signals = append(signals, &dispatchpb.ServerSignals{
 			Instance: instance, Incarnation: state.incarnation, Draining: state.leaving,
 			RateLimited: state.rateLimited, Rate: state.rate, PauseLeftMs: max(state.pausedUntil.Sub(now).Milliseconds(), 0),
--- a/internal/dispatchrpc/signals_test.go
+++ b/internal/dispatchrpc/signals_test.go
@@ -172,3 +172,15 @@
 	g.Expect(c.signalsToProto(now)).To(HaveLen(1))
 	g.Expect(c.countSelected(now)).NotTo(HaveKey("s0"))
 }
+
+// A host that kept its stream for days remembered every server that had left.
+func TestHostsForgetServersThatLeftLongAgo(t *testing.T) {
+	g := NewWithT(t)
+	now := time.Unix(1000, 0)
+	c := connectedChannel(now)
+	for i := range 3000 {
+		c.recordSignals(now, &heldGrant{server: grant.Server{Instance: fmt.Sprint("left", i)}, incarnation: 1}, grant.ServerSignals{Draining: true})
+		now = now.Add(time.Minute)
+	}
+	g.Expect(len(c.serverStates)).To(BeNumerically("<", 100))
+}
