Attribute what a server says to the process that said it

Cause: the end of a request applied the signals of its response to whatever process had the name by then. Change: a dispatcher ignores what requests that were granted before a restart report, and a host marks a server as draining when the head of the response arrives, not again at its end.

TestResponsesOfAFormerProcessSayNothingAboutItsSuccessor and TestTheEndOfAResponseMarksNoServerAsDraining failed before.

--- a/internal/dispatch/machine.go
+++ b/internal/dispatch/machine.go
@@ -213,6 +213,9 @@
 
 // resetAfterRestart discards what was learned about a former process of the server.
 func (m *Machine) resetAfterRestart(now time.Time, s *server, b backend.Server) {
+	if s.Incarnation != 0 {
+		s.restartedAt = now
+	}
 	s.Server = b
 	s.draining = false
 	s.shedWeight, s.consecutiveSheds, s.pausedUntil = 1, 0, time.Time{}
@@ -433,7 +436,7 @@
 	if n == nil {
 		return
 	}
-	if r := n.requests[request]; r != nil && r.state == stateGranted {
+	if r := n.requests[request]; r != nil && r.state == stateGranted && !r.sentToFormerProcess() {
 		m.applySignals(now, now, r.server, n, signals)
 	}
 }
--- a/internal/dispatch/pause_test.go
+++ b/internal/dispatch/pause_test.go
@@ -132,3 +132,22 @@
 	b.ReportSignals(b.now, b.now, "n", "s0", 1, grant.ServerSignals{Draining: true})
 	g.Expect(b.request("o", time.Second).Kind).NotTo(Equal(dispatch.Granted))
 }
+
+// A server that had restarted in place of one that was leaving got no requests: a response of the former process, whose end
+// came late, took it out.
+func TestResponsesOfAFormerProcessSayNothingAboutItsSuccessor(t *testing.T) {
+	g := NewWithT(t)
+	b := newPauseBench(1)
+	silent, slow := b.granted(g, "n"), b.granted(g, "o")
+	b.now = b.now.Add(time.Second)
+	b.SetServers(b.now, []backend.Server{{
+		Service: "s", Instance: "s0", Incarnation: 2, State: backend.Ready, Slots: 4, Renewed: b.now, Cutoff: time.Hour,
+	}})
+	b.Signals(b.now, "o", slow, grant.ServerSignals{Pause: time.Minute})
+	leaving := grant.ServerSignals{Draining: true}
+	b.Complete(b.now, "n", silent, grant.Completion{Result: grant.OK, FirstByte: time.Millisecond, Total: time.Second, ServerSignals: leaving})
+	b.granted(g, "n")
+	current := b.granted(g, "o")
+	b.Complete(b.now, "o", current, grant.Completion{Result: grant.OK, Total: time.Millisecond, ServerSignals: leaving})
+	g.Expect(b.request("n", time.Second).Kind).NotTo(Equal(dispatch.Granted))
+}
--- a/internal/dispatch/request.go
+++ b/internal/dispatch/request.go
@@ -108,6 +108,11 @@
 	advised bool
 }
 
+// sentToFormerProcess reports whether the server has restarted since the request was granted.
+func (r *request) sentToFormerProcess() bool {
+	return r.sent.Before(r.server.restartedAt)
+}
+
 // node is a member of the host set, with or without a live stream.
 type node struct {
 	id          string
--- a/internal/dispatch/server.go
+++ b/internal/dispatch/server.go
@@ -41,6 +41,8 @@
 	limitedUntil time.Time
 	// draining is set by drain signals in responses.
 	draining bool
+	// restartedAt is when the present process was first seen in place of a former one; zero if there was none.
+	restartedAt time.Time
 	// rate is the limit that the server named in its last response, and rateAsOf when that response arrived.
 	rate     RateLimit
 	rateAsOf time.Time
--- a/internal/dispatch/signals.go
+++ b/internal/dispatch/signals.go
@@ -10,7 +10,7 @@
 // observeSignals applies what the server of a request said about itself in the head of its response, which may have
 // arrived long before the response ended.
 func (m *Machine) observeSignals(now time.Time, r *request, c *grant.Completion) {
-	if c.HasHead() {
+	if c.HasHead() && !r.sentToFormerProcess() {
 		m.applySignals(now, now.Add(-c.HeadAge()), r.server, r.node, c.ServerSignals)
 	}
 }
--- a/internal/dispatchrpc/lease.go
+++ b/internal/dispatchrpc/lease.go
@@ -94,9 +94,6 @@
 
 // Complete ends the grant and reports the result to the dispatcher, if there is one.
 func (h *heldGrant) Complete(done grant.Completion) {
-	if done.Draining {
-		h.channel.client.config.Registry.MarkDraining(h.server.Service, h.server.Instance)
-	}
 	c := h.channel
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/dispatchrpc/signals_test.go
+++ b/internal/dispatchrpc/signals_test.go
@@ -184,3 +184,22 @@
 	}
 	g.Expect(len(c.serverStates)).To(BeNumerically("<", 100))
 }
+
+// markedRegistry records which servers were marked as draining.
+type markedRegistry struct {
+	fixedRegistry
+	marked []string
+}
+
+func (r *markedRegistry) MarkDraining(_, instance string) { r.marked = append(r.marked, instance) }
+
+// The end of a response, long after the server said in its head that it leaves, took the next process out of the list.
+func TestTheEndOfAResponseMarksNoServerAsDraining(t *testing.T) {
+	g := NewWithT(t)
+	c := disconnectedChannel(time.Now())
+	registry := &markedRegistry{fixedRegistry: c.client.config.Registry.(fixedRegistry)}
+	c.client.config.Registry = registry
+	h := &heldGrant{channel: c, server: grant.Server{Instance: "s0"}, incarnation: 1}
+	h.Complete(grant.Completion{Result: grant.OK, Total: time.Second, ServerSignals: grant.ServerSignals{Draining: true}})
+	g.Expect(registry.marked).To(BeEmpty())
+}
