--- a/internal/dispatch/machine.go
+++ b/internal/dispatch/machine.go
@@ -430,17 +430,6 @@
 	m.recordResponse(now, r)
 }
 
-// Signals applies what the server of a granted request said about itself in the head of a response that has not ended.
-func (m *Machine) Signals(now time.Time, id string, request uint64, signals grant.ServerSignals) {
-	n := m.nodes[id]
-	if n == nil {
-		return
-	}
-	if r := n.requests[request]; r != nil && r.state == stateGranted && !r.sentToFormerProcess() {
-		m.applySignals(now, now, r.server, n, signals)
-	}
-}
-
 // Complete ends a granted request and frees its slot.
 func (m *Machine) Complete(now time.Time, id string, request uint64, c grant.Completion) {
 	n := m.nodes[id]
--- a/internal/dispatch/signals.go
+++ b/internal/dispatch/signals.go
@@ -7,6 +7,17 @@
 	"github.com/tarragonmux/tarragonmux/internal/grant"
 )
 
+// Signals applies what the server of a granted request said about itself in the head of a response that has not ended.
+func (m *Machine) Signals(now time.Time, id string, request uint64, signals grant.ServerSignals) {
+	n := m.nodes[id]
+	if n == nil {
+		return
+	}
+	if r := n.requests[request]; r != nil && r.state == stateGranted && !r.sentToFormerProcess() {
+		m.applySignals(now, now, r.server, n, signals)
+	}
+}
+
 // observeSignals applies what the server of a request said about itself in the head of its response, which may have
 // arrived long before the response ended.
 func (m *Machine) observeSignals(now time.Time, r *request, c *grant.Completion) {
