dispatchrpc: hear servers that the host no longer lists

A host ignored what a server said that it had dropped from its list and a dispatcher still granted, if the server had said something before.

Change: without an incarnation, what the server says adds to what is known. TestUnlistedServersMaySayThatTheyLeave failed before.

--- a/internal/dispatchrpc/signals.go
+++ b/internal/dispatchrpc/signals.go
@@ -53,10 +53,10 @@
 // time. The caller holds the mutex.
 func (c *channel) recordSignals(arrived time.Time, h *heldGrant, signals grant.ServerSignals) {
 	state := c.serverStates[h.server.Instance]
-	if state != nil && h.incarnation < state.incarnation {
+	if state != nil && h.incarnation != 0 && h.incarnation < state.incarnation {
 		return
 	}
-	if state == nil || state.incarnation != h.incarnation {
+	if state == nil || h.incarnation > state.incarnation {
 		if signals == (grant.ServerSignals{}) {
 			return
 		}
--- a/internal/dispatchrpc/signals_test.go
+++ b/internal/dispatchrpc/signals_test.go
@@ -185,6 +185,19 @@
 	g.Expect(len(c.serverStates)).To(BeNumerically("<", 100))
 }
 
+// A server that the host no longer lists, but that a dispatcher still grants, said that it leaves. It was ignored if the
+// server had said something else before.
+func TestUnlistedServersMaySayThatTheyLeave(t *testing.T) {
+	g := NewWithT(t)
+	now := time.Unix(1000, 0)
+	c := connectedChannel(now)
+	c.client.config.Settings = retryBounds{0.2, 56}
+	c.recordSignals(now, &heldGrant{server: grant.Server{Instance: "gone"}, incarnation: 5}, grant.ServerSignals{RateLimited: true, Rate: 2})
+	g.Expect(c.wantsNoRequests(now, "gone")).To(BeFalse())
+	c.recordSignals(now, &heldGrant{server: grant.Server{Instance: "gone"}}, grant.ServerSignals{Draining: true})
+	g.Expect(c.wantsNoRequests(now, "gone")).To(BeTrue())
+}
+
 // markedRegistry records which servers were marked as draining.
 type markedRegistry struct {
 	fixedRegistry
