--- a/internal/dispatchrpc/signals.go
+++ b/internal/dispatchrpc/signals.go
@@ -151,6 +151,9 @@
 // forgetEndedStates drops what no longer applies, and what former processes said.
 func (c *channel) forgetEndedStates(now time.Time) {
 	c.statesCheckedAt = now
+	if len(c.serverStates) == 0 {
+		return
+	}
 	incarnations := map[string]uint64{}
 	for _, s := range c.client.config.Registry.Servers(c.service) {
 		incarnations[s.Instance] = s.Incarnation
