attach: say why a departure was not confirmed

Cause: the line "departure of a backend server was not confirmed" told neither which control hosts were missing nor how long the caller waited, and it was also written when the sender itself had gone.

Change: the line names the missing control hosts and dispatchers and the time; a sender that disconnects gets a line of its own at info. Histograms of confirmations and of the calls to other control hosts. No change of logic.

--- a/internal/app/discovery.go
+++ b/internal/app/discovery.go
@@ -193,7 +193,11 @@
 	return newDispatcher(lc, b, s, newDocumentSettings(holder.document, s), m, e, registry, logger)
 }
 
-func newAttachServer(lc fx.Lifecycle, b *background, i incarnation, s *settings.Settings, m *membership.Runner, e *election.Runner, source hostset.Source, holder *logHolder, pool *transport.Pool, logger *log.Logger) *attach.Server {
+func newAttachServer(lc fx.Lifecycle, b *background, i incarnation, s *settings.Settings, m *membership.Runner, e *election.Runner, source hostset.Source, holder *logHolder, pool *transport.Pool, registry *prometheus.Registry, logger *log.Logger) (*attach.Server, error) {
+	metrics, err := attach.NewServerMetrics(registry)
+	if err != nil {
+		return nil, err
+	}
 	server := attach.NewServer(attach.ServerOptions{
 		ID:          s.ID,
 		Address:     s.Fleet.Advertise,
@@ -203,10 +207,11 @@
 		Revision:    func() uint64 { return holder.document().GetRevision() },
 		Peers:       attach.NewPeers(pool),
 		Incarnation: uint64(i),
+		Metrics:     metrics,
 		Logger:      logger,
 	})
 	startComponent(lc, b, "departures", server.Run)
-	return server
+	return server, nil
 }
 
 func registerControlHost(lc fx.Lifecycle, mux *transport.Mux, s *settings.Settings, m *membership.Runner, e *election.Runner, d *dispatchrpc.Server, a *attach.Server, source hostset.Source, holder *logHolder, gossip *gossipHolder, components *controlComponents, b *background) error {
--- a/internal/attach/metrics.go
+++ b/internal/attach/metrics.go
@@ -33,9 +33,59 @@
 	if m == nil {
 		return
 	}
-	result := "answered"
+	m.heartbeats.WithLabelValues(resultLabel(err, "answered")).Observe(took.Seconds())
+}
+
+// resultLabel returns the label of a success, or "failed".
+func resultLabel(err error, success string) string {
 	if err != nil {
-		result = "failed"
+		return "failed"
+	}
+	return success
+}
+
+// departureBuckets are in seconds. The time for which the sender of an announcement waits (1 s) lies within their
+// range.
+var departureBuckets = []float64{.005, .01, .02, .05, .1, .2, .3, .5, .8, 1.2}
+
+// ServerMetrics measures the departures of backend servers at a control host. A nil *ServerMetrics records nothing.
+type ServerMetrics struct {
+	departures *prometheus.HistogramVec
+	marks      *prometheus.HistogramVec
+}
+
+// NewServerMetrics registers the metrics.
+func NewServerMetrics(r prometheus.Registerer) (*ServerMetrics, error) {
+	m := &ServerMetrics{
+		departures: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Name:    "tarragonmux_departure_confirmation_seconds",
+			Help:    "Time until the departure of a backend server was confirmed, or until its sender was gone, by result.",
+			Buckets: departureBuckets,
+		}, []string{"result"}),
+		marks: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Name:    "tarragonmux_departure_mark_seconds",
+			Help:    "Time of a call that tells another control host of departures, by result.",
+			Buckets: departureBuckets,
+		}, []string{"result"}),
+	}
+	for _, c := range []prometheus.Collector{m.departures, m.marks} {
+		if err := r.Register(c); err != nil {
+			return nil, errors.Wrap(err, "attach: cannot register metrics; use one registry per process")
+		}
+	}
+	return m, nil
+}
+
+func (m *ServerMetrics) observeDeparture(took time.Duration, err error) {
+	if m == nil {
+		return
+	}
+	m.departures.WithLabelValues(resultLabel(err, "confirmed")).Observe(took.Seconds())
+}
+
+func (m *ServerMetrics) observeMark(took time.Duration, err error) {
+	if m == nil {
+		return
 	}
-	m.heartbeats.WithLabelValues(result).Observe(took.Seconds())
+	m.marks.WithLabelValues(resultLabel(err, "recorded")).Observe(took.Seconds())
 }
--- a/internal/attach/server.go
+++ b/internal/attach/server.go
@@ -68,7 +68,9 @@
 	Peers    Peers
 	// Incarnation is the start time of the process in milliseconds.
 	Incarnation uint64
-	Logger      *log.Logger
+	// Metrics may be nil.
+	Metrics *ServerMetrics
+	Logger  *log.Logger
 }
 
 // Server is the control host side: it tracks the entry hosts and records departures of backend servers.
@@ -176,6 +178,7 @@
 // polls a majority before it reports its departures to an entry host as current, so within pollInterval
 // and a heartbeat all hosts that may send requests to the server know it too. Errors: ErrNotConfirmed.
 func (s *Server) RecordDeparture(ctx context.Context, instance string, incarnation uint64, state backend.State) error {
+	started := time.Now()
 	services := s.mark(instance, incarnation, state)
 	request := &fleetpb.MarkRequest{Instance: instance, Incarnation: incarnation, State: fleetpb.ServerState(state)}
 	c := &departureConfirmation{
@@ -188,18 +191,20 @@
 		}
 		if c.confirmed() {
 			s.tracker.noteConfirmed(instance, incarnation, state)
+			s.opts.Metrics.observeDeparture(time.Since(started), nil)
 			if c.repeated {
 				return nil
 			}
 			s.opts.Logger.Info("took a backend server out", "instance", instance, "incarnation", incarnation,
-				"state", state.String(), "services", services, "told", len(c.confirmedBy))
+				"state", state.String(), "services", services, "told", len(c.confirmedBy), "took_ms", time.Since(started).Milliseconds())
 			return nil
 		}
 		timer := time.NewTimer(markInterval)
 		select {
 		case <-ctx.Done():
 			timer.Stop()
-			s.opts.Logger.Warn("departure of a backend server was not confirmed", "instance", instance, "told", len(c.confirmedBy))
+			s.opts.Metrics.observeDeparture(time.Since(started), ctx.Err())
+			c.logUnconfirmed(ctx, time.Since(started))
 			return ErrNotConfirmed
 		case <-timer.C:
 		}
@@ -236,6 +241,29 @@
 	return true
 }
 
+// logUnconfirmed logs why a departure was not confirmed before the context ended. A sender that disconnects says
+// nothing about the control hosts, as when a server announces its departure again in its last moment.
+func (c *departureConfirmation) logUnconfirmed(ctx context.Context, waited time.Duration) {
+	fields := []any{"instance", c.request.GetInstance(), "repeated", c.repeated, "waited_ms", waited.Milliseconds(), "told", len(c.confirmedBy)}
+	if errors.Is(ctx.Err(), context.Canceled) {
+		c.server.opts.Logger.Info("the sender of a departure disconnected before it was confirmed", fields...)
+		return
+	}
+	var group int
+	var dispatchers []string
+	if fleet := c.server.opts.Source.Fleet(); fleet != nil {
+		group = len(fleet.Hosts)
+		for _, part := range fleet.Services {
+			h, ok := c.server.opts.Elections.Dispatcher(part.Name)
+			if ok && c.concerns(part.Name) && !c.confirmedBy[h.Address] {
+				dispatchers = append(dispatchers, part.Name+"="+h.Node)
+			}
+		}
+	}
+	c.server.opts.Logger.Warn("departure of a backend server was not confirmed",
+		append(fields, "group", group, "missing", c.pendingControlHosts(), "missing_dispatchers", dispatchers)...)
+}
+
 // concerns reports whether the dispatchers of the shard may send requests to the backend server. All shards
 // of a service count, since the number of shards may be changing.
 func (c *departureConfirmation) concerns(shardName string) bool {
@@ -263,7 +291,10 @@
 			// also learn of it soon.
 			bounded, cancel := context.WithTimeout(context.WithoutCancel(ctx), markTimeout)
 			defer cancel()
-			if err := c.server.opts.Peers.Mark(bounded, address, c.request); err != nil {
+			sent := time.Now()
+			err := c.server.opts.Peers.Mark(bounded, address, c.request)
+			c.server.opts.Metrics.observeMark(time.Since(sent), err)
+			if err != nil {
 				c.server.opts.Logger.Debug("could not mark a backend server at a control host", "address", address, "err", logging.Err(err))
 				address = ""
 			}
