attach: tell each control host of departures in one call at a time

Cause: overload that feeds on itself. Each departure cost a call to each of the 18 other control hosts. A call that took over 300 ms counted as failed although the receiver had recorded the mark, and was made again; after a second the server asked another control host, which began anew. Past a load that a burst of departures reaches, control hosts did nothing but handle repeats.

Change: one call to a control host is in progress at a time, and departures that come meanwhile go together in the next one. A receiver of a former version confirms the first mark of a call only, which the reply says. Marks that were known are no longer logged.

--- a/internal/attach/attach_test.go
+++ b/internal/attach/attach_test.go
@@ -101,14 +101,14 @@
 	calls map[string]int
 }
 
-func (m *fakePeers) Mark(_ context.Context, address string, _ *fleetpb.MarkRequest) error {
+func (m *fakePeers) Mark(_ context.Context, address string, r *fleetpb.MarkRequest) (*fleetpb.MarkReply, error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.calls[address]++
 	if !m.up[address] {
-		return errors.New("unreachable")
+		return nil, errors.New("unreachable")
 	}
-	return nil
+	return &fleetpb.MarkReply{Further: uint32(len(r.GetFurther()))}, nil
 }
 
 func (m *fakePeers) ListDepartures(_ context.Context, address string, _ *fleetpb.DeparturesRequest) (*fleetpb.Departures, error) {
--- /dev/null
+++ b/internal/attach/confirmation.go
@@ -0,0 +1,227 @@
+package attach
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/tarragonmux/tarragonmux/internal/backend"
+	"github.com/tarragonmux/tarragonmux/internal/hostset"
+	"github.com/tarragonmux/tarragonmux/internal/shard"
+	"github.com/tarragonmux/tarragonmux/proto/fleetpb"
+)
+
+// recheckInterval is how often an unconfirmed departure is compared with the control group and the dispatchers, which
+// may have changed.
+const recheckInterval = 100 * time.Millisecond
+
+// ErrNotConfirmed means that the dispatcher or a majority of the control group has not confirmed a
+// departure.
+var ErrNotConfirmed = errors.New("the control hosts could not be told; send it again, best to another control host")
+
+// RecordDeparture marks a backend server as draining or left and returns nil once the dispatchers of
+// its services and a majority of the control group have confirmed the mark. Every other control host
+// polls a majority before it reports its departures to an entry host as current, so within pollInterval
+// and a heartbeat all hosts that may send requests to the server know it too. Errors: ErrNotConfirmed.
+func (s *Server) RecordDeparture(ctx context.Context, instance string, incarnation uint64, state backend.State) error {
+	started := time.Now()
+	c := s.newConfirmation(instance, incarnation, state)
+	defer c.end()
+	err := c.await(ctx)
+	took := time.Since(started)
+	s.opts.Metrics.observeDeparture(took, err)
+	if err != nil {
+		c.logUnconfirmed(ctx, took)
+		return err
+	}
+	s.tracker.noteConfirmed(instance, incarnation, state)
+	if !c.repeated {
+		s.opts.Logger.Info("took a backend server out", "instance", instance, "incarnation", incarnation,
+			"state", state.String(), "services", c.services, "told", c.confirmations(), "took_ms", took.Milliseconds())
+	}
+	return nil
+}
+
+// departureConfirmation is the state of one call of RecordDeparture.
+type departureConfirmation struct {
+	server   *Server
+	mark     *fleetpb.Mark
+	services []string
+	// repeated is set if this process has confirmed the departure before. A draining server repeats it with
+	// each announcement. Only the hosts that must confirm are then told again, in case they have restarted.
+	repeated bool
+	// requested holds the fleet addresses of the control hosts that are being told. Only RecordDeparture uses it.
+	requested map[string]bool
+	// changed signals that a control host has confirmed; it buffers one signal.
+	changed chan struct{}
+
+	mu sync.Mutex
+	// confirmedBy holds the fleet addresses of the control hosts that have confirmed the mark.
+	confirmedBy map[string]bool
+	// ended is set once RecordDeparture has returned.
+	ended bool
+}
+
+func (s *Server) newConfirmation(instance string, incarnation uint64, state backend.State) *departureConfirmation {
+	services, _ := s.mark(instance, incarnation, state)
+	return &departureConfirmation{
+		server: s, mark: &fleetpb.Mark{Instance: instance, Incarnation: incarnation, State: fleetpb.ServerState(state)},
+		services: services, repeated: s.tracker.wasConfirmed(instance, incarnation, state),
+		requested: map[string]bool{}, changed: make(chan struct{}, 1),
+		confirmedBy: map[string]bool{s.opts.Address: true},
+	}
+}
+
+// await tells the control hosts and waits until enough of them have confirmed. Errors: ErrNotConfirmed.
+func (c *departureConfirmation) await(ctx context.Context) error {
+	if c.confirmed() {
+		return nil
+	}
+	ticker := time.NewTicker(recheckInterval)
+	defer ticker.Stop()
+	c.requestMarks()
+	for !c.confirmed() {
+		select {
+		case <-ctx.Done():
+			return ErrNotConfirmed
+		case <-c.changed:
+		case <-ticker.C:
+			c.requestMarks()
+		}
+	}
+	return nil
+}
+
+// requestMarks tells the control hosts that have not been told.
+func (c *departureConfirmation) requestMarks() {
+	for _, address := range c.pendingControlHosts() {
+		if !c.requested[address] {
+			c.requested[address] = true
+			c.server.marker.send(address, c)
+		}
+	}
+}
+
+// confirmedAt records that a control host has confirmed the mark.
+func (c *departureConfirmation) confirmedAt(address string) {
+	c.mu.Lock()
+	c.confirmedBy[address] = true
+	c.mu.Unlock()
+	select {
+	case c.changed <- struct{}{}:
+	default:
+	}
+}
+
+func (c *departureConfirmation) hasConfirmed(address string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.confirmedBy[address]
+}
+
+// confirmations returns the number of control hosts that have confirmed, including this one.
+func (c *departureConfirmation) confirmations() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.confirmedBy)
+}
+
+func (c *departureConfirmation) end() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.ended = true
+}
+
+func (c *departureConfirmation) hasEnded() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.ended
+}
+
+// confirmed reports whether enough hosts have confirmed: a majority of the control group, also of the
+// previous one after a change of hosts, and the dispatchers of all affected services.
+func (c *departureConfirmation) confirmed() bool {
+	fleet := c.server.opts.Source.Fleet()
+	if fleet == nil || !c.hasMajority(fleet.Hosts) || len(fleet.PreviousHosts) > 0 && !c.hasMajority(fleet.PreviousHosts) {
+		return false
+	}
+	return len(c.missingDispatchers(fleet)) == 0
+}
+
+// missingDispatchers lists the shards of the affected services whose dispatchers have not confirmed.
+func (c *departureConfirmation) missingDispatchers(fleet *hostset.Fleet) (missing []string) {
+	for _, part := range fleet.Services {
+		if !c.concerns(part.Name) {
+			continue
+		}
+		if h, ok := c.server.opts.Elections.Dispatcher(part.Name); ok && !c.hasConfirmed(h.Address) {
+			missing = append(missing, part.Name+"="+h.Node)
+		}
+	}
+	return missing
+}
+
+// concerns reports whether the dispatchers of the shard may send requests to the backend server. All shards
+// of a service count, since the number of shards may be changing.
+func (c *departureConfirmation) concerns(shardName string) bool {
+	return slices.Contains(c.services, shard.ServiceOf(shardName))
+}
+
+func (c *departureConfirmation) hasMajority(group []hostset.Host) bool {
+	count := 0
+	for _, h := range group {
+		if c.hasConfirmed(h.FleetAddress) {
+			count++
+		}
+	}
+	return 2*count > len(group)
+}
+
+// pendingControlHosts lists the control hosts that have not confirmed the mark.
+func (c *departureConfirmation) pendingControlHosts() []string {
+	var list []string
+	add := func(address string) {
+		if address != "" && !c.hasConfirmed(address) && !slices.Contains(list, address) {
+			list = append(list, address)
+		}
+	}
+	if fleet := c.server.opts.Source.Fleet(); fleet != nil {
+		for _, h := range slices.Concat(fleet.Hosts, fleet.PreviousHosts) {
+			add(h.FleetAddress)
+		}
+		for _, part := range fleet.Services {
+			if h, ok := c.server.opts.Elections.Dispatcher(part.Name); ok && c.concerns(part.Name) {
+				add(h.Address)
+			}
+		}
+	}
+	if c.repeated {
+		return list
+	}
+	for _, m := range c.server.opts.Registry.Members() {
+		if m.State <= fleetpb.NodeState_NODE_STATE_SUSPECT {
+			add(m.FleetAddress)
+		}
+	}
+	return list
+}
+
+// logUnconfirmed logs why a departure was not confirmed before the context ended. A sender that disconnects says
+// nothing about the control hosts, as when a server announces its departure again in its last moment.
+func (c *departureConfirmation) logUnconfirmed(ctx context.Context, waited time.Duration) {
+	fields := []any{"instance", c.mark.GetInstance(), "repeated", c.repeated, "waited_ms", waited.Milliseconds(), "told", c.confirmations()}
+	if errors.Is(ctx.Err(), context.Canceled) {
+		c.server.opts.Logger.Info("the sender of a departure disconnected before it was confirmed", fields...)
+		return
+	}
+	var group int
+	var dispatchers []string
+	if fleet := c.server.opts.Source.Fleet(); fleet != nil {
+		group, dispatchers = len(fleet.Hosts), c.missingDispatchers(fleet)
+	}
+	c.server.opts.Logger.Warn("departure of a backend server was not confirmed",
+		append(fields, "group", group, "missing", c.pendingControlHosts(), "missing_dispatchers", dispatchers)...)
+}
--- a/internal/attach/poolclient.go
+++ b/internal/attach/poolclient.go
@@ -31,9 +31,8 @@
 }
 
 // Mark implements Peers.
-func (c poolClient) Mark(ctx context.Context, address string, r *fleetpb.MarkRequest) error {
-	_, err := c.client(ctx, address).Mark(ctx, r)
-	return err
+func (c poolClient) Mark(ctx context.Context, address string, r *fleetpb.MarkRequest) (*fleetpb.MarkReply, error) {
+	return c.client(ctx, address).Mark(ctx, r)
 }
 
 // ListDepartures implements Peers.
--- a/internal/attach/server.go
+++ b/internal/attach/server.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"slices"
 	"time"
 
 	"github.com/charmbracelet/log"
@@ -11,9 +10,7 @@
 	"github.com/tarragonmux/tarragonmux/internal/backend"
 	"github.com/tarragonmux/tarragonmux/internal/hostset"
 	"github.com/tarragonmux/tarragonmux/internal/leadership"
-	"github.com/tarragonmux/tarragonmux/internal/logging"
 	"github.com/tarragonmux/tarragonmux/internal/membership"
-	"github.com/tarragonmux/tarragonmux/internal/shard"
 	"github.com/tarragonmux/tarragonmux/proto/fleetpb"
 )
 
@@ -30,16 +27,8 @@
 	// maxSeparateFailures is the largest number of missed hosts that may plausibly have failed one by
 	// one.
 	maxSeparateFailures = 2
-	// markInterval is the pause between two rounds of marks to control hosts that have not responded.
-	markInterval = 50 * time.Millisecond
-	// markTimeout bounds one call of Mark.
-	markTimeout = 300 * time.Millisecond
 )
 
-// ErrNotConfirmed means that the dispatcher or a majority of the control group has not confirmed a
-// departure.
-var ErrNotConfirmed = errors.New("the control hosts could not be told; send it again, best to another control host")
-
 // Registry is the membership of the control hosts.
 type Registry interface {
 	AnnounceLocal(s backend.Server) error
@@ -52,7 +41,7 @@
 
 // Peers sends messages to other control hosts.
 type Peers interface {
-	Mark(ctx context.Context, address string, r *fleetpb.MarkRequest) error
+	Mark(ctx context.Context, address string, r *fleetpb.MarkRequest) (*fleetpb.MarkReply, error)
 	ListDepartures(ctx context.Context, address string, r *fleetpb.DeparturesRequest) (*fleetpb.Departures, error)
 }
 
@@ -78,13 +67,14 @@
 type Server struct {
 	opts      ServerOptions
 	tracker   *tracker
+	marker    *marker
 	endpoints endpointCache
 }
 
 // NewServer returns a server. Run keeps its departures current.
 func NewServer(o ServerOptions) *Server {
 	o.Logger = o.Logger.WithPrefix("attach")
-	return &Server{opts: o, tracker: newTracker(&o)}
+	return &Server{opts: o, tracker: newTracker(&o), marker: newMarker(&o)}
 }
 
 // Run keeps the departures current until the context is cancelled.
@@ -145,26 +135,37 @@
 	return reply
 }
 
-// Mark marks a backend server as draining or left on request of another control host.
+// Mark marks backend servers as draining or left on request of another control host.
 func (s *Server) Mark(_ context.Context, r *fleetpb.MarkRequest) (*fleetpb.MarkReply, error) {
-	services := s.mark(r.GetInstance(), r.GetIncarnation(), backend.State(r.GetState()))
-	s.opts.Logger.Info("marked a backend server on request of another control host", "instance", r.GetInstance(), "incarnation", r.GetIncarnation(),
-		"state", backend.State(r.GetState()).String(), "services", services)
-	return &fleetpb.MarkReply{}, nil
+	further := r.GetFurther()[:min(len(r.GetFurther()), maxFurtherMarks)]
+	marks := append([]*fleetpb.Mark{{Instance: r.GetInstance(), Incarnation: r.GetIncarnation(), State: r.GetState()}}, further...)
+	var added []string
+	for _, m := range marks {
+		if _, isNew := s.mark(m.GetInstance(), m.GetIncarnation(), backend.State(m.GetState())); isNew {
+			added = append(added, m.GetInstance())
+		}
+	}
+	if len(added) > 0 {
+		s.opts.Logger.Info("marked backend servers on request of another control host", "instances", added, "marks", len(marks))
+	}
+	return &fleetpb.MarkReply{Further: uint32(len(further))}, nil
 }
 
-// mark records the departure at this control host and returns the services of the backend server.
-func (s *Server) mark(instance string, incarnation uint64, state backend.State) (services []string) {
+// mark records the departure at this control host. It returns the services of the backend server, and whether the
+// departure was not known.
+func (s *Server) mark(instance string, incarnation uint64, state backend.State) (services []string, isNew bool) {
 	now := time.Now()
 	services = s.opts.Registry.MarkServer(instance, incarnation, state)
 	switch {
 	case incarnation == 0:
 		// Only the registry knows which processes the mark covers.
 		s.tracker.syncWithRegistry(now)
+		return services, len(services) > 0
 	case state >= backend.Draining:
-		s.tracker.recordMark(now, instance, incarnation)
+		return services, s.tracker.recordMark(now, instance, incarnation)
+	default:
+		return services, false
 	}
-	return services
 }
 
 // ListDepartures returns the departures that another control host has not seen.
@@ -173,178 +174,6 @@
 	return changes, nil
 }
 
-// RecordDeparture marks a backend server as draining or left and returns nil once the dispatchers of
-// its services and a majority of the control group have confirmed the mark. Every other control host
-// polls a majority before it reports its departures to an entry host as current, so within pollInterval
-// and a heartbeat all hosts that may send requests to the server know it too. Errors: ErrNotConfirmed.
-func (s *Server) RecordDeparture(ctx context.Context, instance string, incarnation uint64, state backend.State) error {
-	started := time.Now()
-	services := s.mark(instance, incarnation, state)
-	request := &fleetpb.MarkRequest{Instance: instance, Incarnation: incarnation, State: fleetpb.ServerState(state)}
-	c := &departureConfirmation{
-		server: s, request: request, services: services, confirmedBy: map[string]bool{s.opts.Address: true},
-		repeated: s.tracker.wasConfirmed(instance, incarnation, state),
-	}
-	for {
-		if !c.confirmed() {
-			c.sendMarks(ctx)
-		}
-		if c.confirmed() {
-			s.tracker.noteConfirmed(instance, incarnation, state)
-			s.opts.Metrics.observeDeparture(time.Since(started), nil)
-			if c.repeated {
-				return nil
-			}
-			s.opts.Logger.Info("took a backend server out", "instance", instance, "incarnation", incarnation,
-				"state", state.String(), "services", services, "told", len(c.confirmedBy), "took_ms", time.Since(started).Milliseconds())
-			return nil
-		}
-		timer := time.NewTimer(markInterval)
-		select {
-		case <-ctx.Done():
-			timer.Stop()
-			s.opts.Metrics.observeDeparture(time.Since(started), ctx.Err())
-			c.logUnconfirmed(ctx, time.Since(started))
-			return ErrNotConfirmed
-		case <-timer.C:
-		}
-	}
-}
-
-// departureConfirmation is the state of one call of RecordDeparture.
-type departureConfirmation struct {
-	server   *Server
-	request  *fleetpb.MarkRequest
-	services []string
-	// confirmedBy holds the fleet addresses of the control hosts that have confirmed the mark.
-	confirmedBy map[string]bool
-	// repeated is set if this process has confirmed the departure before. A draining server repeats it with
-	// each announcement. Only the hosts that must confirm are then told again, in case they have restarted.
-	repeated bool
-}
-
-// confirmed reports whether enough hosts have confirmed: a majority of the control group, also of the
-// previous one after a change of hosts, and the dispatchers of all affected services.
-func (c *departureConfirmation) confirmed() bool {
-	fleet := c.server.opts.Source.Fleet()
-	if fleet == nil || !c.hasMajority(fleet.Hosts) || len(fleet.PreviousHosts) > 0 && !c.hasMajority(fleet.PreviousHosts) {
-		return false
-	}
-	for _, s := range fleet.Services {
-		if !c.concerns(s.Name) {
-			continue
-		}
-		if h, ok := c.server.opts.Elections.Dispatcher(s.Name); ok && !c.confirmedBy[h.Address] {
-			return false
-		}
-	}
-	return true
-}
-
-// logUnconfirmed logs why a departure was not confirmed before the context ended. A sender that disconnects says
-// nothing about the control hosts, as when a server announces its departure again in its last moment.
-func (c *departureConfirmation) logUnconfirmed(ctx context.Context, waited time.Duration) {
-	fields := []any{"instance", c.request.GetInstance(), "repeated", c.repeated, "waited_ms", waited.Milliseconds(), "told", len(c.confirmedBy)}
-	if errors.Is(ctx.Err(), context.Canceled) {
-		c.server.opts.Logger.Info("the sender of a departure disconnected before it was confirmed", fields...)
-		return
-	}
-	var group int
-	var dispatchers []string
-	if fleet := c.server.opts.Source.Fleet(); fleet != nil {
-		group = len(fleet.Hosts)
-		for _, part := range fleet.Services {
-			h, ok := c.server.opts.Elections.Dispatcher(part.Name)
-			if ok && c.concerns(part.Name) && !c.confirmedBy[h.Address] {
-				dispatchers = append(dispatchers, part.Name+"="+h.Node)
-			}
-		}
-	}
-	c.server.opts.Logger.Warn("departure of a backend server was not confirmed",
-		append(fields, "group", group, "missing", c.pendingControlHosts(), "missing_dispatchers", dispatchers)...)
-}
-
-// concerns reports whether the dispatchers of the shard may send requests to the backend server. All shards
-// of a service count, since the number of shards may be changing.
-func (c *departureConfirmation) concerns(shardName string) bool {
-	return slices.Contains(c.services, shard.ServiceOf(shardName))
-}
-
-func (c *departureConfirmation) hasMajority(group []hostset.Host) bool {
-	count := 0
-	for _, h := range group {
-		if c.confirmedBy[h.FleetAddress] {
-			count++
-		}
-	}
-	return 2*count > len(group)
-}
-
-// sendMarks sends the mark to every control host that has not confirmed it. It returns as soon as
-// enough hosts have confirmed, or when all calls have ended.
-func (c *departureConfirmation) sendMarks(ctx context.Context) {
-	addresses := c.pendingControlHosts()
-	done := make(chan string, len(addresses))
-	for _, address := range addresses {
-		go func() {
-			// A mark is not cancelled when RecordDeparture returns, so that the other control hosts
-			// also learn of it soon.
-			bounded, cancel := context.WithTimeout(context.WithoutCancel(ctx), markTimeout)
-			defer cancel()
-			sent := time.Now()
-			err := c.server.opts.Peers.Mark(bounded, address, c.request)
-			c.server.opts.Metrics.observeMark(time.Since(sent), err)
-			if err != nil {
-				c.server.opts.Logger.Debug("could not mark a backend server at a control host", "address", address, "err", logging.Err(err))
-				address = ""
-			}
-			done <- address
-		}()
-	}
-	for range addresses {
-		select {
-		case address := <-done:
-			if address != "" {
-				c.confirmedBy[address] = true
-			}
-		case <-ctx.Done():
-			return
-		}
-		if c.confirmed() {
-			return
-		}
-	}
-}
-
-// pendingControlHosts lists the control hosts that have not confirmed the mark.
-func (c *departureConfirmation) pendingControlHosts() []string {
-	var list []string
-	add := func(address string) {
-		if address != "" && !c.confirmedBy[address] && !slices.Contains(list, address) {
-			list = append(list, address)
-		}
-	}
-	if fleet := c.server.opts.Source.Fleet(); fleet != nil {
-		for _, h := range slices.Concat(fleet.Hosts, fleet.PreviousHosts) {
-			add(h.FleetAddress)
-		}
-		for _, part := range fleet.Services {
-			if h, ok := c.server.opts.Elections.Dispatcher(part.Name); ok && c.concerns(part.Name) {
-				add(h.Address)
-			}
-		}
-	}
-	if c.repeated {
-		return list
-	}
-	for _, m := range c.server.opts.Registry.Members() {
-		if m.State <= fleetpb.NodeState_NODE_STATE_SUSPECT {
-			add(m.FleetAddress)
-		}
-	}
-	return list
-}
-
 // Announce records an announcement of a backend server. For a draining server it returns nil once the
 // departure is confirmed, as RecordDeparture does. Announcements of a process that has ended are
 // accepted without effect. Errors: MalformedError, ErrNotConfirmed.
--- a/internal/attach/tracker.go
+++ b/internal/attach/tracker.go
@@ -144,11 +144,12 @@
 }
 
 // recordMark records the departure of a process of a backend server, also of one that the registry does not know
-// yet: a control host that has just restarted may confirm it before gossip arrives.
-func (t *tracker) recordMark(now time.Time, instance string, incarnation uint64) {
+// yet: a control host that has just restarted may confirm it before gossip arrives. It reports whether the departure
+// was not known.
+func (t *tracker) recordMark(now time.Time, instance string, incarnation uint64) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.departures.record(now, instance, incarnation)
+	return t.departures.record(now, instance, incarnation)
 }
 
 // noteConfirmed records that this process has confirmed the state of a backend server that drains or has left.
--- a/internal/attach/tracker_test.go
+++ b/internal/attach/tracker_test.go
@@ -43,13 +43,12 @@
 	return p.controls.servers[address], nil
 }
 
-func (p peer) Mark(ctx context.Context, address string, r *fleetpb.MarkRequest) error {
+func (p peer) Mark(ctx context.Context, address string, r *fleetpb.MarkRequest) (*fleetpb.MarkReply, error) {
 	s, err := p.serverAt(address)
 	if err != nil {
-		return err
+		return nil, err
 	}
-	_, err = s.Mark(ctx, r)
-	return err
+	return s.Mark(ctx, r)
 }
 
 func (p peer) ListDepartures(ctx context.Context, address string, r *fleetpb.DeparturesRequest) (*fleetpb.Departures, error) {
