transport: reuse connections to a peer that responds late

Cause: a call that exceeded its deadline discarded all open connections to the peer, so that each further call opened a connection of its own. Opening and closing them took a quarter of the processor time of busy control hosts, which made more calls exceed their deadlines.

Change: only data that arrives, or doesn't, tells whether a connection works. A connection whose call got nothing is reused once data has arrived on it. All connections to a peer are given up only if nothing at all came from it.

Evidence: TestBusyPeerKeepsItsConnections: 40 calls whose responses come 20 ms too late, one after the other, opened 23 connections before, and at most the 4 that are allowed now.

--- a/internal/transport/suspect_test.go
+++ b/internal/transport/suspect_test.go
@@ -68,3 +68,46 @@
 	g.Expect(call()).To(Succeed())
 	g.Expect(dialer.dials.Load()).To(BeEquivalentTo(2))
 }
+
+// lateDialer dials connections on which data arrives late, as from a peer that is busy.
+type lateDialer struct {
+	delay time.Duration
+	dials atomic.Int64
+}
+
+type lateConn struct {
+	net.Conn
+	delay time.Duration
+}
+
+func (c *lateConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	time.Sleep(c.delay)
+	return n, err
+}
+
+func (d *lateDialer) DialContext(ctx context.Context, network, address string) (net.Conn, error) {
+	d.dials.Add(1)
+	c, err := transport.NewDialer().DialContext(ctx, network, address)
+	if err != nil {
+		return nil, err
+	}
+	return &lateConn{c, d.delay}, nil
+}
+
+// Calls to busy peers that got no response in time discarded the connections to them. All further calls opened new ones,
+// which kept the peers busy.
+func TestBusyPeerKeepsItsConnections(t *testing.T) {
+	g := NewWithT(t)
+	address := serve(t)
+	dialer := &lateDialer{delay: 120 * time.Millisecond}
+	pool := transport.NewPool(dialer)
+	defer func() { g.Expect(pool.Close()).To(Succeed()) }()
+	for range 40 {
+		ctx, cancel := context.WithTimeout(context.Background(), 100*time.Millisecond)
+		_, err := configpb.NewDRPCFeedClient(pool.Conn(ctx, address)).Fetch(ctx, &configpb.FetchRequest{})
+		g.Expect(err).To(HaveOccurred())
+		cancel()
+	}
+	g.Expect(dialer.dials.Load()).To(BeNumerically("<=", 4), "the late responses show that the connections work")
+}
--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -9,7 +9,6 @@
 	"github.com/charmbracelet/log"
 	"github.com/pkg/errors"
 	"storj.io/drpc"
-	"storj.io/drpc/drpcconn"
 	"storj.io/drpc/drpcmanager"
 	"storj.io/drpc/drpcmux"
 	"storj.io/drpc/drpcpool"
@@ -35,9 +34,6 @@
 	// unacknowledgedLimit is how long sent data may stay unacknowledged before its connection fails. It
 	// allows for a few retransmissions on a link that loses packets.
 	unacknowledgedLimit = 1500 * time.Millisecond
-	// minSuspectInterval is the shortest time between two suspicions of a peer that count, so that calls
-	// which still time out on old connections do not discard the new ones.
-	minSuspectInterval = 200 * time.Millisecond
 	// softCancelGrace is how long a cancelled call waits for its send in progress, so that the connection
 	// can be reused.
 	softCancelGrace = 2 * time.Millisecond
@@ -64,32 +60,19 @@
 // Pool opens and reuses connections to peers. It is safe for concurrent use.
 type Pool struct {
 	dialer Dialer
-	pool   *drpcpool.Pool[poolKey, *drpcconn.Conn]
+	pool   *drpcpool.Pool[string, *peerConn]
 
 	mu sync.Mutex
-	// suspicions holds the last suspicion of each address whose connections were discarded.
-	suspicions map[string]suspicion
-}
-
-// poolKey identifies the connections to an address that were opened after its last suspicion, so that older
-// ones are not reused.
-type poolKey struct {
-	address    string
-	generation uint64
-}
-
-type suspicion struct {
-	// generation is the number of suspicions of the address so far.
-	generation uint64
-	at         time.Time
+	// peers holds the state of each peer by its address.
+	peers map[string]*peer
 }
 
 // NewPool returns an empty pool that dials with d.
 func NewPool(d Dialer) *Pool {
 	return &Pool{
-		dialer:     d,
-		suspicions: map[string]suspicion{},
-		pool: drpcpool.New[poolKey, *drpcconn.Conn](drpcpool.Options{
+		dialer: d,
+		peers:  map[string]*peer{},
+		pool: drpcpool.New[string, *peerConn](drpcpool.Options{
 			Expiration:  idleExpiration,
 			KeyCapacity: idleConnections,
 		}),
@@ -99,49 +82,38 @@
 // Conn returns a connection to the peer for any number of calls, also concurrent ones. It dials on the
 // first call; a call returns the error of a failed dial.
 func (p *Pool) Conn(ctx context.Context, address string) drpc.Conn {
-	p.mu.Lock()
-	key := poolKey{address, p.suspicions[address].generation}
-	p.mu.Unlock()
-	return &watchedConn{Conn: p.pool.Get(ctx, key, p.dial), pool: p, address: address}
+	return p.pool.Get(ctx, address, p.dial)
 }
 
-// Suspect stops reusing the open connections to the peer, since a connection can stop delivering data for
-// good without a reset while new ones work. Calls in progress continue on their connections. A suspicion
-// that follows the last one within minSuspectInterval is ignored.
+// Suspect stops reusing the open connections to the peer until data arrives on them, since a connection can stop
+// delivering data for good without a reset while new ones work. Calls in progress continue on their connections. It has
+// no effect if data from the peer has just arrived.
 func (p *Pool) Suspect(address string) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	s := p.suspicions[address]
-	if now := time.Now(); now.Sub(s.at) >= minSuspectInterval {
-		p.suspicions[address] = suspicion{generation: s.generation + 1, at: now}
+	peer := p.peer(address)
+	if now := clock(); now-peer.lastRead.Load() >= suspectSilence.Nanoseconds() {
+		peer.doubtedAt.Store(now)
 	}
 }
 
-// watchedConn suspects the peer's connections when a unary call exceeds its deadline.
-type watchedConn struct {
-	drpc.Conn
-	pool    *Pool
-	address string
-}
-
-// Invoke implements drpc.Conn.
-func (c *watchedConn) Invoke(ctx context.Context, rpc string, enc drpc.Encoding, in, out drpc.Message) error {
-	err := c.Conn.Invoke(ctx, rpc, enc, in, out)
-	if err != nil && errors.Is(ctx.Err(), context.DeadlineExceeded) {
-		c.pool.Suspect(c.address)
+func (p *Pool) peer(address string) *peer {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	found := p.peers[address]
+	if found == nil {
+		found = &peer{}
+		p.peers[address] = found
 	}
-	return err
+	return found
 }
 
-func (p *Pool) dial(ctx context.Context, key poolKey) (*drpcconn.Conn, error) {
-	address := key.address
+func (p *Pool) dial(ctx context.Context, address string) (*peerConn, error) {
 	ctx, cancel := context.WithTimeout(ctx, DialTimeout)
 	defer cancel()
 	conn, err := p.dialer.DialContext(ctx, "tcp", address)
 	if err != nil {
 		return nil, errors.Wrapf(err, "connect to %s; check that the process runs and that the address is right", address)
 	}
-	return drpcconn.NewWithOptions(conn, drpcconn.Options{Manager: managerOptions()}), nil
+	return newPeerConn(conn, p.peer(address)), nil
 }
 
 // Close closes the idle connections.
