dispatchrpc: use no grant that was too long on its way

Cause: a host counted the 250 ms for which a grant is valid from its arrival. On a full link messages arrive seconds late, yet one after the other, so that the stream never counts as silent. The grant of a server that had left meanwhile was used as if it were new, even if the host had heard of the departure by another way. The class: validity that is counted from the receipt of a message instead of from the moment at which it was true.

Change: a host returns grants of servers of whose departure it knows. Messages on streams carry the time at which the node sent the last one that the dispatcher has received, so that a node knows how long a message may have been on its way. A grant that took over 1 s is used only if the node's knowledge of departures is newer than 1.5 s; otherwise its request is refused at once, since another grant would arrive as late. The age of lists in log lines counts from the sending, too.

--- a/internal/app/attached.go
+++ b/internal/app/attached.go
@@ -126,6 +126,7 @@
 		Pool:        pool,
 		Sink:        servers,
 		ListAsOf:    servers.CurrentAsOf,
+		Departed:    servers.Departed,
 		Hosts:       a.EntryHosts,
 		Logger:      logger.WithPrefix("grants"),
 	})
--- a/internal/attach/servers.go
+++ b/internal/attach/servers.go
@@ -105,6 +105,14 @@
 	return s.asOf.IsZero() || asOf.Sub(s.asOf) < departureRetention/2
 }
 
+// Departed reports whether a server is not listed since it drains or has left.
+func (s *Servers) Departed(service, instance string) bool {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	_, departed := s.departures.entries[instance]
+	return departed && !slices.ContainsFunc(s.byService[service], func(b backend.Server) bool { return b.Instance == instance })
+}
+
 // CurrentAsOf returns the time up to which all confirmed departures are known, or the zero time.
 func (s *Servers) CurrentAsOf() time.Time {
 	s.mu.RLock()
--- a/internal/dispatchrpc/alone.go
+++ b/internal/dispatchrpc/alone.go
@@ -202,7 +202,7 @@
 
 // listAge returns the time since the node last knew of every drain of a server.
 func (c *channel) listAge(now time.Time) time.Duration {
-	asOf := c.lastHeard
+	asOf := c.heardAsOf
 	if known := c.client.config.ListAsOf; known != nil {
 		asOf = latest(asOf, known())
 	}
--- a/internal/dispatchrpc/channel.go
+++ b/internal/dispatchrpc/channel.go
@@ -41,9 +41,10 @@
 	// received counts the Grant, Refuse and Advise messages received on the stream.
 	received uint64
 	openedAt time.Time
-	// lastHeard is the time of the last message from a dispatcher.
-	lastHeard time.Time
-	activity  streamActivity
+	// lastHeard is the time of the last message from a dispatcher, and heardAsOf the earliest time at which it can have
+	// been sent.
+	lastHeard, heardAsOf time.Time
+	activity             streamActivity
 	// ejected holds the instances that the last view showed as ejected or on probation. Crashed ones are
 	// kept separately: a crash is not an ejection, so it is not reported to the next dispatcher.
 	ejected, crashed map[string]bool
@@ -80,6 +81,7 @@
 		outgoing:     &dispatchpb.NodeBatch{},
 		wake:         make(chan struct{}, 1),
 		lastHeard:    time.Now(),
+		heardAsOf:    time.Now(),
 		serverStates: map[string]*serverState{},
 		autonomy:     autonomyState{rounding: rand.Float64()},
 	}
@@ -179,6 +181,8 @@
 		return false
 	}
 	c.lastHeard = now
+	transit := c.transitTime(now, b)
+	c.heardAsOf = now.Add(-transit)
 	c.activity.heardIdle = c.activity.idle
 	c.activity.applyHeartbeat(b.HeartbeatMs)
 	if c.autonomy.unreportedGrant {
@@ -193,7 +197,7 @@
 		c.client.config.Sink.ApplyUpdate(c.service, b.Servers)
 	}
 	for _, g := range b.Grants {
-		c.receiveGrant(now, g)
+		c.receiveGrant(now, g, transit)
 	}
 	for _, r := range b.Refuses {
 		if q := c.queued[r.Id]; q != nil {
@@ -219,17 +223,21 @@
 	return p
 }
 
-func (c *channel) receiveGrant(now time.Time, g *dispatchpb.Grant) {
+func (c *channel) receiveGrant(now time.Time, g *dispatchpb.Grant, transit time.Duration) {
 	q := c.queued[g.Id]
 	if q == nil {
 		c.outgoing.Completes = append(c.outgoing.Completes, completionToProto(g.Id, grant.Completion{Result: grant.Unused}))
 		c.wakeWriter()
 		return
 	}
-	if c.wantsNoRequests(now, g.Instance) {
+	if c.wantsNoRequests(now, g.Instance) || c.hasDeparted(g.Instance) {
 		c.returnGrant(now, q, g)
 		return
 	}
+	if c.isOutdated(now, transit) {
+		c.refuseOutdated(now, q, g, transit)
+		return
+	}
 	h := c.addHeldGrant(now, q, grant.Server{Service: c.service, Instance: g.Instance, Address: g.Address})
 	h.expires = now.Add(time.Duration(g.ExpiresMs) * time.Millisecond)
 	c.resolve(q, acquireResult{grant: h})
@@ -294,6 +302,7 @@
 	}
 	c.activity.update(now, c.inFlight())
 	b := c.outgoing
+	b.SentMs = c.streamClock(now)
 	c.outgoing = &dispatchpb.NodeBatch{}
 	if c.activity.idle {
 		b.Progress = nil
@@ -340,6 +349,7 @@
 	}
 	b := c.outgoing
 	b.Hello = hello
+	b.SentMs = c.streamClock(now)
 	c.outgoing = &dispatchpb.NodeBatch{}
 	return b, c.streamID
 }
--- a/internal/dispatchrpc/client.go
+++ b/internal/dispatchrpc/client.go
@@ -10,6 +10,7 @@
 	"github.com/tarragonmux/tarragonmux/internal/backend"
 	"github.com/tarragonmux/tarragonmux/internal/grant"
 	"github.com/tarragonmux/tarragonmux/internal/leadership"
+	"github.com/tarragonmux/tarragonmux/internal/logging"
 	"github.com/tarragonmux/tarragonmux/internal/problem"
 	"github.com/tarragonmux/tarragonmux/internal/transport"
 )
@@ -32,6 +33,9 @@
 	// ListAsOf returns the time up to which drains and departures of backend servers are known without a
 	// dispatcher; nil if the node learns of them only from dispatchers.
 	ListAsOf func() time.Time
+	// Departed reports whether a server that the registry does not list is known to drain or to have left; nil if the
+	// registry lists such servers.
+	Departed func(service, instance string) bool
 	// Hosts returns how many hosts share the retries of a service in autonomous mode if the settings do not
 	// list them. May be nil or return 0 if that is unknown.
 	Hosts  func() int
@@ -40,9 +44,10 @@
 
 // Client is the node's source of grants. It keeps one stream per service to the dispatcher of the service.
 type Client struct {
-	config ClientConfig
-	log    *log.Logger
-	mu     sync.RWMutex
+	config     ClientConfig
+	log        *log.Logger
+	logLimiter *logging.Limiter
+	mu         sync.RWMutex
 	// channels holds the channel of each service, by service name.
 	channels map[string]*channel
 	// ctx is the context of Run; nil before Run is called.
@@ -57,7 +62,10 @@
 
 // NewClient returns a client that refuses requests with the problem starting until Run is called.
 func NewClient(c ClientConfig) *Client {
-	return &Client{config: c, log: c.Logger.WithPrefix("grants"), channels: map[string]*channel{}}
+	return &Client{
+		config: c, log: c.Logger.WithPrefix("grants"), logLimiter: logging.NewLimiter(logging.DefaultLinesPerSecond),
+		channels: map[string]*channel{},
+	}
 }
 
 // Run keeps the streams open until the context ends.
--- a/internal/dispatchrpc/quiet.go
+++ b/internal/dispatchrpc/quiet.go
@@ -128,4 +128,5 @@
 	}
 	sess.idle = idle
 	sess.lastHeard = now
+	sess.nodeSentMs = b.SentMs
 }
--- a/internal/dispatchrpc/runner.go
+++ b/internal/dispatchrpc/runner.go
@@ -51,6 +51,8 @@
 	closed    chan struct{}
 	ended     bool
 	lastHeard time.Time
+	// nodeSentMs is when the last message from the node was sent, on the node's clock; 0 if it does not say.
+	nodeSentMs uint64
 	// idle is set if the node's last message marked the stream as idle.
 	idle bool
 	// heartbeat is the longest pause between messages that the node was told; 0 means HeartbeatInterval.
@@ -351,6 +353,10 @@
 	defer r.mu.Unlock()
 	batch := sess.pending()
 	sess.outgoing = nil
+	if sess.nodeSentMs > 0 {
+		batch.NodeSentMs = sess.nodeSentMs
+		batch.NodeHeldMs = uint64(max(time.Since(sess.lastHeard), 0).Milliseconds())
+	}
 	return batch, sess.interval()
 }
 
--- a/internal/dispatchrpc/signals_test.go
+++ b/internal/dispatchrpc/signals_test.go
@@ -52,13 +52,13 @@
 		held := c.addHeldGrant(now, c.queue(now, time.Second), grant.Server{Instance: "s0"})
 		waiting := c.queue(now, time.Second)
 		c.recordSignals(now, held, signals)
-		c.receiveGrant(now.Add(time.Second), &dispatchpb.Grant{Id: waiting.id, Instance: "s0"})
+		c.receiveGrant(now.Add(time.Second), &dispatchpb.Grant{Id: waiting.id, Instance: "s0"}, 0)
 		g.Expect(waiting.granted()).To(BeEmpty())
 		g.Expect(c.outgoing.Completes).To(HaveLen(1))
 		g.Expect(grant.Result(c.outgoing.Completes[0].Result)).To(Equal(grant.Unused))
 		last := c.outgoing.Acquires[len(c.outgoing.Acquires)-1]
 		g.Expect(last.Exclude).To(Equal([]string{"s0"}))
-		c.receiveGrant(now.Add(time.Second), &dispatchpb.Grant{Id: last.Id, Instance: "s1"})
+		c.receiveGrant(now.Add(time.Second), &dispatchpb.Grant{Id: last.Id, Instance: "s1"}, 0)
 		g.Expect(waiting.granted()).To(Equal("s1"))
 	}
 }
