--- a/internal/attach/confirmation.go
+++ b/internal/attach/confirmation.go
@@ -10,6 +10,7 @@
 
 	"github.com/tarragonmux/tarragonmux/internal/backend"
 	"github.com/tarragonmux/tarragonmux/internal/hostset"
+	"github.com/tarragonmux/tarragonmux/internal/membership"
 	"github.com/tarragonmux/tarragonmux/internal/shard"
 	"github.com/tarragonmux/tarragonmux/proto/fleetpb"
 )
@@ -25,8 +26,11 @@
 // RecordDeparture marks a backend server as draining or left and returns nil once the dispatchers of
 // its services and a majority of the control group have confirmed the mark. Every other control host
 // polls a majority before it reports its departures to an entry host as current, so within pollInterval
-// and a heartbeat all hosts that may send requests to the server know it too. Errors: ErrNotConfirmed.
+// and a heartbeat all hosts that may send requests to the server know it too. Errors: ErrNotConfirmed, MalformedError.
 func (s *Server) RecordDeparture(ctx context.Context, instance string, incarnation uint64, state backend.State) error {
+	if err := membership.CheckDeparture(instance, incarnation); err != nil {
+		return err
+	}
 	started := time.Now()
 	c := s.newConfirmation(instance, incarnation, state)
 	defer c.end()
--- a/internal/attach/server.go
+++ b/internal/attach/server.go
@@ -10,6 +10,7 @@
 	"github.com/tarragonmux/tarragonmux/internal/backend"
 	"github.com/tarragonmux/tarragonmux/internal/hostset"
 	"github.com/tarragonmux/tarragonmux/internal/leadership"
+	"github.com/tarragonmux/tarragonmux/internal/logging"
 	"github.com/tarragonmux/tarragonmux/internal/membership"
 	"github.com/tarragonmux/tarragonmux/proto/fleetpb"
 )
@@ -141,6 +142,10 @@
 	marks := append([]*fleetpb.Mark{{Instance: r.GetInstance(), Incarnation: r.GetIncarnation(), State: r.GetState()}}, further...)
 	var added []string
 	for _, m := range marks {
+		if err := membership.CheckDeparture(m.GetInstance(), m.GetIncarnation()); err != nil {
+			s.opts.Logger.Warn("ignored a mark of another control host", "instance", m.GetInstance(), "err", logging.Err(err))
+			continue
+		}
 		if _, isNew := s.mark(m.GetInstance(), m.GetIncarnation(), backend.State(m.GetState())); isNew {
 			added = append(added, m.GetInstance())
 		}
--- a/internal/attach/tracker.go
+++ b/internal/attach/tracker.go
@@ -9,6 +9,7 @@
 	"github.com/tarragonmux/tarragonmux/internal/backend"
 	"github.com/tarragonmux/tarragonmux/internal/hostset"
 	"github.com/tarragonmux/tarragonmux/internal/logging"
+	"github.com/tarragonmux/tarragonmux/internal/membership"
 	"github.com/tarragonmux/tarragonmux/proto/fleetpb"
 )
 
@@ -134,6 +135,10 @@
 // mergeDepartures records the departures that another control host reported.
 func (t *tracker) mergeDepartures(now time.Time, changes *fleetpb.Departures) {
 	for _, e := range changes.GetList() {
+		if membership.CheckDeparture(e.GetInstance(), e.GetIncarnation()) != nil {
+			// A control host of a former version may have recorded what it should have refused.
+			continue
+		}
 		t.mu.Lock()
 		added := t.departures.record(now, e.GetInstance(), e.GetIncarnation())
 		t.mu.Unlock()
--- a/internal/membership/validate.go
+++ b/internal/membership/validate.go
@@ -118,6 +118,14 @@
 	return checkServer(serverMessage(&serverEntry{Server: s}))
 }
 
+// CheckDeparture checks what the departure of a backend server names. Errors: MalformedError.
+func CheckDeparture(instance string, incarnation uint64) error {
+	if incarnation >= maxIncarnation {
+		return malformed("server.incarnation", "is out of range")
+	}
+	return checkName("server.instance", instance)
+}
+
 func checkEntries(nodes []*fleetpb.Node, servers []*fleetpb.Server) error {
 	if len(nodes) > maxListEntries || len(servers) > maxListEntries {
 		return malformed("message", "has a list that is too long")
