membership: skip malformed entries of backend servers in gossip

Cause: a reply with one malformed entry of a backend server was refused as a whole.

Change: such an entry is left out of a reply and logged; malformed entries of nodes, which only our own processes write, still refuse the reply.

Evidence: TestMalformedEntryDoesNotHideTheOthers. Before, HandleReply returned the error of the first malformed entry and applied nothing.

--- a/internal/membership/exchange.go
+++ b/internal/membership/exchange.go
@@ -12,6 +12,8 @@
 	FollowUp *fleetpb.GossipRequest
 	// NewerRevision is set if the sender has a newer configuration revision than this node.
 	NewerRevision *PeerRevision
+	// Skipped is why an entry of a backend server was left out; nil if all were applied.
+	Skipped error
 }
 
 // Request returns the first request of an exchange with a member. The id may be empty if it is not
@@ -138,8 +140,8 @@
 	return a.GetVersion() > b.GetVersion()
 }
 
-// HandleReply applies the reply to a request that was sent at the given time. Errors: MalformedError,
-// without any effect.
+// HandleReply applies the reply to a request that was sent at the given time, except for malformed entries of backend
+// servers. Errors: MalformedError, without any effect.
 func (s *State) HandleReply(now, sent time.Time, r *fleetpb.GossipReply) (Outcome, error) {
 	if err := checkReply(r); err != nil {
 		return Outcome{}, err
@@ -148,11 +150,16 @@
 	for _, n := range r.GetNodes() {
 		s.mergeNode(now, n)
 	}
+	var out Outcome
 	for _, m := range r.GetServers() {
+		if err := checkServer(m); err != nil {
+			out.Skipped = err
+			continue
+		}
 		s.mergeServer(now, sent, m)
 	}
 	s.recordContact(now, r.GetFrom().GetId())
-	out := Outcome{NewerRevision: s.newerRevision(r.GetFrom())}
+	out.NewerRevision = s.newerRevision(r.GetFrom())
 	wantServers := s.applyAges(now, sent, r)
 	wantNodes := s.missingNodes(r.GetNodeKeys())
 	if len(wantServers) == 0 && len(wantNodes) == 0 && len(r.GetUnknown()) == 0 {
--- a/internal/membership/runner.go
+++ b/internal/membership/runner.go
@@ -223,6 +223,9 @@
 		r.opts.Logger.Warn("rejected a gossip reply", "member", reply.GetFrom().GetId(), "err", logging.Err(err))
 		return nil
 	}
+	if out.Skipped != nil {
+		r.opts.Logger.Warn("skipped a malformed entry of a backend server", "member", reply.GetFrom().GetId(), "err", logging.Err(out.Skipped))
+	}
 	r.notifyRevision(out.NewerRevision)
 	return out.FollowUp
 }
--- a/internal/membership/state_test.go
+++ b/internal/membership/state_test.go
@@ -203,6 +203,31 @@
 	g.Expect(err).NotTo(HaveOccurred(), "the message must be valid before it is corrupted")
 }
 
+// One entry of another writer that a member of another version has accepted must not keep a node from hearing of the
+// other backend servers and of its peers.
+func TestMalformedEntryDoesNotHideTheOthers(t *testing.T) {
+	g := NewWithT(t)
+	a, b := newState(0), newState(1)
+	now := exchange(t, epoch.Add(time.Second), a, b, time.Millisecond, time.Millisecond)
+	reply, _, err := a.HandleRequest(now, b.Request(now, "n0"))
+	g.Expect(err).NotTo(HaveOccurred())
+	entry := func(instance string, corrupt func(*fleetpb.Server)) *fleetpb.Server {
+		m := &fleetpb.Server{Service: service, Instance: instance, Incarnation: 1, Address: "127.0.0.1:9", State: fleetpb.ServerState_SERVER_STATE_READY}
+		corrupt(m)
+		return m
+	}
+	reply.Servers = []*fleetpb.Server{
+		entry("address", func(m *fleetpb.Server) { m.Address = "host:70000" }),
+		entry("slots", func(m *fleetpb.Server) { m.Slots = math.MaxUint32 }),
+		entry("incarnation", func(m *fleetpb.Server) { m.Incarnation = math.MaxUint64 }),
+		entry("load", func(m *fleetpb.Server) { m.Load = math.NaN() }),
+		entry("sound", func(*fleetpb.Server) {}),
+	}
+	_, err = b.HandleReply(now, now, reply)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(b.Servers(now, service)).To(ConsistOf(HaveField("Instance", "sound")))
+}
+
 // Guards against announcements that bring back an old process of a backend server, or one that has
 // left.
 func TestSupersededAnnouncements(t *testing.T) {
--- a/internal/membership/validate.go
+++ b/internal/membership/validate.go
@@ -126,15 +126,22 @@
 	return checkName("server.instance", instance)
 }
 
-func checkEntries(nodes []*fleetpb.Node, servers []*fleetpb.Server) error {
-	if len(nodes) > maxListEntries || len(servers) > maxListEntries {
-		return malformed("message", "has a list that is too long")
+func checkNodes(nodes []*fleetpb.Node) error {
+	if len(nodes) > maxListEntries {
+		return malformed("nodes", "are too many")
 	}
 	for _, n := range nodes {
 		if err := checkNode(n); err != nil {
 			return err
 		}
 	}
+	return nil
+}
+
+func checkServers(servers []*fleetpb.Server) error {
+	if len(servers) > maxListEntries {
+		return malformed("servers", "are too many")
+	}
 	for _, s := range servers {
 		if err := checkServer(s); err != nil {
 			return err
@@ -150,9 +157,14 @@
 	if len(r.GetWantNodes()) > maxListEntries || len(r.GetWantServers()) > maxListEntries {
 		return malformed("message", "has a list that is too long")
 	}
-	return checkEntries(r.GetNodes(), r.GetServers())
+	if err := checkNodes(r.GetNodes()); err != nil {
+		return err
+	}
+	return checkServers(r.GetServers())
 }
 
+// checkReply checks a reply without the entries of its backend servers. These come from other programs, and a member of
+// another version may have accepted one that this node refuses; it must not keep the node from hearing of the others.
 func checkReply(r *fleetpb.GossipReply) error {
 	if err := checkSender(r.GetFrom()); err != nil {
 		return err
@@ -169,5 +181,8 @@
 	if len(r.GetServerKeys()) > 0 && len(r.GetServerKeys()) != len(r.GetAges()) {
 		return malformed("server_keys", "do not match the ages")
 	}
-	return checkEntries(r.GetNodes(), r.GetServers())
+	if len(r.GetServers()) > maxListEntries {
+		return malformed("servers", "are too many")
+	}
+	return checkNodes(r.GetNodes())
 }
