attach: tell nobody of departures that a majority is known to have recorded

Change: a control host learns from its polls which members of the group have recorded a departure. It tells only those that are missing, of a departure that it knows only those that must confirm. What a process had recorded before its restart does not count.

--- a/internal/attach/confirmation.go
+++ b/internal/attach/confirmation.go
@@ -42,7 +42,7 @@
 		return err
 	}
 	s.tracker.noteConfirmed(instance, incarnation, state)
-	if !c.repeated {
+	if c.isNew || !c.repeated && len(c.requested) > 0 {
 		s.opts.Logger.Info("took a backend server out", "instance", instance, "incarnation", incarnation,
 			"state", state.String(), "services", c.services, "told", c.confirmations(), "took_ms", took.Milliseconds())
 	}
@@ -54,8 +54,11 @@
 	server   *Server
 	mark     *fleetpb.Mark
 	services []string
+	// isNew is set if this host did not know the departure, or does not know that the server has left.
+	isNew bool
 	// repeated is set if this process has confirmed the departure before. A draining server repeats it with
-	// each announcement. Only the hosts that must confirm are then told again, in case they have restarted.
+	// each announcement. Only the hosts that must confirm are then told again, unless they are known to have recorded
+	// it, in case they have restarted.
 	repeated bool
 	// requested holds the fleet addresses of the control hosts that are being told. Only RecordDeparture uses it.
 	requested map[string]bool
@@ -70,13 +73,19 @@
 }
 
 func (s *Server) newConfirmation(instance string, incarnation uint64, state backend.State) *departureConfirmation {
-	services, _ := s.mark(instance, incarnation, state)
-	return &departureConfirmation{
+	services, isNew := s.mark(instance, incarnation, state)
+	c := &departureConfirmation{
 		server: s, mark: &fleetpb.Mark{Instance: instance, Incarnation: incarnation, State: fleetpb.ServerState(state)},
-		services: services, repeated: s.tracker.wasConfirmed(instance, incarnation, state),
+		services: services, isNew: isNew || state == backend.Left, repeated: s.tracker.wasConfirmed(instance, incarnation, state),
 		requested: map[string]bool{}, changed: make(chan struct{}, 1),
 		confirmedBy: map[string]bool{s.opts.Address: true},
 	}
+	if state == backend.Draining && incarnation > 0 {
+		for _, address := range s.tracker.recordedBy(instance, incarnation) {
+			c.confirmedBy[address] = true
+		}
+	}
+	return c
 }
 
 // await tells the control hosts and waits until enough of them have confirmed. Errors: ErrNotConfirmed.
@@ -149,10 +158,13 @@
 // previous one after a change of hosts, and the dispatchers of all affected services.
 func (c *departureConfirmation) confirmed() bool {
 	fleet := c.server.opts.Source.Fleet()
-	if fleet == nil || !c.hasMajority(fleet.Hosts) || len(fleet.PreviousHosts) > 0 && !c.hasMajority(fleet.PreviousHosts) {
-		return false
-	}
-	return len(c.missingDispatchers(fleet)) == 0
+	return fleet != nil && c.hasMajorities(fleet) && len(c.missingDispatchers(fleet)) == 0
+}
+
+// hasMajorities reports whether a majority of the control group has confirmed, also of the previous one after a change of
+// hosts.
+func (c *departureConfirmation) hasMajorities(fleet *hostset.Fleet) bool {
+	return c.hasMajority(fleet.Hosts) && (len(fleet.PreviousHosts) == 0 || c.hasMajority(fleet.PreviousHosts))
 }
 
 // missingDispatchers lists the shards of the affected services whose dispatchers have not confirmed.
@@ -184,7 +196,8 @@
 	return 2*count > len(group)
 }
 
-// pendingControlHosts lists the control hosts that have not confirmed the mark.
+// pendingControlHosts lists the control hosts to tell that have not confirmed the mark: all of them if the departure is
+// new to this host, and otherwise those that must confirm it.
 func (c *departureConfirmation) pendingControlHosts() []string {
 	var list []string
 	add := func(address string) {
@@ -193,8 +206,10 @@
 		}
 	}
 	if fleet := c.server.opts.Source.Fleet(); fleet != nil {
-		for _, h := range slices.Concat(fleet.Hosts, fleet.PreviousHosts) {
-			add(h.FleetAddress)
+		if c.isNew || !c.hasMajorities(fleet) {
+			for _, h := range slices.Concat(fleet.Hosts, fleet.PreviousHosts) {
+				add(h.FleetAddress)
+			}
 		}
 		for _, part := range fleet.Services {
 			if h, ok := c.server.opts.Elections.Dispatcher(part.Name); ok && c.concerns(part.Name) {
@@ -202,7 +217,7 @@
 			}
 		}
 	}
-	if c.repeated {
+	if c.repeated || !c.isNew {
 		return list
 	}
 	for _, m := range c.server.opts.Registry.Members() {
--- a/internal/attach/departureload_test.go
+++ b/internal/attach/departureload_test.go
@@ -42,6 +42,8 @@
 	// freeAt is when the processor of each host has handled all calls so far.
 	freeAt map[string]time.Time
 	calls  int
+	// marks counts the calls that tell a host of departures.
+	marks int
 }
 
 func (b *busyGroup) Fleet() *hostset.Fleet { return b.fleet }
@@ -81,6 +83,9 @@
 }
 
 func (b *busyGroup) Mark(ctx context.Context, address string, r *fleetpb.MarkRequest) (*fleetpb.MarkReply, error) {
+	b.mu.Lock()
+	b.marks++
+	b.mu.Unlock()
 	var reply *fleetpb.MarkReply
 	err := b.handle(ctx, address, len(r.GetFurther()), func(s *attach.Server) { reply, _ = s.Mark(context.Background(), r) })
 	if err != nil {
@@ -178,6 +183,41 @@
 	}
 }
 
+// A draining server repeats its announcement until it ends, each time at another control host. If each of them told all
+// others again, a release would cost control hosts more than anything else.
+func TestRepeatedDeparturesNeedFewCalls(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		ctx, cancel := context.WithCancel(context.Background())
+		var running sync.WaitGroup
+		defer running.Wait()
+		defer cancel()
+		b := startBusyGroup(ctx, &running, 19, time.Millisecond)
+		time.Sleep(5 * time.Second)
+		const leaving = 20
+		random := rand.New(rand.NewPCG(32, 0))
+		for i := range leaving {
+			b.depart(random, fmt.Sprint("i-", i))
+		}
+		time.Sleep(time.Second)
+		b.mu.Lock()
+		b.marks = 0
+		b.mu.Unlock()
+		announcements := 0
+		for range 4 {
+			for i := range leaving {
+				g.Expect(b.depart(random, fmt.Sprint("i-", i))).To(BeNumerically("<", time.Second))
+				announcements++
+			}
+			time.Sleep(1500 * time.Millisecond)
+		}
+		b.mu.Lock()
+		defer b.mu.Unlock()
+		t.Logf("%d announcements, %d calls", announcements, b.marks)
+		g.Expect(b.marks).To(BeNumerically("<=", announcements), "the dispatcher may have to be told")
+	})
+}
+
 // formerPeers responds as a control host that knows only the first mark of a request.
 type formerPeers struct {
 	fakePeers
--- a/internal/attach/tracker.go
+++ b/internal/attach/tracker.go
@@ -38,6 +38,7 @@
 
 	mu         sync.Mutex
 	departures *departures
+	recorded   *recordedDepartures
 	freshness  freshness
 	// seen is the position up to which the departures of each member were fetched, by fleet address.
 	seen map[string]*fleetpb.DeparturesRequest
@@ -51,7 +52,7 @@
 
 func newTracker(o *ServerOptions) *tracker {
 	return &tracker{
-		opts: o, started: time.Now(), departures: newDepartures(o.Incarnation),
+		opts: o, started: time.Now(), departures: newDepartures(o.Incarnation), recorded: newRecordedDepartures(),
 		seen: map[string]*fleetpb.DeparturesRequest{}, polling: map[string]bool{},
 	}
 }
@@ -118,7 +119,7 @@
 	if err != nil {
 		t.opts.Logger.Debug("could not fetch the departures of a control host", "address", address, "err", logging.Err(err))
 	} else {
-		t.mergeDepartures(time.Now(), reply)
+		t.mergeDepartures(time.Now(), address, reply)
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -133,21 +134,30 @@
 }
 
 // mergeDepartures records the departures that another control host reported.
-func (t *tracker) mergeDepartures(now time.Time, changes *fleetpb.Departures) {
+func (t *tracker) mergeDepartures(now time.Time, address string, changes *fleetpb.Departures) {
+	t.mu.Lock()
+	t.recorded.add(address, changes)
+	t.mu.Unlock()
 	for _, e := range changes.GetList() {
 		if membership.CheckDeparture(e.GetInstance(), e.GetIncarnation()) != nil {
 			// A control host of a former version may have recorded what it should have refused.
 			continue
 		}
-		t.mu.Lock()
-		added := t.departures.record(now, e.GetInstance(), e.GetIncarnation())
-		t.mu.Unlock()
-		if added {
+		if !t.hasDeparted(e.GetInstance(), e.GetIncarnation()) {
+			// The server is out of use before others hear that this host has recorded the departure.
 			t.opts.Registry.MarkServer(e.GetInstance(), e.GetIncarnation(), backend.Draining)
+			t.recordMark(now, e.GetInstance(), e.GetIncarnation())
 		}
 	}
 }
 
+// recordedBy lists the fleet addresses of the members that are known to have recorded the departure of a process.
+func (t *tracker) recordedBy(instance string, incarnation uint64) []string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.recorded.hosts(instance, incarnation)
+}
+
 // recordMark records the departure of a process of a backend server, also of one that the registry does not know
 // yet: a control host that has just restarted may confirm it before gossip arrives. It reports whether the departure
 // was not known.
@@ -188,6 +198,7 @@
 	var late []backend.Server
 	t.mu.Lock()
 	t.departures.expire(now)
+	t.recorded.retain(func(instance string) bool { _, kept := t.departures.entries[instance]; return kept })
 	t.entryHostCount = 0
 	t.opts.Registry.EachServer(func(b backend.Server) {
 		switch {
