--- a/internal/attach/doc.go
+++ b/internal/attach/doc.go
@@ -17,7 +17,11 @@
 //
 // A backend server that drains or leaves announces this to a control host, which responds once the
 // dispatcher of the service and a majority of the control group have taken the server out of use. The
-// confirmation therefore holds even if the control host that gave it fails immediately afterwards.
+// confirmation therefore holds even if the control host that gave it fails immediately afterwards. One call
+// to each control host is in progress at a time; departures that come in the meantime go together in the
+// next one, and a control host that responds late gets more time. A draining server repeats its
+// announcement until it ends; a control host then tells only those that are not known to have recorded the
+// departure.
 //
 // Departures reach entry hosts in the responses to their heartbeats, and so also entry hosts without a
 // dispatcher. Each control host polls the members of the control group every 300 ms for the departures
