--- a/review/harness/fleet.go
+++ b/review/harness/fleet.go
@@ -1,7 +1,6 @@
 package main
 
 import (
-	"bytes"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -343,12 +342,3 @@
 
 // hostName is the name under which clients reach the system.
 const hostName = "shop.example"
-
-// readLog returns what the process of a machine has written.
-func (m *machine) readLog() []byte {
-	data, err := os.ReadFile(filepath.Join(m.folder, "log"))
-	if err != nil {
-		return nil
-	}
-	return bytes.TrimSpace(data)
-}
