Agreement: a learner copies the state in pages, not as whole states of several members

Cause: a page of a copy held at least one whole chain. The configuration is one chain, so each of a majority of members sent all of it as one message, in each control host of the copy several times (encoded, in the connection's buffer, decoded), and the learner merged the decoded states before it journaled the first entry. A killed learner began anew. Change: pages of 1 MiB that may end within a chain. Undecided votes are held and merged at the end as before. Tests: TestCopyHoldsPagesAndNotStates and TestCopyResumesAfterRestart failed before: pages of 24,577,160 bytes (1,667,072 are allowed), 49,155,210 bytes read in a resumed copy of 12 MB. TestCopyIsInterruptedAtEachPage kills the learner or its source at each page, takes a second disk and reads every value back; it held before as well.

--- a/internal/agreement/agreementtest/network.go
+++ b/internal/agreement/agreementtest/network.go
@@ -34,8 +34,13 @@
 	minDelay    time.Duration
 	maxDelay    time.Duration
 	messages    int
+	observer    Observer
 }
 
+// Observer is called with each reply before it is delivered, with the ids of the caller and of the replica. It may change
+// the network and the processes, but must not block.
+type Observer func(from, to string, reply proto.Message)
+
 type attachment struct {
 	server     agreementpb.DRPCReplicaServer
 	generation int
@@ -87,6 +92,22 @@
 	n.minDelay, n.maxDelay = shortest, longest
 }
 
+// Observe sets the observer of all replies; nil means none.
+func (n *Network) Observe(o Observer) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.observer = o
+}
+
+func (n *Network) observe(from, to string, reply proto.Message) {
+	n.mu.Lock()
+	o := n.observer
+	n.mu.Unlock()
+	if o != nil {
+		o(from, to, reply)
+	}
+}
+
 // Messages returns the number of lookups of a target process. A call that arrives at a replica counts twice,
 // for its request and for its reply.
 func (n *Network) Messages() int {
@@ -189,6 +210,9 @@
 		return reply, errors.WithStack(agreement.ErrNotSent), true
 	}
 	reply, err = do(target.server, context.Background(), in)
+	if err == nil {
+		r.network.observe(r.from, r.to, reply)
+	}
 	if now, ok := r.network.lookUp(r.to); !ok || now.generation != target.generation {
 		return reply, nil, false
 	}
--- a/internal/agreement/doc.go
+++ b/internal/agreement/doc.go
@@ -18,7 +18,9 @@
 // not copy the state.
 //
 // Memory: about 260 bytes plus the value for each register; 100,000 registers with values of 200 bytes
-// take 46 MB. A value of 64 KiB takes 64 KiB. A restart reads the newest snapshot as a whole, which
+// take 46 MB. A value of 64 KiB takes 64 KiB. A copy is read in pages of 1 MiB, of which a learner holds one for each
+// member without decided values, and at most three with them; what is decided is stored at once. A page holds at least one
+// value or snapshot. A restart reads the newest snapshot as a whole, which
 // takes its size once more. Compaction drops the chains that Retain rejects. It runs when the journal has
 // grown by four segments and by the size of the last snapshot, and hourly while there are changes.
 //
--- a/internal/agreement/merge.go
+++ b/internal/agreement/merge.go
@@ -1,126 +1,88 @@
 package agreement
 
 import (
-	"sort"
+	"bytes"
+	"maps"
+	"slices"
 
 	"github.com/tarragonmux/tarragonmux/proto/agreementpb"
 )
 
-// replicaCopy is the full state of one member of the previous epoch.
-type replicaCopy struct {
-	chains map[string]*copiedChain
+// keyedRegister is the state of a register together with its key.
+type keyedRegister struct {
+	key    string
+	prefix string
+	state  register
 }
 
-type copiedChain struct {
-	floor     uint64
-	snapshot  []byte
-	registers map[uint64]register
+// undecidedVotes holds the registers that a copy has found without a decision: for each, the states of the members that
+// hold it. They are few, since a decision is announced as soon as it is made.
+type undecidedVotes struct {
+	byKey map[string]*undecidedRegister
 }
 
-func newReplicaCopy() *replicaCopy {
-	return &replicaCopy{chains: map[string]*copiedChain{}}
+type undecidedRegister struct {
+	prefix string
+	index  uint64
+	// states is keyed by the id of the member.
+	states map[string]register
 }
 
-func (c *replicaCopy) chain(prefix string) *copiedChain {
-	known := c.chains[prefix]
-	if known == nil {
-		known = &copiedChain{registers: map[uint64]register{}}
-		c.chains[prefix] = known
-	}
-	return known
+func newUndecidedVotes() *undecidedVotes {
+	return &undecidedVotes{byKey: map[string]*undecidedRegister{}}
 }
 
-func (c *replicaCopy) addPage(page *agreementpb.CopyReply) error {
-	for _, s := range page.GetSnapshots() {
-		if s.GetFloor() > 0 {
-			copied := c.chain(s.GetPrefix())
-			copied.floor, copied.snapshot = s.GetFloor(), s.GetSnapshot()
+// add records the states that one member holds. A page that is read again replaces the earlier states. Equal
+// values of several members are held once.
+func (u *undecidedVotes) add(member string, registers []keyedRegister) {
+	for _, r := range registers {
+		known := u.byKey[r.key]
+		if known == nil {
+			known = &undecidedRegister{prefix: r.prefix, index: r.state.index, states: map[string]register{}}
+			u.byKey[r.key] = known
 		}
-	}
-	for _, m := range page.GetRegisters() {
-		prefix, index, err := parseKey(m.GetKey())
-		if err != nil {
-			return err
+		for _, other := range known.states {
+			if bytes.Equal(other.value, r.state.value) {
+				r.state.value = other.value
+				break
+			}
 		}
-		c.chain(prefix).registers[index] = registerOf(index, m)
+		known.states[member] = r.state
 	}
-	return nil
-}
-
-// mergedEntry is either a compaction (floor above 0) or the state of a register.
-type mergedEntry struct {
-	prefix   string
-	floor    uint64
-	snapshot []byte
-	state    register
 }
 
-// mergeCopies merges the states of a majority of the n members of the previous epoch.
-func mergeCopies(n int, copies []*replicaCopy) []mergedEntry {
-	prefixes := map[string]bool{}
-	for _, c := range copies {
-		for prefix := range c.chains {
-			prefixes[prefix] = true
+// removeDecided removes the registers that a page shows as decided.
+func (u *undecidedVotes) removeDecided(page []*agreementpb.Register) {
+	for _, m := range page {
+		if m.GetDecided() {
+			delete(u.byKey, m.GetKey())
 		}
 	}
-	sorted := make([]string, 0, len(prefixes))
-	for prefix := range prefixes {
-		sorted = append(sorted, prefix)
-	}
-	sort.Strings(sorted)
-	var out []mergedEntry
-	for _, prefix := range sorted {
-		out = append(out, mergeChain(n, prefix, copies)...)
-	}
-	return out
 }
 
-func mergeChain(n int, prefix string, copies []*replicaCopy) []mergedEntry {
-	compaction := mergedEntry{prefix: prefix}
-	indexes := map[uint64]bool{}
-	for _, c := range copies {
-		copied := c.chains[prefix]
-		if copied == nil {
-			continue
-		}
-		if copied.floor > compaction.floor {
-			compaction.floor, compaction.snapshot = copied.floor, copied.snapshot
-		}
-		for index := range copied.registers {
-			indexes[index] = true
+// merge returns the registers that follow from the states of the sources, which are a majority of the n members of
+// the previous epoch, sorted by key. A source that holds no state of a register has neither promised nor voted.
+func (u *undecidedVotes) merge(n int, sources []string) []keyedRegister {
+	var out []keyedRegister
+	for _, key := range slices.Sorted(maps.Keys(u.byKey)) {
+		r := u.byKey[key]
+		states := make([]register, 0, len(sources))
+		held := false
+		for _, member := range sources {
+			state, ok := r.states[member]
+			if !ok {
+				state = register{index: r.index}
+			}
+			held = held || ok
+			states = append(states, state)
 		}
-	}
-	var out []mergedEntry
-	if compaction.floor > 0 {
-		out = append(out, compaction)
-	}
-	sorted := make([]uint64, 0, len(indexes))
-	for index := range indexes {
-		if index >= compaction.floor {
-			sorted = append(sorted, index)
+		if held {
+			out = append(out, keyedRegister{key, r.prefix, mergeStates(n, r.index, states)})
 		}
 	}
-	sort.Slice(sorted, func(i, j int) bool { return sorted[i] < sorted[j] })
-	for _, index := range sorted {
-		out = append(out, mergedEntry{prefix: prefix, state: mergeRegister(n, index, prefix, copies)})
-	}
 	return out
 }
 
-func mergeRegister(n int, index uint64, prefix string, copies []*replicaCopy) register {
-	states := make([]register, 0, len(copies))
-	for _, c := range copies {
-		state := register{index: index}
-		if copied := c.chains[prefix]; copied != nil {
-			if known, ok := copied.registers[index]; ok {
-				state = known
-			}
-		}
-		states = append(states, state)
-	}
-	return mergeStates(n, index, states)
-}
-
 // mergeStates returns the highest promise and the vote in the highest accepted ballot. Of votes in round 0
 // it keeps the value that could have been decided; if there are several, the vote of the replaced disk is
 // marked unknown, so that no proposer concludes from its absence that a value was not decided.
--- a/internal/agreement/replica.go
+++ b/internal/agreement/replica.go
@@ -152,8 +152,8 @@
 	roomCheckedAt time.Time
 	// appendedSinceSeen is set if entries were appended since the peers' sequences were last journaled.
 	appendedSinceSeen bool
-	// copyOrder holds, for each learner that copies the state, the sorted prefixes of the chains to copy.
-	copyOrder map[string][]string
+	// copyOrder is the order of the chains while learners copy them; nil if none does.
+	copyOrder *copyOrder
 }
 
 // NewReplica opens the folder. A damaged folder is set aside and the replica starts with an empty one.
@@ -172,7 +172,6 @@
 		wake:          make(chan struct{}, 1),
 		peerResponses: map[string]peerResponse{},
 		exchanging:    map[string]bool{},
-		copyOrder:     map[string][]string{},
 		journaledSeen: map[diskKey]uint64{},
 		state:         Stopped,
 		reason:        "not started",
@@ -401,6 +400,7 @@
 func (r *Replica) flush() {
 	r.mu.Lock()
 	r.journalSeen()
+	r.dropCopyOrder()
 	journal := r.log
 	r.mu.Unlock()
 	r.stopOnJournalError(journal, journal.Sync(journal.Last()))
--- a/internal/agreement/store.go
+++ b/internal/agreement/store.go
@@ -1,6 +1,8 @@
 package agreement
 
 import (
+	"maps"
+	"slices"
 	"sort"
 
 	"github.com/pkg/errors"
@@ -66,6 +68,16 @@
 	return 1
 }
 
+// hasDecided reports whether the decided value of the register is known, by itself or in the chain's snapshot.
+func (s *store) hasDecided(prefix string, index uint64) bool {
+	return index < s.floor(prefix) || s.get(prefix, index).decided
+}
+
+// prefixes returns the prefixes of all chains, sorted.
+func (s *store) prefixes() []string {
+	return slices.Sorted(maps.Keys(s.chains))
+}
+
 func (s *store) put(prefix string, r register) {
 	c := s.chains[prefix]
 	if c == nil {
