Agreement: a long chain is read in parts of 4 MiB, from pages of 1 MiB

Cause: each member's page had 4 MiB, which a connection's buffer holds up to twice, and a Read collected the chain to its end before the log applied the first entry, within one second; a read that ran out of time began anew. Change: pages of 1 MiB, as in a copy. A Read returns at most one page beyond 4 MiB and says so; the configuration log applies that part and reads on, which it did already. Records of operations are far shorter.

--- a/internal/agreement/agreement.go
+++ b/internal/agreement/agreement.go
@@ -32,6 +32,9 @@
 	Decided []Register
 	// Undecided is set if the register after the last decided one has votes but no known decision.
 	Undecided bool
+	// More is set if the chain is longer than one Read returns. The next Read begins after the last decided
+	// register.
+	More bool
 }
 
 // Proposer decides write-once registers, each identified by a chain prefix and an
@@ -42,7 +45,7 @@
 	Propose(ctx context.Context, prefix string, index uint64, value []byte) ([]byte, error)
 	// ProposeFast is like Propose, but first tries a single round trip without a prepare phase.
 	ProposeFast(ctx context.Context, prefix string, index uint64, value []byte) ([]byte, error)
-	// Read returns the chain from the index on, as known to a majority. A register with votes that may
-	// be decided is completed first, so that a later Read never returns fewer decided registers.
+	// Read returns the chain from the index on, as known to a majority, or its first 4 MiB. A register with votes
+	// that may be decided is completed first, so that a later Read never returns fewer decided registers.
 	Read(ctx context.Context, prefix string, from uint64) (Chain, error)
 }
--- a/internal/agreement/read.go
+++ b/internal/agreement/read.go
@@ -8,6 +8,10 @@
 	"github.com/tarragonmux/tarragonmux/proto/agreementpb"
 )
 
+// maxChainBytes is the size of the values at which a Read ends, so that the caller can apply them before it reads
+// on. A chain in a single page is returned whole.
+const maxChainBytes = 4 << 20
+
 // Read implements Proposer.
 func (p *proposer) Read(ctx context.Context, prefix string, from uint64) (Chain, error) {
 	if _, _, err := parseKey(registerKey(prefix, max(from, 1))); err != nil {
@@ -32,7 +36,20 @@
 		if !more {
 			return out, nil
 		}
+		if out.size() >= maxChainBytes {
+			out.More = true
+			return out, nil
+		}
+	}
+}
+
+// size returns the size of the values in bytes.
+func (c Chain) size() int {
+	size := 0
+	for _, r := range c.Decided {
+		size += len(r.Value)
 	}
+	return size
 }
 
 // chainPage holds the replies of a majority to a read of one range of a chain.
--- a/internal/agreement/serve.go
+++ b/internal/agreement/serve.go
@@ -14,8 +14,8 @@
 const (
 	// MaxValueBytes bounds the value of one register.
 	MaxValueBytes = 8 << 20
-	// maxReadBytes and maxReadRegisters bound one reply to a Read.
-	maxReadBytes     = 4 << 20
+	// maxReadBytes and maxReadRegisters bound one reply to a Read, which a proposer gets from all members at once.
+	maxReadBytes     = 1 << 20
 	maxReadRegisters = 4096
 )
 
