--- a/internal/configuration/control/log.go
+++ b/internal/configuration/control/log.go
@@ -30,9 +30,11 @@
 	proposeTimeout = 3 * time.Second
 	// defaultCompactEvery is the number of registers after which they are replaced by a snapshot.
 	defaultCompactEvery = 1024
-	// compactThresholdBytes is the total size of the values at which the registers are replaced by a
-	// snapshot even if there are fewer than CompactEvery.
-	compactThresholdBytes = 32 << 20
+	// compactThresholdBytes is the smallest total size of the values at which the registers are replaced by a
+	// snapshot even if there are fewer than CompactEvery. They are then at least compactSnapshots times as large as
+	// the snapshot, so that the cost of snapshots stays proportional to the changes.
+	compactThresholdBytes = 4 << 20
+	compactSnapshots      = 2
 	// confirmTimeout bounds the read that precedes the response to a fetch. It is shorter than the
 	// timeout of a starting node's query, so that the node still receives the unconfirmed response
 	// when there is no majority, and can count it.
@@ -95,8 +97,8 @@
 	state        *stateMachine
 	floor        uint64
 	hostsInForce inForceRecord
-	// bytes is the size of the values applied since the last compaction.
-	bytes int
+	// bytes is the size of the values applied since the last compaction, and snapshotBytes the size of its snapshot.
+	bytes, snapshotBytes int
 }
 
 // New returns an empty log. Run or the first request reads the chain.
@@ -226,6 +228,7 @@
 	}
 	l.state = restored
 	l.floor = chain.Floor
+	l.bytes, l.snapshotBytes = 0, len(chain.Snapshot)
 	l.tail.Publish(restored.document(), nil)
 	return nil
 }
@@ -265,14 +268,15 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.floor = max(l.floor, floor)
-	l.bytes = 0
+	l.bytes, l.snapshotBytes = 0, len(snapshot)
 }
 
 func (l *Log) snapshotIfDue() (floor uint64, data []byte, due bool, err error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	next := l.state.oldest().GetRevision() + 1
-	if next < l.floor+l.options.CompactEvery && (l.bytes < compactThresholdBytes || next <= l.floor) {
+	large := l.bytes >= max(compactThresholdBytes, compactSnapshots*l.snapshotBytes)
+	if next < l.floor+l.options.CompactEvery && (!large || next <= l.floor) {
 		return 0, nil, false, nil
 	}
 	floor, data, err = l.state.snapshot()
--- a/internal/configuration/control/statemachine.go
+++ b/internal/configuration/control/statemachine.go
@@ -21,7 +21,7 @@
 	retainedDocuments = 32
 	// retainedDocumentBytes bounds the total size of the changes between these documents, since each
 	// change can replace the whole document.
-	retainedDocumentBytes = 16 << 20
+	retainedDocumentBytes = 4 << 20
 	// retainedEntries is the number of newest entries kept for the history.
 	retainedEntries = 256
 	// retainedEntryBytes bounds the total size of these entries.
--- a/internal/configuration/control/supersede_test.go
+++ b/internal/configuration/control/supersede_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
+	"time"
 
 	. "github.com/onsi/gomega"
 
@@ -95,3 +97,31 @@
 	cancel()
 	g.Expect(l.Supersede(ended, versioned(3, "three"), "test")).To(HaveOccurred())
 }
+
+// Whole documents in quick succession filled the memory of a control host: the chain of registers grew to 32 MiB and
+// 16 MiB of former documents before a snapshot replaced them, however small the document was.
+func TestChainOfLargeDocumentsStaysNearTheDocument(t *testing.T) {
+	const documentBytes = 600 << 10
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		registers := registerfake.New(1, registerfake.Faults{})
+		l := control.New(control.Options{Proposer: registers.Proposer(), Compactor: registers})
+		ctx, stop := context.WithCancel(background)
+		defer stop()
+		go func() { _ = l.Run(ctx) }()
+		largest := 0
+		for version := uint64(1); version <= 100; version++ {
+			g.Expect(l.Supersede(background, versioned(version, strings.Repeat("x", documentBytes)), "test")).To(Succeed())
+			time.Sleep(time.Second)
+			size := 0
+			for _, value := range registers.Values(control.Prefix) {
+				size += len(value)
+			}
+			largest = max(largest, size)
+		}
+		// Twice the 4 MiB that former documents and new changes may take, and one change each beyond that.
+		g.Expect(largest).To(BeNumerically("<=", 8<<20+3*documentBytes))
+		version, _ := inForce(newLog(registers))
+		g.Expect(version).To(BeEquivalentTo(100))
+	})
+}
