Configuration: documents share what has not changed, and the feed drops entries that it would not send

Cause: an operator sends whole documents, so that each former document and each entry of the feed held its own copy of every route. The feed kept 8 MiB of entries, though it sends the document as soon as the entries are larger than that. Change: a document that replaces another takes over the services, routes and teams that are equal. The feed keeps entries up to the size of the document (4 KiB at least).

--- a/internal/configuration/apply.go
+++ b/internal/configuration/apply.go
@@ -67,7 +67,7 @@
 	case *configpb.Change_DeleteTeam:
 		next.Teams = remove(d.GetTeams(), teamKey, k.DeleteTeam)
 	case *configpb.Change_ReplaceAll:
-		next = Canonical(k.ReplaceAll.GetDocument())
+		next = shareUnchanged(d, Canonical(k.ReplaceAll.GetDocument()))
 		next.Revision = d.GetRevision()
 		next.PreviousHosts = d.GetPreviousHosts()
 		next.HostsRevision = d.GetHostsRevision()
@@ -100,7 +100,7 @@
 	if requested.GetVersion() <= d.GetVersion() {
 		return shallowCopy(d)
 	}
-	next := Canonical(requested)
+	next := shareUnchanged(d, Canonical(requested))
 	next.Revision = d.GetRevision()
 	next.PreviousHosts = d.GetPreviousHosts()
 	next.HostsRevision = d.GetHostsRevision()
--- a/internal/configuration/document.go
+++ b/internal/configuration/document.go
@@ -35,6 +35,29 @@
 	return c
 }
 
+// shareUnchanged replaces the services, routes and teams of next that equal those of d by these and returns next. So
+// former documents, of which a control host keeps several, take little memory although operators send whole ones. Both
+// documents must be canonical, and the sections of next must not be in use elsewhere.
+func shareUnchanged(d, next *configpb.Document) *configpb.Document {
+	shareEqual(d.GetServices(), next.GetServices(), serviceKey)
+	shareEqual(d.GetRoutes(), next.GetRoutes(), routeKey)
+	shareEqual(d.GetTeams(), next.GetTeams(), teamKey)
+	return next
+}
+
+// shareEqual replaces the items of next that equal the item of former with the same key. Both must be sorted by key.
+func shareEqual[T proto.Message](former, next []T, key func(T) string) {
+	at := 0
+	for i, item := range next {
+		for at < len(former) && key(former[at]) < key(item) {
+			at++
+		}
+		if at < len(former) && key(former[at]) == key(item) && proto.Equal(former[at], item) {
+			next[i] = former[at]
+		}
+	}
+}
+
 // shallowCopy copies the document; the copy shares all sections.
 func shallowCopy(d *configpb.Document) *configpb.Document {
 	return &configpb.Document{
--- a/internal/configuration/feed/tail.go
+++ b/internal/configuration/feed/tail.go
@@ -18,9 +18,6 @@
 	MaxWait = 30 * time.Second
 	// maxRetainedEntries bounds the number of retained entries.
 	maxRetainedEntries = 1024
-	// maxRetainedBytes bounds the total size of the retained entries, since one entry can replace a
-	// whole document.
-	maxRetainedBytes = 8 << 20
 	// smallDifferenceBytes is the size up to which entries are sent even if the difference or the document is
 	// smaller, since they take less work to apply.
 	smallDifferenceBytes = 4 << 10
@@ -93,14 +90,17 @@
 	if !invariant.Check(d.GetRevision() > t.document.GetRevision(), "configuration.feed-rises", "revision %d after %d", d.GetRevision(), t.document.GetRevision()) {
 		return
 	}
-	t.retain(d, e)
+	size := proto.Size(d)
+	t.retain(d, e, size)
 	t.retainBase()
-	t.document, t.documentBytes = d, proto.Size(d)
+	t.document, t.documentBytes = d, size
 	close(t.changed)
 	t.changed = make(chan struct{})
 }
 
-func (t *Tail) retain(d *configpb.Document, e *configpb.Entry) {
+// retain keeps the entry if it follows the retained ones. Entries that take more than the document are of no use, since
+// the document is sent in their place.
+func (t *Tail) retain(d *configpb.Document, e *configpb.Entry, documentBytes int) {
 	if e == nil || d.GetRevision() != t.document.GetRevision()+1 {
 		t.entries, t.sizes, t.retainedBytes = nil, nil, 0
 	}
@@ -112,7 +112,8 @@
 	t.sizes = append(t.sizes, size)
 	t.retainedBytes += size
 	drop := 0
-	for len(t.entries)-drop > maxRetainedEntries || t.retainedBytes > maxRetainedBytes && drop < len(t.entries) {
+	maxBytes := max(documentBytes, smallDifferenceBytes)
+	for len(t.entries)-drop > maxRetainedEntries || t.retainedBytes > maxBytes && drop < len(t.entries) {
 		t.retainedBytes -= t.sizes[drop]
 		t.entries[drop] = nil
 		drop++
