Routes: a prefix with a last slash leaves out the path without it

Cause: the adapter trimmed the last slash of prefixes and the product matches whole segments. Change: /orders/ stands for the paths below it only, /orders for that path as well, also in the product's own configuration. The platform's dialect compares paths byte by byte as they were sent; an absolute target counts with its path. Paths with dot segments are still refused first. Tests: TestLongestPrefixThatBeginsThePath (random, against the longest prefix that begins the path) and TestPathsNearAPrefix failed before, with /orders/x on /orders/x/ and /orders on /orders/. The specs of the request path cover targets with encodings, queries, two slashes and absolute ones. Two checks stated the fault and are replaced: a prefix with a last slash was rejected by the validation (now two last slashes, //, and two routes with the same last slash are), and the translation expected /p for /p/ (now /p/). The linear reference of the product's property test gained prefixes and paths with a last slash.

--- a/internal/configuration/routes.go
+++ b/internal/configuration/routes.go
@@ -31,6 +31,8 @@
 	children map[string]*pathNode
 	// rules apply to the path that ends at this node and to all paths below it.
 	rules []methodRule
+	// below apply to the paths below this node only. They stand for prefixes with a last slash.
+	below []methodRule
 }
 
 type methodRule struct {
@@ -67,14 +69,19 @@
 		root = &pathNode{}
 		t[r.GetHostName()] = root
 	}
-	node := root.ensureNode(strings.Trim(r.GetPathPrefix(), "/"))
+	path := strings.Trim(r.GetPathPrefix(), "/")
+	node := root.ensureNode(path)
+	rules := &node.rules
+	if path != "" && strings.HasSuffix(r.GetPathPrefix(), "/") {
+		rules = &node.below
+	}
 	match := compileMatch(r, services[r.GetService()])
 	if len(r.GetMethods()) == 0 {
-		node.rules = append(node.rules, methodRule{match: match})
+		*rules = append(*rules, methodRule{match: match})
 		return
 	}
 	for _, m := range r.GetMethods() {
-		node.rules = slices.Insert(node.rules, 0, methodRule{method: m, match: match})
+		*rules = slices.Insert(*rules, 0, methodRule{method: m, match: match})
 	}
 }
 
@@ -197,11 +204,11 @@
 	if n == nil {
 		return nil
 	}
-	best := n.ruleFor(method)
+	best := ruleFor(n.rules, method)
 	node := n
 	rest := strings.TrimPrefix(path, "/")
 	for rest != "" {
-		segment, after, _ := strings.Cut(rest, "/")
+		segment, after, continues := strings.Cut(rest, "/")
 		if segment == "." || segment == ".." {
 			return nil
 		}
@@ -210,21 +217,26 @@
 			// The remaining segments are only checked for dot segments.
 			continue
 		}
-		node = node.children[segment]
-		if rule := node.ruleFor(method); rule != nil {
+		if node = node.children[segment]; node == nil {
+			continue
+		}
+		if rule := ruleFor(node.rules, method); rule != nil {
+			best = rule
+		}
+		if !continues {
+			continue
+		}
+		if rule := ruleFor(node.below, method); rule != nil {
 			best = rule
 		}
 	}
 	return best
 }
 
-func (n *pathNode) ruleFor(method string) *methodRule {
-	if n == nil {
-		return nil
-	}
-	for i := range n.rules {
-		if n.rules[i].method == method || n.rules[i].method == "" {
-			return &n.rules[i]
+func ruleFor(rules []methodRule, method string) *methodRule {
+	for i := range rules {
+		if rules[i].method == method || rules[i].method == "" {
+			return &rules[i]
 		}
 	}
 	return nil
--- a/internal/configuration/validate_routes.go
+++ b/internal/configuration/validate_routes.go
@@ -97,14 +97,14 @@
 }
 
 func validatePath(field, path string) *Rejection {
-	const remedy = `write an absolute path without a trailing slash, such as "/orders", or "/"`
+	const remedy = `write an absolute path: "/orders" for that path and all below it, "/orders/" for those below it only, or "/"`
 	if path == "/" {
 		return nil
 	}
 	if len(path) > maxPathBytes || !strings.HasPrefix(path, "/") {
 		return reject(field, remedy, "%.140q is not a valid path prefix", path)
 	}
-	for _, segment := range strings.Split(path[1:], "/") {
+	for _, segment := range strings.Split(strings.TrimSuffix(path[1:], "/"), "/") {
 		if segment == "" || segment == "." || segment == ".." || strings.ContainsAny(segment, "?#%*\x00 ") {
 			return reject(field, remedy, "%.140q has the invalid segment %.80q", path, segment)
 		}
--- a/internal/entry/dialect.go
+++ b/internal/entry/dialect.go
@@ -57,6 +57,9 @@
 	MaxBufferedResponse int
 	// WriteProblem sends a refusal and returns its status.
 	WriteProblem func(w http.ResponseWriter, p *problem.Problem, requestID string) int
+	// LiteralPaths is set if the path of a request is compared with the prefixes of routes as it was sent, with its
+	// percent-encoding. Otherwise it is decoded first.
+	LiteralPaths bool
 	// BuiltInPaths is set if the host itself serves endpoint lists and announcements, besides the routes.
 	BuiltInPaths bool
 }
--- a/internal/entry/routing.go
+++ b/internal/entry/routing.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net"
+	"net/http"
 	"slices"
 	"strings"
 
@@ -25,7 +26,7 @@
 // Handle refuses requests without a route, teams that may not call the service, and bodies whose
 // stated length exceeds the limit.
 func (f *routing) Handle(x *Exchange) error {
-	match, ok := x.snapshot.Match(hostName(x.r.Host), x.r.Method, x.r.URL.Path)
+	match, ok := x.snapshot.Match(hostName(x.r.Host), x.r.Method, f.path(x.r))
 	if !ok {
 		return problem.New(problem.NoRoute, problem.NotRun, "")
 	}
@@ -52,6 +53,18 @@
 	return f.next.Handle(x)
 }
 
+// path returns the path that is compared with the prefixes of routes. A target with an empty path stands for "/".
+func (f *routing) path(r *http.Request) string {
+	path := r.URL.Path
+	if f.dialect.LiteralPaths {
+		path, _, _ = strings.Cut(requestTarget(r), "?")
+	}
+	if path == "" {
+		return "/"
+	}
+	return path
+}
+
 // team returns the name of the caller's team, or "" if the caller names none.
 func (f *routing) team(x *Exchange) (string, error) {
 	if f.dialect.Team == "" {
