Graceful stop: a connection whose pipelined request is at work is not idle

Cause: httpstop took a connection for idle from the end of a response until bytes were read. net/http had read the second request together with the first, so nothing was read any more, and it reports no new state for it. The read-ahead buffer was empty and was not the cause. Change: a connection is idle only while the server's wait for the next request is blocked in Read; the wait ends with the second read deadline since the response. All listeners that stop gracefully use it.

--- a/internal/entry/shutdown_test.go
+++ b/internal/entry/shutdown_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -216,4 +217,70 @@
 		Expect(<-f.served).To(Succeed())
 		f.served <- nil
 	})
+
+	// Pipelined requests that had been passed on were cut when the host stopped listening: the server had read them
+	// together with the request before, and the connection counted as idle.
+	DescribeTable("answers pipelined requests that were passed on",
+		func(requests, rest string, responses int) {
+			b := newStandin(standin.Config{Slots: 64, WorkTime: time.Millisecond})
+			f := start(func(c *entry.Config) {
+				c.LeaveFor, c.StopAfter = 100*time.Millisecond, 4*time.Second
+				c.Settings.BodyTimeout = settings.Duration(2 * time.Second)
+			}, b.Address())
+			c := f.open()
+			c.send(requests)
+			Eventually(b.Arrivals).Should(Equal(1))
+			stopped := make(chan error, 1)
+			go func() { stopped <- f.server.Shutdown(context.Background()) }()
+			Expect(c.roundTrip("", "")).To(Equal(200))
+			if rest != "" {
+				// The listener has closed before the rest arrives.
+				time.Sleep(400 * time.Millisecond)
+				c.send(rest)
+			}
+			for range responses - 1 {
+				Expect(c.roundTrip("", "")).To(Equal(200))
+			}
+			Eventually(c.closed, "2s").Should(BeTrue())
+			Expect(<-stopped).To(Succeed())
+			Expect(<-f.served).To(Succeed())
+			f.served <- nil
+			Expect(b.Arrivals()).To(Equal(responses), "no request that was passed on is without a response")
+		},
+		Entry("two in one segment", slowRequest+slowRequest, "", 2),
+		Entry("three, the last behind a response that closes", slowRequest+slowRequest+slowRequest, "", 2),
+		Entry("many", strings.Repeat(slowRequest, 40), "", 2),
+		Entry("the second one in part of its header", slowRequest+slowRequest[:30], slowRequest[30:], 2),
+		Entry("the second one in part of its body", slowRequest+slowUpload[:len(slowUpload)-3], slowUpload[len(slowUpload)-3:], 2),
+		Entry("the second one without its body", slowRequest+slowUpload[:len(slowUpload)-5], slowUpload[len(slowUpload)-5:], 2),
+		Entry("behind a request with a body", slowUpload+slowRequest, "", 2),
+		Entry("behind a request with a body in chunks", slowChunked+slowRequest, "", 2),
+	)
+
+	It("answers a pipelined request that waits for 100 Continue", func() {
+		b := newStandin(standin.Config{Slots: 64, WorkTime: time.Millisecond})
+		f := start(func(c *entry.Config) { c.LeaveFor, c.StopAfter = 100*time.Millisecond, 4*time.Second }, b.Address())
+		c := f.open()
+		header, body := slowUpload[:len(slowUpload)-5], slowUpload[len(slowUpload)-5:]
+		c.send(slowRequest + strings.Replace(header, "Host: a", "Expect: 100-continue\r\nHost: a", 1))
+		Eventually(b.Arrivals).Should(Equal(1))
+		stopped := make(chan error, 1)
+		go func() { stopped <- f.server.Shutdown(context.Background()) }()
+		Expect(c.roundTrip("", "")).To(Equal(200))
+		status := c.roundTrip("", "")
+		if status == http.StatusContinue {
+			status = c.roundTrip(body, "close")
+		}
+		Expect(status).To(Equal(200))
+		Expect(<-stopped).To(Succeed())
+		Expect(<-f.served).To(Succeed())
+		f.served <- nil
+	})
 })
+
+const (
+	// The work of these requests is longer than the time for which a stopping host listens.
+	slowRequest = "GET /read HTTP/1.1\r\nHost: a\r\nStandin-Work: 600ms\r\nGrpc-Timeout: 2S\r\n\r\n"
+	slowUpload  = "POST /read HTTP/1.1\r\nHost: a\r\nStandin-Work: 600ms\r\nGrpc-Timeout: 2S\r\nContent-Length: 5\r\n\r\nhello"
+	slowChunked = "POST /read HTTP/1.1\r\nHost: a\r\nStandin-Work: 600ms\r\nGrpc-Timeout: 2S\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n"
+)
--- a/internal/httpstop/conn.go
+++ b/internal/httpstop/conn.go
@@ -8,14 +8,24 @@
 )
 
 // Conn is a connection of a Listener. It knows whether a request has begun to arrive since the last response.
+//
+// http.Server may have read a pipelined request together with the one before it. It then reads nothing when the first
+// response has ended and reports no new state. But before each request it waits for the first bytes, under a
+// deadline that it replaces once they are there. So a connection is idle while such a wait is blocked in Read.
 type Conn struct {
 	net.Conn
 	listener *Listener
 
 	mu sync.Mutex
-	// idle is set from the start of the connection and from the end of a response until bytes of the next
-	// request are read.
-	idle bool
+	// awaiting is set from the start of the connection, and from the end of a response, until the next request begins.
+	awaiting bool
+	// deadlines counts the read deadlines since the last response. The first one limits the wait for a request, the second
+	// one its header.
+	deadlines int
+	// blocked is set while a Read of the wait is in progress.
+	blocked bool
+	// begun is set if the first byte of a further request arrived before the end of a response.
+	begun bool
 	// unused is set until bytes are read for the first time.
 	unused   bool
 	openedAt time.Time
@@ -31,12 +41,25 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.idle = true
+	c.awaiting, c.begun, c.deadlines = !c.begun, false, 0
+}
+
+// SetReadDeadline sets the deadline of Read.
+func (c *Conn) SetReadDeadline(t time.Time) error {
+	c.mu.Lock()
+	if c.awaiting && !c.unused {
+		c.deadlines++
+		c.awaiting = c.deadlines <= 1
+	}
+	c.mu.Unlock()
+	return c.Conn.SetReadDeadline(t)
 }
 
 // Read reads from the connection.
 func (c *Conn) Read(p []byte) (int, error) {
+	c.setBlocked(true)
 	n, err := c.Conn.Read(p)
+	c.setBlocked(false)
 	if n == 0 {
 		return n, err
 	}
@@ -45,10 +68,18 @@
 	if c.closedIdle {
 		return 0, net.ErrClosed
 	}
-	c.idle, c.unused = false, false
+	// While a handler runs, http.Server reads the one byte that shows that the caller is still there.
+	c.begun = !c.awaiting && len(p) == 1
+	c.awaiting, c.unused = false, false
 	return n, err
 }
 
+func (c *Conn) setBlocked(blocked bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.blocked = blocked
+}
+
 // Close closes the connection.
 func (c *Conn) Close() error {
 	c.listener.remove(c)
@@ -73,9 +104,7 @@
 // for that.
 func (c *Conn) closeIdle(now time.Time) {
 	c.mu.Lock()
-	buffered, _ := c.Conn.(interface{ Buffered() int })
-	waits := c.unused && now.Sub(c.openedAt) < firstRequestWait
-	if !c.idle || waits || buffered != nil && buffered.Buffered() > 0 {
+	if !c.idle(now) {
 		c.mu.Unlock()
 		return
 	}
@@ -83,3 +112,14 @@
 	c.mu.Unlock()
 	_ = c.Close()
 }
+
+// idle must be called with c.mu held.
+func (c *Conn) idle(now time.Time) bool {
+	if buffered, ok := c.Conn.(interface{ Buffered() int }); ok && buffered.Buffered() > 0 {
+		return false
+	}
+	if c.unused {
+		return now.Sub(c.openedAt) >= firstRequestWait
+	}
+	return c.awaiting && c.blocked
+}
--- a/internal/httpstop/listener.go
+++ b/internal/httpstop/listener.go
@@ -82,7 +82,7 @@
 }
 
 func (l *Listener) add(inner net.Conn) *Conn {
-	c := &Conn{Conn: inner, listener: l, idle: true, unused: true, openedAt: time.Now()}
+	c := &Conn{Conn: inner, listener: l, awaiting: true, unused: true, openedAt: time.Now()}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.conns[c] = struct{}{}
