Entry: OPTIONS * is refused, not answered with 200 by the host

What callers saw: a 200 for a request that no server had run. Cause: net/http answers OPTIONS * before the handler, so the filter that refuses targets without a path never saw it. Change: the option that passes it to the handler. Test: "refuses a target that has no path" failed before: 200 where 400 is expected.

--- a/internal/entry/routing_test.go
+++ b/internal/entry/routing_test.go
@@ -74,4 +74,12 @@
 		}
 		Expect(b.Arrivals()).To(BeZero())
 	})
+
+	// The host must not state that a request was run that no server got.
+	It("refuses a target that has no path", func() {
+		b := newStandin(standin.Config{Slots: 64, WorkTime: time.Millisecond})
+		f := start(nil, b.Address())
+		Expect(f.open().roundTrip("OPTIONS * HTTP/1.1\r\nHost: a\r\n\r\n", "")).To(Equal(400))
+		Expect(b.Arrivals()).To(BeZero())
+	})
 })
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -59,6 +59,8 @@
 		ErrorLog:          cfg.Log.StandardLog(),
 		ConnContext:       readahead.Context,
 		ConnState:         httpstop.ConnState,
+		// net/http would respond with 200 to OPTIONS *, which no backend server has run.
+		DisableGeneralOptionsHandler: true,
 	}
 	return s, nil
 }
