Entry: the responses of all servers share a bound on the memory of the host

Cause: each response was bounded, their sum was not. A head of 256 KiB in tiny fields takes several times that once parsed, and a buffered body of up to 256 KiB stays while its caller does not read. Change: a field counts 256 bytes besides its text towards the 256 KiB of a head. Beyond 16 KiB of headers and 16 KiB of buffered body responses share an eighth of the process's memory. Without any left, larger headers fail and longer bodies are streamed. The buffer of a relayed body is given up before the copy buffer is taken.

--- a/internal/app/attached.go
+++ b/internal/app/attached.go
@@ -18,7 +18,6 @@
 	"github.com/tarragonmux/tarragonmux/internal/configuration/store"
 	"github.com/tarragonmux/tarragonmux/internal/dispatchrpc"
 	"github.com/tarragonmux/tarragonmux/internal/entry"
-	"github.com/tarragonmux/tarragonmux/internal/entry/roundtrip"
 	"github.com/tarragonmux/tarragonmux/internal/records"
 	"github.com/tarragonmux/tarragonmux/internal/settings"
 	"github.com/tarragonmux/tarragonmux/internal/transport"
@@ -151,7 +150,7 @@
 		StopAfter: s.Discovery.StopAfter.D(),
 		Observer:  entry.Observers{requests, burnObserver{recorder}},
 		Log:       logger,
-		Pool:      roundtrip.Config{Dial: backendDial(o)},
+		Pool:      backendPool(o, s),
 	}
 	if o.Adapter != nil {
 		cfg.Dialect = o.Adapter.Dialect()
--- a/internal/app/node.go
+++ b/internal/app/node.go
@@ -285,10 +285,22 @@
 		Ready:     st.Ready,
 		Observer:  entry.Observers{requests, burnObserver{recorder}},
 		Log:       logger,
-		Pool:      roundtrip.Config{Dial: backendDial(o)},
+		Pool:      backendPool(o, s),
 	})
 }
 
+// responseMemoryShare is the share of the process's memory that responses of backend servers may take together, as a
+// divisor.
+const responseMemoryShare = 8
+
+func backendPool(o Options, s *settings.Settings) roundtrip.Config {
+	cfg := roundtrip.Config{Dial: backendDial(o)}
+	if s.Memory > 0 {
+		cfg.Memory = roundtrip.NewMemory(s.Memory / responseMemoryShare)
+	}
+	return cfg
+}
+
 func backendDial(o Options) func(context.Context, string) (net.Conn, error) {
 	return func(ctx context.Context, address string) (net.Conn, error) {
 		return o.BackendDialer.DialContext(ctx, "tcp", address)
--- a/internal/entry/config.go
+++ b/internal/entry/config.go
@@ -82,7 +82,7 @@
 	Observer Observer
 	// Log receives the log messages; nil discards them.
 	Log *log.Logger
-	// Pool configures the connections to backend servers.
+	// Pool configures the connections to backend servers, and the memory for their responses.
 	Pool roundtrip.Config
 
 	stopping *stopSchedule
@@ -110,6 +110,9 @@
 		c.Log = logging.Discard()
 	}
 	c.Log = c.Log.WithPrefix("entry")
+	if c.Pool.Memory == nil {
+		c.Pool.Memory = roundtrip.NewMemory(roundtrip.DefaultMemory)
+	}
 	c.stopping = newStopSchedule(c.LeaveFor, c.StopAfter)
 	return c
 }
--- a/internal/entry/exchange.go
+++ b/internal/entry/exchange.go
@@ -34,6 +34,8 @@
 
 	body  body
 	claim *pendingClaim
+	// held is the memory of the buffered responses of all attempts.
+	held *heldMemory
 
 	// responseStarted is set once the caller may have received a part of the response.
 	responseStarted bool
--- a/internal/entry/forward.go
+++ b/internal/entry/forward.go
@@ -163,16 +163,15 @@
 	return nil
 }
 
-// bufferUpToLimit reads a response of unknown length up to the dialect's limit. The rest of a
-// longer one is streamed.
+// bufferUpToLimit reads a response of unknown length up to the dialect's limit, or less if the memory for responses
+// is used up. The rest of a longer one is streamed.
 func (f *forward) bufferUpToLimit(x *Exchange) error {
-	limit := f.cfg.Dialect.MaxBufferedResponse
-	read, err := io.ReadAll(io.LimitReader(x.response, int64(limit)+1))
+	read, complete, err := x.held.readWithin(x.response, f.cfg.Dialect.MaxBufferedResponse)
 	if err != nil {
 		return f.failResponse(x, err)
 	}
 	x.responseBody = read
-	if len(read) <= limit {
+	if complete {
 		x.bodyComplete = true
 		x.completeAttempt(resultForStatus(x.response.Status))
 	}
--- a/internal/entry/relay.go
+++ b/internal/entry/relay.go
@@ -55,8 +55,6 @@
 }
 
 func relayStream(x, winner *Exchange) error {
-	buffer := copyBuffers.Get().(*[copyBufferBytes]byte)
-	defer copyBuffers.Put(buffer)
 	control := http.NewResponseController(x.w)
 	if len(winner.responseBody) > 0 {
 		x.appendToRecord(winner.responseBody)
@@ -64,7 +62,10 @@
 			winner.completeAttempt(grant.Cancelled)
 			return errCallerGone
 		}
+		winner.responseBody = nil
 	}
+	buffer := copyBuffers.Get().(*[copyBufferBytes]byte)
+	defer copyBuffers.Put(buffer)
 	for {
 		n, readErr := winner.response.Read(buffer[:])
 		if n > 0 {
--- a/internal/entry/roundtrip/conn.go
+++ b/internal/entry/roundtrip/conn.go
@@ -16,12 +16,11 @@
 	br      *bufio.Reader
 	bw      *bufio.Writer
 	written atomic.Int64
-	// headerBudget is how many more bytes may be read before the response headers are complete; negative
-	// means unlimited.
-	headerBudget int64
-	idleSince    time.Time
-	closeOnce    sync.Once
-	raw          syscall.RawConn
+	// header counts the response headers while they are read.
+	header    headerMeter
+	idleSince time.Time
+	closeOnce sync.Once
+	raw       syscall.RawConn
 	// peekFunc is the method value peekSocket, stored to save an allocation per request. peekSocket
 	// writes to peekBuffer and nothingToRead.
 	peekFunc      func(fd uintptr) bool
@@ -29,8 +28,8 @@
 	nothingToRead bool
 }
 
-func newConn(nc net.Conn, s *server) *conn {
-	c := &conn{Conn: nc, server: s, headerBudget: -1}
+func newConn(nc net.Conn, s *server, m *Memory) *conn {
+	c := &conn{Conn: nc, server: s, header: headerMeter{memory: m}}
 	c.br = bufio.NewReaderSize(c, bufferBytes)
 	c.bw = bufio.NewWriterSize(c, bufferBytes)
 	if sc, ok := nc.(syscall.Conn); ok {
@@ -53,18 +52,20 @@
 	return n, err
 }
 
-// Read implements io.Reader. It enforces the size limit of response headers.
+// Read implements io.Reader. It enforces the limits of response headers.
 func (c *conn) Read(p []byte) (int, error) {
-	if c.headerBudget == 0 {
-		return 0, ErrHeaderTooLarge
+	if !c.header.reading {
+		return c.Conn.Read(p)
 	}
-	if c.headerBudget > 0 && int64(len(p)) > c.headerBudget {
-		p = p[:c.headerBudget]
+	limit, err := c.header.next()
+	if err != nil {
+		return 0, err
 	}
-	n, err := c.Conn.Read(p)
-	if c.headerBudget > 0 {
-		c.headerBudget -= int64(n)
+	if int64(len(p)) > limit {
+		p = p[:limit]
 	}
+	n, err := c.Conn.Read(p)
+	c.header.read(p[:n])
 	return n, err
 }
 
--- a/internal/entry/roundtrip/errors.go
+++ b/internal/entry/roundtrip/errors.go
@@ -57,6 +57,8 @@
 	ErrNotStarted = errors.New("the request was withdrawn before it was written; acquire a new grant")
 	// ErrNotHTTP means that the server sent bytes that are not an HTTP/1 response.
 	ErrNotHTTP = errors.New("the server sent bytes that are no answer; check what listens at its address")
+	// ErrNoMemory means that the headers of a response are large while those of others take all memory for them.
+	ErrNoMemory = errors.New("the headers of the answer are large, and so are those of others; check what the servers send")
 	// ErrAborted means that Abort.Abort was called.
 	ErrAborted = errors.New("the attempt was aborted, since another one answered; no action is needed")
 	// ErrNoConnection means that no connection to the server became free before Request.AcquireDeadline.
--- a/internal/entry/roundtrip/pool.go
+++ b/internal/entry/roundtrip/pool.go
@@ -18,7 +18,8 @@
 	DefaultDialTimeout = 200 * time.Millisecond
 	// DefaultIdleTimeout is how long an unused connection is kept.
 	DefaultIdleTimeout = 15 * time.Second
-	// MaxResponseHeaderBytes limits the status line and headers of a response.
+	// MaxResponseHeaderBytes limits the status line and headers of a response, with fieldOverheadBytes for each
+	// field.
 	MaxResponseHeaderBytes = 256 << 10
 
 	bufferBytes = 4 << 10
@@ -36,6 +37,8 @@
 	Connections int
 	DialTimeout time.Duration
 	IdleTimeout time.Duration
+	// Memory bounds what all responses take; nil means one of DefaultMemory for this pool.
+	Memory *Memory
 }
 
 // Pool keeps connections to backend servers. It is safe for concurrent use.
@@ -68,6 +71,9 @@
 	if cfg.IdleTimeout <= 0 {
 		cfg.IdleTimeout = DefaultIdleTimeout
 	}
+	if cfg.Memory == nil {
+		cfg.Memory = NewMemory(DefaultMemory)
+	}
 	if cfg.Dial == nil {
 		cfg.Dial = func(ctx context.Context, address string) (net.Conn, error) {
 			var d net.Dialer
@@ -125,7 +131,7 @@
 		p.removeUser(s)
 		return nil, &Error{Stage: StageConnect, Err: err}
 	}
-	return newConn(nc, s), nil
+	return newConn(nc, s, p.cfg.Memory), nil
 }
 
 func (p *Pool) addUser(address string) (*server, error) {
@@ -206,6 +212,7 @@
 // are buffered; otherwise it is closed.
 func (p *Pool) release(c *conn, clean bool) {
 	s := c.server
+	c.header.release()
 	clean = clean && c.br.Buffered() == 0
 	if !clean {
 		c.closeNow()
--- a/internal/entry/roundtrip/roundtrip.go
+++ b/internal/entry/roundtrip/roundtrip.go
@@ -312,8 +312,8 @@
 // responses that it reads, taken together.
 func (resp *Response) readHeader(r *Request) *Error {
 	c := resp.conn
-	c.headerBudget = MaxResponseHeaderBytes
-	defer func() { c.headerBudget = -1 }()
+	c.header.begin()
+	defer c.header.end()
 	if _, err := c.br.Peek(1); err != nil {
 		return &Error{Stage: StageAwait, Err: err}
 	}
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -101,7 +101,11 @@
 }
 
 func (s *Server) serveRoute(w http.ResponseWriter, r *http.Request) {
-	x := &Exchange{ctx: r.Context(), w: w, r: r, dialect: s.cfg.Dialect, arrivedAt: time.Now(), leaving: s.leaving.Load()}
+	held := &heldMemory{memory: s.cfg.Pool.Memory}
+	defer held.end()
+	x := &Exchange{
+		ctx: r.Context(), w: w, r: r, dialect: s.cfg.Dialect, arrivedAt: time.Now(), leaving: s.leaving.Load(), held: held,
+	}
 	// The recovery filter, which is the first one, returns no error.
 	_ = s.filters.Handle(x)
 }
