Agreement: a control host reads decided values from its own replica

Cause: after each decision every control host read the new register with its value from every member, although its own replica has it. What that lacks comes from one member; the proof that a register is decided still comes from a majority. Members of older releases send the values as before.

--- a/internal/agreement/proposer.go
+++ b/internal/agreement/proposer.go
@@ -43,10 +43,22 @@
 	// KnownGroup returns the newest group that the replica of this process knows. It is nil in a process
 	// without a replica.
 	KnownGroup func() *agreementpb.Group
+	// Stored returns what the replica of this process holds, so that a Read needs no decided values from the others.
+	// It is nil in a process without a replica.
+	Stored Stored
 	// Logger may be nil.
 	Logger *log.Logger
 }
 
+// Stored is the state of a replica that a proposer may use, since it is final. It is safe for concurrent use.
+type Stored interface {
+	// DecidedValue returns the value of a decided register; ok is false if it is not held.
+	DecidedValue(prefix string, index uint64) (value []byte, ok bool)
+	// ChainSnapshot returns the snapshot that replaces the registers of a chain below the floor. The floor is 0 if there
+	// is none.
+	ChainSnapshot(prefix string) (floor uint64, snapshot []byte)
+}
+
 // proposer implements Proposer over a Client.
 type proposer struct {
 	cfg        ProposerConfig
--- a/internal/agreement/read.go
+++ b/internal/agreement/read.go
@@ -21,11 +21,16 @@
 	defer cancel()
 	out := Chain{Floor: 1}
 	next := max(from, 1)
-	for {
-		page, err := p.readPage(ctx, prefix, next)
+	for omitDecided := p.cfg.Stored != nil; ; {
+		page, err := p.readPage(ctx, prefix, next, omitDecided)
 		if err != nil {
 			return Chain{}, err
 		}
+		if !p.completePage(ctx, &page, next) {
+			// The members that hold the values do not respond to a request for them alone.
+			omitDecided = false
+			continue
+		}
 		if page.floor > next {
 			out = Chain{Floor: page.floor, Snapshot: page.snapshot}
 			next = page.floor
@@ -59,12 +64,18 @@
 	floor    uint64
 	snapshot []byte
 	replies  []map[uint64]register
+	// values holds the values of decided registers that the replies omit or have. snapshotOmitted is set while only
+	// the floor is known.
+	values          map[uint64][]byte
+	snapshotOmitted bool
+	// sources are the members that replied.
+	sources []Member
 	// endIndex is the first index that some reply does not cover; 0 if every reply reaches the chain's end.
 	endIndex uint64
 }
 
 // readPage repeats the read until a majority of one epoch has replied.
-func (p *proposer) readPage(ctx context.Context, prefix string, from uint64) (chainPage, error) {
+func (p *proposer) readPage(ctx context.Context, prefix string, from uint64, omitDecided bool) (chainPage, error) {
 	pause := backoff{}
 	for {
 		voters := p.voterSet()
@@ -72,7 +83,7 @@
 			(&operation{p: p}).findGroup(ctx, voters)
 			voters = p.voterSet()
 		}
-		page, ok := p.readOnce(ctx, voters, prefix, from)
+		page, ok := p.readOnce(ctx, voters, prefix, from, omitDecided)
 		if ok {
 			return page, nil
 		}
@@ -83,11 +94,13 @@
 	}
 }
 
-func (p *proposer) readOnce(ctx context.Context, voters voterSet, prefix string, from uint64) (chainPage, bool) {
+func (p *proposer) readOnce(ctx context.Context, voters voterSet, prefix string, from uint64, omitDecided bool) (chainPage, bool) {
 	responses := broadcast(ctx, p, voters, func(ctx context.Context, c agreementpb.DRPCReplicaServer) (*agreementpb.ReadReply, error) {
-		return c.Read(ctx, &agreementpb.ReadRequest{Header: p.header(voters), Prefix: prefix, From: from})
+		return c.Read(ctx, &agreementpb.ReadRequest{
+			Header: p.header(voters), Prefix: prefix, From: from, OmitDecided: omitDecided,
+		})
 	})
-	page := chainPage{voters: voters, prefix: prefix}
+	page := chainPage{voters: voters, prefix: prefix, values: map[uint64][]byte{}}
 	for waiting := len(voters.members); len(page.replies)+waiting >= voters.majority(); waiting-- {
 		if len(page.replies) >= voters.majority() {
 			return page, voters.epoch != 0
@@ -99,6 +112,7 @@
 			h := resp.reply.GetHeader()
 			if resp.err == nil && h.GetRefusal() == "" && h.GetEpoch() == voters.epoch {
 				page.addReply(resp.reply, from)
+				page.sources = append(page.sources, resp.member)
 			}
 		}
 	}
@@ -107,7 +121,7 @@
 
 func (c *chainPage) addReply(reply *agreementpb.ReadReply, from uint64) {
 	if reply.GetFloor() > c.floor {
-		c.floor, c.snapshot = reply.GetFloor(), reply.GetSnapshot()
+		c.floor, c.snapshot, c.snapshotOmitted = reply.GetFloor(), reply.GetSnapshot(), reply.GetSnapshotOmitted()
 	}
 	states := make(map[uint64]register, len(reply.GetRegisters()))
 	last := from
@@ -118,6 +132,9 @@
 		}
 		states[index] = registerOf(index, m)
 		last = max(last, index)
+		if m.GetDecided() && !m.GetValueOmitted() {
+			c.values[index] = m.GetValue()
+		}
 	}
 	if reply.GetMore() && (c.endIndex == 0 || last+1 < c.endIndex) {
 		c.endIndex = last + 1
@@ -125,6 +142,80 @@
 	c.replies = append(c.replies, states)
 }
 
+// completePage adds the snapshot and the decided values that the replies omit, from the replica of this process or,
+// if it lacks them, from one member. It reports false if some are not to be had. Values of more than one page of a member
+// are left to the next Read.
+func (p *proposer) completePage(ctx context.Context, page *chainPage, from uint64) bool {
+	if page.snapshotOmitted && page.floor > from {
+		floor, snapshot := p.cfg.Stored.ChainSnapshot(page.prefix)
+		if floor != page.floor {
+			return false
+		}
+		page.snapshot, page.snapshotOmitted = snapshot, false
+	}
+	size, fetched := 0, false
+	for index := max(from, page.floor); page.endIndex == 0 || index < page.endIndex; index++ {
+		states := page.votedStates(index)
+		if len(states) == 0 {
+			return true
+		}
+		if !states[0].decided {
+			continue
+		}
+		value, known := page.values[index]
+		if !known && p.cfg.Stored != nil {
+			value, known = p.cfg.Stored.DecidedValue(page.prefix, index)
+		}
+		if !known && !fetched {
+			fetched = true
+			p.fetchValues(ctx, page, index)
+			value, known = page.values[index]
+		}
+		if size += len(value); !known || size >= maxChainBytes {
+			// The page ends before the first value that is missing, or behind the last one that one Read may have.
+			if known {
+				page.values[index] = value
+				index++
+			}
+			page.endIndex = index
+			return index > max(from, page.floor)
+		}
+		page.values[index] = value
+	}
+	return true
+}
+
+// fetchValues reads a page with values, from the index on, from the first member of the page that sends it.
+func (p *proposer) fetchValues(ctx context.Context, page *chainPage, from uint64) {
+	for _, m := range page.sources {
+		if !p.reserveCall(m) {
+			continue
+		}
+		reply, err := p.readValues(ctx, page, m, from)
+		p.releaseCall(m)
+		if err != nil || reply.GetHeader().GetRefusal() != "" {
+			continue
+		}
+		found := false
+		for _, r := range reply.GetRegisters() {
+			_, index, err := parseKey(r.GetKey())
+			if err == nil && r.GetDecided() {
+				page.values[index] = r.GetValue()
+				found = found || index == from
+			}
+		}
+		if found {
+			return
+		}
+	}
+}
+
+func (p *proposer) readValues(ctx context.Context, page *chainPage, m Member, from uint64) (*agreementpb.ReadReply, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	return p.cfg.Client.Replica(m).Read(ctx, &agreementpb.ReadRequest{Header: p.header(page.voters), Prefix: page.prefix, From: from})
+}
+
 // appendDecided appends the decided registers of the page to the chain. If more is true, the next page must
 // be read from the returned index.
 func (p *proposer) appendDecided(ctx context.Context, page chainPage, next uint64, out *Chain) (index uint64, more bool) {
@@ -134,6 +225,9 @@
 			return next, false
 		}
 		value, ok := decidedBy(len(page.voters.members), states)
+		if states[0].decided {
+			value = page.values[next]
+		}
 		if ok && !states[0].decided {
 			p.announcer.announce(page.voters, registerKey(page.prefix, next), value, nil, ballot{})
 		}
--- a/internal/agreement/replica.go
+++ b/internal/agreement/replica.go
@@ -303,6 +303,25 @@
 	return s
 }
 
+// DecidedValue implements Stored.
+func (r *Replica) DecidedValue(prefix string, index uint64) (value []byte, ok bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	state := r.store.get(prefix, index)
+	return state.value, state.decided
+}
+
+// ChainSnapshot implements Stored.
+func (r *Replica) ChainSnapshot(prefix string) (floor uint64, snapshot []byte) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	c := r.store.chains[prefix]
+	if c == nil {
+		return 0, nil
+	}
+	return c.floor, c.snapshot
+}
+
 // Group returns the newest group that this replica or one of its peers knows; nil if none does. It must
 // not be modified.
 func (r *Replica) Group() *agreementpb.Group {
--- a/internal/agreement/serve.go
+++ b/internal/agreement/serve.go
@@ -237,11 +237,15 @@
 		limit = maxReadRegisters
 	}
 	out := &agreementpb.ReadReply{}
-	for _, state := range r.pageRegisters(in.GetPrefix(), in.GetFrom(), limit, out) {
+	for _, state := range r.pageRegisters(in, limit, out) {
 		if !state.decided {
 			pending.waitSequence = max(pending.waitSequence, state.sequence)
 		}
-		out.Registers = append(out.Registers, state.message(in.GetPrefix()))
+		m := state.message(in.GetPrefix())
+		if state.decided && in.GetOmitDecided() {
+			m.Value, m.ValueOmitted = nil, true
+		}
+		out.Registers = append(out.Registers, m)
 	}
 	r.mu.Unlock()
 	out.Header = r.finishReply(pending)
@@ -253,19 +257,25 @@
 
 // pageRegisters returns the registers of one page and sets floor, snapshot and more in the reply.
 // It must be called with r.mu held.
-func (r *Replica) pageRegisters(prefix string, from uint64, limit int, out *agreementpb.ReadReply) []*register {
-	c := r.store.chains[prefix]
+func (r *Replica) pageRegisters(in *agreementpb.ReadRequest, limit int, out *agreementpb.ReadReply) []*register {
+	c := r.store.chains[in.GetPrefix()]
 	if c == nil {
 		return nil
 	}
 	out.Floor = c.floor
-	if from < c.floor {
+	switch {
+	case in.GetFrom() >= c.floor:
+	case in.GetOmitDecided():
+		out.SnapshotOmitted = true
+	default:
 		out.Snapshot = c.snapshot
 	}
-	at, _ := c.position(from)
+	at, _ := c.position(in.GetFrom())
 	end, size := at, 0
 	for end < len(c.registers) && end-at < limit && size < maxReadBytes {
-		size += len(c.registers[end].value)
+		if !c.registers[end].decided || !in.GetOmitDecided() {
+			size += len(c.registers[end].value)
+		}
 		end++
 	}
 	out.More = end < len(c.registers)
--- a/internal/app/control.go
+++ b/internal/app/control.go
@@ -113,6 +113,7 @@
 		FirstGroup: groupMembers(s),
 		Client:     agreement.NewLocalClient(s.ID, replica, agreement.NewTransportClient(pool)),
 		KnownGroup: replica.Group,
+		Stored:     replica,
 		Logger:     logger.WithPrefix("configuration"),
 	})
 	l := control.New(control.Options{
