Round trip: a reset during a write is not the end of a response without a length

Cause: the kernel reports a reset once. When the write of the body got it, the read of the response returned the end of the stream. Change: the connection keeps the first error of a write; the end of a response without a length is only taken if no write has failed. A write in progress is ended first, so that its result is known.

--- a/internal/entry/roundtrip/conn.go
+++ b/internal/entry/roundtrip/conn.go
@@ -2,7 +2,9 @@
 
 import (
 	"bufio"
+	"errors"
 	"net"
+	"os"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -16,6 +18,9 @@
 	br      *bufio.Reader
 	bw      *bufio.Writer
 	written atomic.Int64
+	// writing is held during each write and guards writeErr, the first error of one.
+	writing  sync.Mutex
+	writeErr error
 	// header counts the response headers while they are read.
 	header    headerMeter
 	idleSince time.Time
@@ -47,11 +52,26 @@
 
 // Write implements io.Writer. It counts the bytes that were handed to the network.
 func (c *conn) Write(p []byte) (int, error) {
+	c.writing.Lock()
+	defer c.writing.Unlock()
 	n, err := c.Conn.Write(p)
 	c.written.Add(int64(n))
+	if c.writeErr == nil {
+		c.writeErr = err
+	}
 	return n, err
 }
 
+// resetSeenByWrite reports whether a write has failed because the connection was reset. The kernel reports a reset
+// once: if a write gets it, the next read returns io.EOF. It ends a write in progress, so it must only be called when
+// nothing more is to be sent.
+func (c *conn) resetSeenByWrite() bool {
+	_ = c.Conn.SetWriteDeadline(time.Now())
+	c.writing.Lock()
+	defer c.writing.Unlock()
+	return c.writeErr != nil && !errors.Is(c.writeErr, os.ErrDeadlineExceeded)
+}
+
 // Read implements io.Reader. It enforces the limits of response headers.
 func (c *conn) Read(p []byte) (int, error) {
 	if !c.header.reading {
--- a/internal/entry/roundtrip/errors.go
+++ b/internal/entry/roundtrip/errors.go
@@ -57,6 +57,9 @@
 	ErrNotStarted = errors.New("the request was withdrawn before it was written; acquire a new grant")
 	// ErrNotHTTP means that the server sent bytes that are not an HTTP/1 response.
 	ErrNotHTTP = errors.New("the server sent bytes that are no answer; check what listens at its address")
+	// ErrReset means that the connection was reset while the request was written, so that a response without a length may
+	// have been cut off.
+	ErrReset = errors.New("the connection was reset during an answer without a length; let the server state the length")
 	// ErrNoMemory means that the headers of a response are large while those of others take all memory for them.
 	ErrNoMemory = errors.New("the headers of the answer are large, and so are those of others; check what the servers send")
 	// ErrAborted means that Abort.Abort was called.
--- a/internal/entry/roundtrip/roundtrip.go
+++ b/internal/entry/roundtrip/roundtrip.go
@@ -99,6 +99,8 @@
 	bodySender    *bodySender
 	complete      bool
 	closeAfter    bool
+	// closeDelimited is set if the body ends with the connection.
+	closeDelimited bool
 }
 
 // bodySender writes a request body while the response is being read.
@@ -386,19 +388,23 @@
 	resp.body = httpResponse.Body
 	resp.closeAfter = httpResponse.Close
 	noBody := request.Method == http.MethodHead || resp.Status == http.StatusNoContent || resp.Status == http.StatusNotModified
-	if resp.Length < 0 && len(httpResponse.TransferEncoding) == 0 && !noBody && !request.CloseDelimited {
+	resp.closeDelimited = resp.Length < 0 && len(httpResponse.TransferEncoding) == 0 && !noBody
+	if resp.closeDelimited && !request.CloseDelimited {
 		return &Error{Stage: StageHeader, Err: ErrNoLength}
 	}
 	return nil
 }
 
 // Read reads the body. It returns io.EOF only at the end of the response; for a close-delimited response
-// this is the end of the connection. Other errors are *Error; the part read so far is incomplete.
+// this is the end of the connection, unless that was reset. Other errors are *Error; the part read so far is incomplete.
 func (resp *Response) Read(p []byte) (int, error) {
 	n, err := resp.body.Read(p)
 	if err == nil {
 		return n, nil
 	}
+	if err == io.EOF && resp.closeDelimited && resp.conn.resetSeenByWrite() {
+		err = ErrReset
+	}
 	if err == io.EOF {
 		resp.complete = true
 		return n, io.EOF
