Dispatch: a server that is lost after a broken connection counts as crashed by it

Cause: a lone broken connection was no crash, the server then got work last, and what was known of it was discarded when its next process came. Change: a server that restarts, goes, or loses its address to another without draining within 30 s after connections to it broke, with no response since, has crashed. What clears harmless requests stays as it is. Test: TestCrashRequestIsStoppedAtLowLoad counted 15 crashes before in all three ways of replacement, at most three are allowed. TestLostServersWithoutACrash holds before and after.

--- a/internal/dispatch/crash.go
+++ b/internal/dispatch/crash.go
@@ -4,12 +4,16 @@
 	"slices"
 	"time"
 
+	"github.com/tarragonmux/tarragonmux/internal/backend"
 	"github.com/tarragonmux/tarragonmux/internal/grant"
 )
 
 const (
 	// crashWindow is the time within which broken connections count as one crash.
 	crashWindow = 500 * time.Millisecond
+	// lostServerWindow is the time after a broken connection within which a server that restarts or goes counts as
+	// crashed by it.
+	lostServerWindow = 30 * time.Second
 	// poisonServers is how many different servers must crash on a fingerprint to poison it.
 	poisonServers = 2
 	// poisonFor is how long a poisoned fingerprint is refused.
@@ -220,6 +224,25 @@
 	}
 }
 
+// recordLostServer records a crash for the requests whose connections broke last at a server that has restarted or gone
+// without draining. With little work a crash breaks a single connection, and none is refused while the server gets
+// work last; that it did not come back is the evidence.
+func (m *Machine) recordLostServer(now time.Time, s *server) {
+	if s.draining || s.State == backend.Draining {
+		return
+	}
+	for i := range s.connectionFailures {
+		f := &s.connectionFailures[i]
+		if f.refused || f.crashed || f.at.Before(s.lastRespondedSent) || now.Sub(f.at) > lostServerWindow {
+			continue
+		}
+		f.crashed = true
+		if m.crashes.recordCrash(now, f.fingerprint, s.Instance) {
+			m.stats.PoisonRequests++
+		}
+	}
+}
+
 // detectRefusals classifies the evidence of a server that repeatedly refuses connections.
 func (m *Machine) detectRefusals(now time.Time, s *server) {
 	if s.state != inRotation {
--- a/internal/dispatch/machine.go
+++ b/internal/dispatch/machine.go
@@ -150,6 +150,7 @@
 	m.servers = slices.DeleteFunc(m.servers, func(s *server) bool {
 		gone := !s.listed && len(s.inflight) == 0
 		if gone {
+			m.recordLostServer(now, s)
 			delete(m.byName, s.Instance)
 		}
 		return gone
@@ -177,6 +178,8 @@
 	case s.Incarnation != b.Incarnation:
 		s.deductedFromPeaks = false
 		m.resetAfterRestart(now, s, b)
+	case b.State == backend.Left && s.State != backend.Left:
+		m.recordLostServer(now, s)
 	}
 	becameReady := s.State != backend.Ready && b.State == backend.Ready
 	s.Server = b
@@ -215,6 +218,7 @@
 func (m *Machine) resetAfterRestart(now time.Time, s *server, b backend.Server) {
 	if s.Incarnation != 0 {
 		s.restartedAt = now
+		m.recordLostServer(now, s)
 	}
 	s.Server = b
 	s.draining = false
