Agreement tests: what an observer counts is read under its lock

The product is not concerned. Change: the counts are read under the lock. Result: go test -race -short ./internal/agreement passes.

--- a/internal/agreement/copy_test.go
+++ b/internal/agreement/copy_test.go
@@ -42,6 +42,13 @@
 	}
 }
 
+// sizes returns the size of the largest page and of all pages.
+func (t *copyTraffic) sizes() (largest, total int) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.largest, t.total
+}
+
 // seededValue returns a value that no other index has.
 func seededValue(seed uint64, index, size int) string {
 	return fmt.Sprintf("%d/%d/", seed, index) + strings.Repeat(string(rune('a'+index%26)), size)
@@ -72,8 +79,9 @@
 				c.loseDisk("c")
 				c.start("c")
 				c.waitUntilVoting(members...)
-				c.g.Expect(traffic.largest).To(BeNumerically("<=", pageBytes+valueSize+4<<10))
-				c.g.Expect(traffic.total).To(BeNumerically("<", 2*values*valueSize), "bytes copied, however many members there are")
+				largest, total := traffic.sizes()
+				c.g.Expect(largest).To(BeNumerically("<=", pageBytes+valueSize+4<<10))
+				c.g.Expect(total).To(BeNumerically("<", 2*values*valueSize), "bytes copied, however many members there are")
 			})
 		})
 	}
@@ -158,7 +166,7 @@
 		killed := make(chan struct{})
 		var once sync.Once
 		traffic.onPage = func(_ int, from, _ string) {
-			if traffic.total > values*valueSize/2 {
+			if _, total := traffic.sizes(); total > values*valueSize/2 {
 				once.Do(func() { c.network.Detach(from); close(killed) })
 			}
 		}
@@ -169,7 +177,8 @@
 		c.crash("c")
 		c.start("c")
 		c.waitUntilVoting("a", "b", "c")
-		c.g.Expect(traffic.total).To(BeNumerically("<", values*valueSize*3/2))
+		_, total := traffic.sizes()
+		c.g.Expect(total).To(BeNumerically("<", values*valueSize*3/2))
 	})
 }
 
--- a/internal/agreement/read_test.go
+++ b/internal/agreement/read_test.go
@@ -52,6 +52,8 @@
 			more = chain.More
 		}
 		c.g.Expect(got).To(Equal(values))
+		mu.Lock()
+		defer mu.Unlock()
 		c.g.Expect(largest).To(BeNumerically("<=", pageBytes+valueSize+4<<10))
 	})
 }
@@ -122,6 +124,8 @@
 						break
 					}
 				}
+				mu.Lock()
+				defer mu.Unlock()
 				cl.g.Expect(read).To(BeNumerically("<", c.maxBytes))
 			})
 		})
