--- a/internal/dispatch/machine.go
+++ b/internal/dispatch/machine.go
@@ -214,28 +214,6 @@
 	s.slowStartFor = s.WarmUp
 }
 
-// resetAfterRestart discards what was learned about a former process of the server.
-func (m *Machine) resetAfterRestart(now time.Time, s *server, b backend.Server) {
-	if s.Incarnation != 0 {
-		s.restartedAt = now
-		m.recordLostServer(now, s)
-	}
-	s.Server = b
-	s.draining = false
-	s.shedWeight, s.consecutiveSheds, s.pausedUntil = 1, 0, time.Time{}
-	s.limitedUntil = time.Time{}
-	s.rate.Lift()
-	s.rateAsOf = time.Time{}
-	s.endPauses()
-	if s.state == heldAfterCrash {
-		s.state = inRotation
-		s.crashHeld = false
-		s.outSince = time.Time{}
-	}
-	s.resetEvidence(now)
-	m.beginWarmUp(now, s)
-}
-
 // Connect starts a node's stream. outstanding are the requests that the node has in flight, and ejected are
 // the servers that its former dispatcher had ejected.
 func (m *Machine) Connect(now time.Time, id, dataCentre string, incarnation uint64, outstanding []Outstanding, ejected []string) {
--- a/internal/dispatch/server.go
+++ b/internal/dispatch/server.go
@@ -244,6 +244,28 @@
 	}
 }
 
+// resetAfterRestart discards what was learned about a former process of the server.
+func (m *Machine) resetAfterRestart(now time.Time, s *server, b backend.Server) {
+	if s.Incarnation != 0 {
+		s.restartedAt = now
+		m.recordLostServer(now, s)
+	}
+	s.Server = b
+	s.draining = false
+	s.shedWeight, s.consecutiveSheds, s.pausedUntil = 1, 0, time.Time{}
+	s.limitedUntil = time.Time{}
+	s.rate.Lift()
+	s.rateAsOf = time.Time{}
+	s.endPauses()
+	if s.state == heldAfterCrash {
+		s.state = inRotation
+		s.crashHeld = false
+		s.outSince = time.Time{}
+	}
+	s.resetEvidence(now)
+	m.beginWarmUp(now, s)
+}
+
 // resetEvidence drops all evidence.
 func (s *server) resetEvidence(now time.Time) {
 	s.samples = s.samples[:0]
