Transport: the end of the former response is no sign that a connection still delivers

Cause: a call returns before the last frame of its response is read. Change: after a call with a response, data of the first 50 ms of the next one does not count. After a call without one it does, as before.

--- a/internal/transport/peerconn.go
+++ b/internal/transport/peerconn.go
@@ -14,6 +14,10 @@
 // suspectSilence is how long a peer must have sent nothing before Suspect applies to all its connections.
 const suspectSilence = 200 * time.Millisecond
 
+// trailingDataTime is how long after the start of a call the end of the former response on its connection may still
+// arrive: a call returns before the last frame of its response has been read.
+const trailingDataTime = 50 * time.Millisecond
+
 // clockStart is the origin of clock.
 var clockStart = time.Now()
 
@@ -38,6 +42,8 @@
 	// arrived, when a call last got no response in time, and when the last stream was opened.
 	openedAt                      int64
 	lastRead, doubtedAt, streamAt atomic.Int64
+	// responded is set if the last call got its response, so that only the end of that may still arrive late.
+	responded atomic.Bool
 }
 
 // neverUnblocked is returned by connections that must not be reused.
@@ -69,11 +75,16 @@
 // Invoke implements drpc.Conn.
 func (c *peerConn) Invoke(ctx context.Context, rpc string, enc drpc.Encoding, in, out drpc.Message) error {
 	started := clock()
+	aliveAfter := started
+	if c.responded.Load() {
+		aliveAfter += trailingDataTime.Nanoseconds()
+	}
 	err := c.Conn.Invoke(ctx, rpc, enc, in, out)
+	c.responded.Store(err == nil)
 	if err == nil || !errors.Is(ctx.Err(), context.DeadlineExceeded) {
 		return err
 	}
-	if c.lastRead.Load() < started {
+	if c.lastRead.Load() < aliveAfter {
 		c.doubtedAt.Store(clock())
 	}
 	if c.peer.lastRead.Load() < started {
--- a/internal/transport/suspect_test.go
+++ b/internal/transport/suspect_test.go
@@ -69,6 +69,63 @@
 	g.Expect(dialer.dials.Load()).To(BeEquivalentTo(2))
 }
 
+// lateEndDialer dials connections on which the last byte of each read arrives late, and which then drop all written data
+// if told so.
+type lateEndDialer struct {
+	blackholeDialer
+	delay time.Duration
+}
+
+type lateEndConn struct {
+	net.Conn
+	delay time.Duration
+	held  []byte
+}
+
+func (c *lateEndConn) Read(p []byte) (int, error) {
+	if len(c.held) > 0 {
+		time.Sleep(c.delay)
+		n := copy(p, c.held)
+		c.held = c.held[n:]
+		return n, nil
+	}
+	n, err := c.Conn.Read(p)
+	if n > 1 {
+		c.held = append(c.held, p[n-1])
+		n--
+	}
+	return n, err
+}
+
+func (d *lateEndDialer) DialContext(ctx context.Context, network, address string) (net.Conn, error) {
+	c, err := d.blackholeDialer.DialContext(ctx, network, address)
+	if err != nil {
+		return nil, err
+	}
+	return &lateEndConn{Conn: c, delay: d.delay}, nil
+}
+
+// The end of the former response arrived after the next call had begun. It counted as a sign of life, so that a
+// connection that delivered nothing any more was reused once more, and one more call got no response.
+func TestEndOfFormerResponseIsNoSignOfLife(t *testing.T) {
+	g := NewWithT(t)
+	address := serve(t)
+	dialer := &lateEndDialer{delay: 5 * time.Millisecond}
+	pool := transport.NewPool(dialer)
+	defer func() { g.Expect(pool.Close()).To(Succeed()) }()
+	call := func() error {
+		ctx, cancel := context.WithTimeout(context.Background(), 300*time.Millisecond)
+		defer cancel()
+		_, err := configpb.NewDRPCFeedClient(pool.Conn(ctx, address)).Fetch(ctx, &configpb.FetchRequest{})
+		return err
+	}
+	g.Expect(call()).To(Succeed())
+	dialer.open[0].dropWrites.Store(true)
+	g.Expect(call()).NotTo(Succeed())
+	g.Expect(call()).To(Succeed())
+	g.Expect(dialer.dials.Load()).To(BeEquivalentTo(2))
+}
+
 // lateDialer dials connections on which data arrives late, as from a peer that is busy.
 type lateDialer struct {
 	delay time.Duration
