--- a/internal/entry/shutdown_test.go
+++ b/internal/entry/shutdown_test.go
@@ -278,7 +278,47 @@
 	})
 })
 
+// Related paths of pipelined requests that were cut: what can't end in time is answered, and no other timer of a
+// connection takes one with a pipelined request for idle.
+var _ = Describe("Pipelined requests of a stopping host", func() {
+	DescribeTable("get a response each",
+		func(requests string, stopAfter time.Duration, configure func(*settings.Entry), statuses ...int) {
+			b := newStandin(standin.Config{Slots: 64, WorkTime: time.Millisecond})
+			f := start(func(c *entry.Config) {
+				c.LeaveFor, c.StopAfter = 100*time.Millisecond, stopAfter
+				configure(&c.Settings)
+			}, b.Address())
+			c := f.open()
+			c.send(requests)
+			Eventually(b.Arrivals).Should(BeNumerically(">=", 1))
+			begun := time.Now()
+			stopped := make(chan error, 1)
+			go func() { stopped <- f.server.Shutdown(context.Background()) }()
+			for _, status := range statuses {
+				Expect(c.roundTrip("", "")).To(Equal(status))
+			}
+			Eventually(c.closed, "2s").Should(BeTrue())
+			Expect(time.Since(begun)).To(BeNumerically("<", stopAfter), "before the process ends")
+			Expect(<-stopped).To(Succeed())
+			Expect(<-f.served).To(Succeed())
+			f.served <- nil
+		},
+		Entry("that may outlast the process", slowRequest+endlessRequest, 1600*time.Millisecond, unchanged, 200, 503),
+		Entry("behind one that reaches its deadline", expiringRequest+slowRequest, 4*time.Second, unchanged, 504, 200),
+		Entry("behind one that was refused", slowRequest+refusedRequest, 4*time.Second, unchanged, 200, 400),
+		Entry("that lasts longer than the idle timeout", slowRequest+slowRequest, 4*time.Second,
+			func(s *settings.Entry) { s.IdleTimeout = settings.Duration(50 * time.Millisecond) }, 200, 200),
+		Entry("that lasts longer than the header timeout", slowRequest+slowRequest, 4*time.Second,
+			func(s *settings.Entry) { s.HeaderTimeout = settings.Duration(50 * time.Millisecond) }, 200, 200),
+	)
+})
+
+func unchanged(*settings.Entry) {}
+
 const (
+	endlessRequest  = "GET /read HTTP/1.1\r\nHost: a\r\nStandin-Work: 20s\r\nGrpc-Timeout: 25S\r\n\r\n"
+	expiringRequest = "GET /read HTTP/1.1\r\nHost: a\r\nStandin-Work: 20s\r\nGrpc-Timeout: 300m\r\n\r\n"
+	refusedRequest  = "GET /read HTTP/1.1\r\nHost: a\r\nGrpc-Timeout: soon\r\n\r\n"
 	// The work of these requests is longer than the time for which a stopping host listens.
 	slowRequest = "GET /read HTTP/1.1\r\nHost: a\r\nStandin-Work: 600ms\r\nGrpc-Timeout: 2S\r\n\r\n"
 	slowUpload  = "POST /read HTTP/1.1\r\nHost: a\r\nStandin-Work: 600ms\r\nGrpc-Timeout: 2S\r\nContent-Length: 5\r\n\r\nhello"
