--- a/internal/entry/heldbytes_test.go
+++ b/internal/entry/heldbytes_test.go
@@ -76,9 +76,29 @@
 	return max(<-peak, before.HeapInuse) - before.HeapInuse
 }
 
+// smallFields returns header fields of a few bytes each.
+func smallFields(n int) string {
+	var b strings.Builder
+	for i := range 500 {
+		fmt.Fprintf(&b, "%x:\r\n", n*500+i)
+	}
+	return b.String()
+}
+
+// upload sends a request with a large body.
+func upload(c net.Conn) {
+	const size = 16 << 20
+	_, err := io.WriteString(c, fmt.Sprintf("POST /two HTTP/1.1\r\nHost: a\r\nGrpc-Timeout: 1500m\r\nContent-Length: %d\r\n\r\n", size))
+	_ = c.SetWriteDeadline(time.Now().Add(2 * time.Second))
+	chunk := strings.Repeat("u", 64<<10)
+	for sent := 0; err == nil && sent < size; sent += len(chunk) {
+		_, err = io.WriteString(c, chunk)
+	}
+}
+
 var _ = Describe("Bytes without end from many servers", Serial, func() {
 	DescribeTable("do not fill the memory of the host",
-		func(head string, part func(n int) string) {
+		func(head string, part func(n int) string, request ...func(c net.Conn)) {
 			const (
 				servers, calls = 200, 800
 				// hostMemory is the memory of the smallest entry hosts of the users. A process on it limits the heap to a share
@@ -106,7 +126,11 @@
 					c := f.open()
 					group.Go(func() {
 						// The caller sends a request and reads nothing.
-						_, _ = io.WriteString(c, "GET /two HTTP/1.1\r\nHost: a\r\nGrpc-Timeout: 1500m\r\n\r\n")
+						if len(request) > 0 {
+							request[0](c)
+						} else {
+							_, _ = io.WriteString(c, "GET /two HTTP/1.1\r\nHost: a\r\nGrpc-Timeout: 1500m\r\n\r\n")
+						}
 						time.Sleep(2 * time.Second)
 					})
 				}
@@ -115,16 +139,14 @@
 			// The callers and the servers of the test are in this process, too.
 			Expect(grown).To(BeNumerically("<", heapLimit))
 		},
-		Entry("as many small fields", "HTTP/1.1 200 OK\r\n", func(n int) string {
-			var b strings.Builder
-			for i := range 500 {
-				fmt.Fprintf(&b, "%x:\r\n", n*500+i)
-			}
-			return b.String()
-		}),
+		Entry("as many small fields", "HTTP/1.1 200 OK\r\n", smallFields),
 		Entry("as one long field", "HTTP/1.1 200 OK\r\nX: ", func(int) string { return strings.Repeat("x", 4096) }),
 		Entry("as a body without a length", "HTTP/1.1 200 OK\r\n\r\n", func(int) string { return strings.Repeat("x", 4096) }),
 		Entry("as a body in small chunks", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", func(int) string { return strings.Repeat("1\r\nx\r\n", 700) }),
+		Entry("as many small fields, while large request bodies arrive", "HTTP/1.1 200 OK\r\n", smallFields, upload),
+		Entry("as a body without a length, while large request bodies arrive", "HTTP/1.1 200 OK\r\n\r\n",
+			func(int) string { return strings.Repeat("x", 4096) }, upload),
+		Entry("as a byte a second", "HTTP/1.1 200 OK\r\nX: ", func(int) string { time.Sleep(time.Second); return "x" }),
 		Entry("as a body of a large stated length", "HTTP/1.1 200 OK\r\nContent-Length: 1000000000\r\n\r\n", func(int) string { return strings.Repeat("x", 4096) }),
 	)
 
