Control hosts: request bodies share a bound on the memory of the process

Cause: at the listener for operators and backend servers each body is bounded by 6 MiB and 2 s, their sum was not. Evidence: 300 callers that send a configuration without end made the heap grow by 1,022 MB; announcements and header lines held. Change: bodies share a quarter of the process's memory beyond 4 KiB each, at three bytes a byte, until their requests have ended. Without any left an order gets 503. Headers are bounded by 16 KiB. Tests: TestBytesWithoutEndAtAControlHost failed before (1,022 MB, 94 allowed); TestBodiesShareTheMemory. Result: the heap grows by 62 to 74 MB in the three kinds.

--- a/internal/app/attached.go
+++ b/internal/app/attached.go
@@ -194,7 +194,7 @@
 	prefixed := logger.WithPrefix("entry")
 	if o.Adapter != nil && s.Adapter != nil {
 		ready := func() bool { return st.Ready() && !server.Leaving() }
-		serveAdapter(lc, o, b, logger, "adapter.ready", s.Adapter.Ready, o.Adapter.ReadyHandler(ready))
+		serveAdapter(lc, o, s, b, logger, "adapter.ready", s.Adapter.Ready, o.Adapter.ReadyHandler(ready))
 	}
 	lc.Append(fx.Hook{
 		OnStart: func(context.Context) error {
--- a/internal/app/discovery.go
+++ b/internal/app/discovery.go
@@ -11,11 +11,13 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"go.uber.org/fx"
 
+	"github.com/tarragonmux/tarragonmux/internal/adapter"
 	"github.com/tarragonmux/tarragonmux/internal/agreement"
 	"github.com/tarragonmux/tarragonmux/internal/attach"
 	"github.com/tarragonmux/tarragonmux/internal/configuration/control"
 	"github.com/tarragonmux/tarragonmux/internal/dispatchrpc"
 	"github.com/tarragonmux/tarragonmux/internal/election"
+	"github.com/tarragonmux/tarragonmux/internal/entry/roundtrip"
 	"github.com/tarragonmux/tarragonmux/internal/hostset"
 	"github.com/tarragonmux/tarragonmux/internal/httpstop"
 	"github.com/tarragonmux/tarragonmux/internal/membership"
@@ -34,6 +36,11 @@
 	// the interval of announcements. Thousands of callers that look up hosts would otherwise use up the
 	// descriptors.
 	adapterIdleTimeout = 5 * time.Second
+	// adapterMaxHeaderBytes bounds the headers of a request to an adapter's listener; typical ones have 300 bytes.
+	adapterMaxHeaderBytes = 16 << 10
+	// adapterBodyShare is the share of the process's memory that the request bodies at an adapter's listener may take
+	// together, as a divisor.
+	adapterBodyShare = 4
 	// previousGroupPeriod is how long the previous control group takes part in elections after a change. It
 	// exceeds the lease of a vote plus the time until all members know the new group.
 	previousGroupPeriod = 3 * time.Second
@@ -254,17 +261,22 @@
 		return
 	}
 	controlAPI := controlAdapter{Server: a, log: components.Log, ttl: DirectoryTTL}
-	serveAdapter(lc, o, b, logger, "adapter.control", s.Adapter.Control, o.Adapter.ControlHandler(controlAPI))
-	serveAdapter(lc, o, b, logger, "adapter.directory", s.Adapter.Directory, o.Adapter.DirectoryHandler(controlAPI))
+	serveAdapter(lc, o, s, b, logger, "adapter.control", s.Adapter.Control, o.Adapter.ControlHandler(controlAPI))
+	serveAdapter(lc, o, s, b, logger, "adapter.directory", s.Adapter.Directory, o.Adapter.DirectoryHandler(controlAPI))
 }
 
 // serveAdapter serves a handler of the adapter at the address. It does nothing if the address is empty.
-func serveAdapter(lc fx.Lifecycle, o Options, b *background, logger *log.Logger, field, address string, handler http.Handler) {
+func serveAdapter(lc fx.Lifecycle, o Options, s *settings.Settings, b *background, logger *log.Logger, field, address string, handler http.Handler) {
 	if address == "" {
 		return
 	}
+	memory := roundtrip.NewMemory(roundtrip.DefaultMemory)
+	if s.Memory > 0 {
+		memory = roundtrip.NewMemory(s.Memory / adapterBodyShare)
+	}
 	server := &http.Server{
-		Handler:           handler,
+		Handler:           adapter.LimitBodies(handler, memory),
+		MaxHeaderBytes:    adapterMaxHeaderBytes,
 		ReadHeaderTimeout: adapterHeaderTimeout,
 		IdleTimeout:       adapterIdleTimeout,
 		ErrorLog:          logger.WithPrefix("adapter").StandardLog(),
--- a/internal/entry/roundtrip/memory.go
+++ b/internal/entry/roundtrip/memory.go
@@ -14,9 +14,9 @@
 	fieldOverheadBytes = 256
 )
 
-// Memory bounds the memory that the responses of all backend servers take together: each response may take a
-// little without asking, and more only while there is some left. So faulty servers that send without end fail their
-// own requests, and not the process. It is safe for concurrent use.
+// Memory bounds the memory that messages of one kind take together, such as the responses of all backend servers: each
+// may take a little without asking, and more only while there is some left. So faulty peers that send without end fail
+// their own requests, and not the process. It is safe for concurrent use.
 type Memory struct {
 	left atomic.Int64
 }
