Dispatch: a refused connection does not discard an earlier broken one

Cause: evidence on connections was dropped after the sample window of 2 s whenever the next connection failed. A server that is down for 3 s and refuses a connection late lost the record of the connection that its crash had broken, and its loss then showed nothing. Change: broken connections without a response since stay for the 30 s in which the loss of a server counts, at most 64. Everything that looks at the sample window still sees only that. Test: TestCrashRequestIsStoppedIfItsServersRefuseConnectionsLater counted 15 crashes of 15 before, at most three are allowed. Result: the tests of internal/dispatch pass.

--- a/internal/adapter/bodies_test.go
+++ b/internal/adapter/bodies_test.go
@@ -38,5 +38,5 @@
 	send(large)
 	send(large)
 	g.Expect(results).To(Equal([]error{nil, adapter.ErrBusy, nil, nil}))
-	g.Expect(memory.Reserve(4 * large)).To(BeTrue(), "all memory was returned")
+	g.Expect(memory.Reserve(4*large)).To(BeTrue(), "all memory was returned")
 }
--- a/internal/dispatch/crash.go
+++ b/internal/dispatch/crash.go
@@ -27,6 +27,8 @@
 	responseSlots = 4096
 	// crashHoldTime is how long a server that crashed gets no work.
 	crashHoldTime = time.Second
+	// maxOldBreaks bounds the broken connections of a server that are kept beyond the sample window.
+	maxOldBreaks = 64
 	// minRefusals is how many refused connections count as evidence of a bad server.
 	minRefusals = 2
 )
@@ -150,7 +152,7 @@
 // observeConnectionFailure records a broken or refused connection as evidence.
 func (m *Machine) observeConnectionFailure(now time.Time, r *request, result grant.Result) {
 	s := r.server
-	s.connectionFailures = slices.DeleteFunc(s.connectionFailures, func(f connectionFailure) bool { return now.Sub(f.at) > sampleWindow })
+	s.dropOldFailures(now)
 	s.connectionFailures = append(s.connectionFailures, connectionFailure{at: now, node: r.node, fingerprint: r.Fingerprint, refused: result == grant.ConnectFailed})
 	s.addSample(sample{at: now, sent: r.sent, failed: true, node: r.node, fingerprint: r.Fingerprint})
 	// The next request confirms or clears the suspicion.
@@ -162,16 +164,37 @@
 	m.detectRefusals(now, s)
 }
 
+// dropOldFailures drops the failures that are older than the sample window, except broken connections that may still
+// show a crash if the server is lost.
+func (s *server) dropOldFailures(now time.Time) {
+	s.connectionFailures = slices.DeleteFunc(s.connectionFailures, func(f connectionFailure) bool {
+		age := now.Sub(f.at)
+		return age > lostServerWindow || age > sampleWindow && (f.refused || f.at.Before(s.lastRespondedSent))
+	})
+	if excess := len(s.connectionFailures) - len(s.recentFailures(now)) - maxOldBreaks; excess > 0 {
+		s.connectionFailures = slices.Delete(s.connectionFailures, 0, excess)
+	}
+}
+
+// recentFailures returns the failures within the sample window, in the order in which they came.
+func (s *server) recentFailures(now time.Time) []connectionFailure {
+	first := slices.IndexFunc(s.connectionFailures, func(f connectionFailure) bool { return now.Sub(f.at) <= sampleWindow })
+	if first < 0 {
+		return nil
+	}
+	return s.connectionFailures[first:]
+}
+
 // isCrash reports whether the server crashed: a connection broke together with others within the crash
 // window, or one broke and one was refused, and no request sent after the break got a response: a server
 // that responds to such a request has not crashed. Refusals count for the whole sample window, since at a
 // low rate the next request may come late.
 func (m *Machine) isCrash(now time.Time, s *server, r *request) bool {
-	if s.otherRequestsSurvived(r) {
+	if s.otherRequestsSurvived(now, r) {
 		return false
 	}
 	broken, recentlyBroken, refused := 0, 0, 0
-	for _, f := range s.connectionFailures {
+	for _, f := range s.recentFailures(now) {
 		switch {
 		case f.at.Before(s.lastRespondedSent):
 			continue
@@ -190,8 +213,8 @@
 // otherRequestsSurvived reports whether any request other than the given one was in flight when a
 // connection broke and still is. A crash breaks all connections at once; a server that resets single
 // requests continues with the others.
-func (s *server) otherRequestsSurvived(ended *request) bool {
-	for _, f := range s.connectionFailures {
+func (s *server) otherRequestsSurvived(now time.Time, ended *request) bool {
+	for _, f := range s.recentFailures(now) {
 		if f.refused || f.at.Before(s.lastRespondedSent) {
 			continue
 		}
@@ -207,8 +230,9 @@
 
 // recordCrash records the crash for the fingerprints of the broken requests, and holds the server.
 func (m *Machine) recordCrash(now time.Time, s *server) {
-	for i := range s.connectionFailures {
-		f := &s.connectionFailures[i]
+	recent := s.recentFailures(now)
+	for i := range recent {
+		f := &recent[i]
 		if f.refused || f.crashed || f.at.Before(s.lastRespondedSent) {
 			continue
 		}
@@ -250,7 +274,7 @@
 	}
 	refused := 0
 	e := evidence{}
-	for _, f := range s.connectionFailures {
+	for _, f := range s.recentFailures(now) {
 		if f.refused && f.at.After(s.lastResponse) && !now.Before(f.node.isolatedUntil) {
 			refused++
 			e.addRequest(s, f.node, f.at)
--- a/internal/dispatch/failing.go
+++ b/internal/dispatch/failing.go
@@ -114,7 +114,7 @@
 // connectionsBreaking reports whether connections to the server started to break within the last
 // crashReportSpread.
 func (s *server) connectionsBreaking(now time.Time) bool {
-	for _, f := range s.connectionFailures {
+	for _, f := range s.recentFailures(now) {
 		if !f.refused && !f.crashed && !f.at.Before(s.lastRespondedSent) {
 			return now.Sub(f.at) < crashReportSpread
 		}
--- a/internal/dispatch/lostserver_test.go
+++ b/internal/dispatch/lostserver_test.go
@@ -60,6 +60,46 @@
 	return -1
 }
 
+// sendTo sends requests until the server gets one. That one ends with the result, the others with a response.
+func (q *quietService) sendTo(server int, result grant.Result) {
+	var others []uint64
+	reached := false
+	for !reached {
+		q.id++
+		a := acquire(q.m, q.now, q.id, func(r *dispatch.Request) { r.Fingerprint = q.id + 1000 })
+		q.g.Expect(a).To(HaveLen(1))
+		q.g.Expect(a[0].Kind).To(Equal(dispatch.Granted))
+		if a[0].Instance == q.servers[server].Instance {
+			q.m.Complete(q.now, "n", q.id, grant.Completion{Result: result, Total: time.Millisecond})
+			reached = true
+			continue
+		}
+		others = append(others, q.id)
+	}
+	for _, id := range others {
+		q.m.Complete(q.now, "n", id, grant.Completion{Result: grant.OK, Total: time.Millisecond})
+	}
+}
+
+// A connection that was refused while a crashed server was down, but some time after the crash, discarded the broken one
+// before the loss of the server was noticed. The request that had crashed the server was not recorded.
+func TestCrashRequestIsStoppedIfItsServersRefuseConnectionsLater(t *testing.T) {
+	q := newQuietService(t)
+	crashes := 0
+	for n := range 15 {
+		if i := q.send(42, grant.Broken); i >= 0 {
+			crashes++
+			q.advance(2500 * time.Millisecond)
+			q.sendTo(i, grant.ConnectFailed)
+			q.advance(time.Second)
+			q.servers[i].Incarnation++
+		}
+		q.advance(time.Second)
+		q.g.Expect(q.send(uint64(100+n), grant.OK)).To(BeNumerically(">=", 0), "other requests are served")
+	}
+	q.g.Expect(crashes).To(BeNumerically("<=", 3))
+}
+
 // With little work a crash request breaks a single connection of each server. It was never found, and crashed a server
 // each time that it came.
 func TestCrashRequestIsStoppedAtLowLoad(t *testing.T) {
