Membership: only configured services take over addresses from each other

Cause: the newest process at an address supersedes all others, whatever its service. Change: a service that is not configured takes no address from one that is, nor the other way round. The services are read before the lock of the membership is taken, since their source may ask for the members.

--- a/internal/membership/reuse_test.go
+++ b/internal/membership/reuse_test.go
@@ -66,3 +66,36 @@
 	g.Expect(superseded.Known).To(BeEquivalentTo(9))
 	g.Expect(s.Announce(now, at("restarted", superseded.Known+1))).To(Succeed())
 }
+
+// An announcement for a service that is not configured does not show that a server with its address has ended. The rule
+// stays in force among configured services, and among others.
+func TestOnlyConfiguredServicesTakeOverAddresses(t *testing.T) {
+	for _, c := range []struct {
+		name, service string
+		known         []string
+		left          bool
+	}{
+		{"a configured service", "lexview", []string{"cuefeed", "lexview"}, true},
+		{"a service that is not configured", "nowhere", []string{"cuefeed"}, false},
+		{"no service is configured yet", "lexview", nil, true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			g := NewWithT(t)
+			fleet := &hostset.Fleet{}
+			for _, name := range c.known {
+				fleet.Services = append(fleet.Services, hostset.Service{Name: name})
+			}
+			r := membership.NewRunner(membership.Options{
+				Identity: membership.Identity{ID: "n", Incarnation: 1, FleetAddress: "127.0.0.1:1", DataCentre: "a", Role: "control"},
+				Source:   fixedFleet{fleet}, PeerClient: &loopback{}, Logger: logging.Discard(),
+			})
+			server := backend.Server{Service: "cuefeed", Instance: "sound", Incarnation: 1, Address: "127.0.0.1:80", DataCentre: "a", State: backend.Ready, Slots: 6}
+			other := server
+			other.Service, other.Instance, other.Incarnation = c.service, "other", 2
+			g.Expect(r.AnnounceLocal(server)).To(Succeed())
+			g.Expect(r.AnnounceLocal(other)).To(Succeed())
+			g.Expect(r.Servers("cuefeed")[0].State == backend.Left).To(Equal(c.left))
+			g.Expect(r.AnnounceLocal(server) == nil).To(Equal(!c.left), "a server that is not taken out renews its entry")
+		})
+	}
+}
--- a/internal/membership/serve.go
+++ b/internal/membership/serve.go
@@ -122,7 +122,12 @@
 }
 
 func (r *Runner) recordAnnouncement(server backend.Server) (err error) {
-	r.withState(func(s *State, now time.Time) { err = s.Announce(announcementTime(server, now), server) })
+	// The source has a lock of its own and may ask for the members, so it is not called from within withState.
+	fleet := r.opts.Source.Fleet()
+	r.withState(func(s *State, now time.Time) {
+		s.SetFleet(fleet)
+		err = s.Announce(announcementTime(server, now), server)
+	})
 	return err
 }
 
--- a/internal/membership/servers.go
+++ b/internal/membership/servers.go
@@ -129,12 +129,16 @@
 
 // supersedeAddress marks entries of other servers with the same address and a lower incarnation as
 // left, since their processes have ended. It returns the entry with a higher incarnation that has the address, or
-// nil.
+// nil. A service that is not configured shows nothing about the servers of one that is: whoever announces it need not
+// be a backend server.
 func (s *State) supersedeAddress(a backend.Server) (newer *serverEntry) {
 	for _, old := range s.servers.byAddress.get(a.Address) {
 		if old.id() == (serverID{a.Service, a.Instance}) || old.State == backend.Left {
 			continue
 		}
+		if s.isConfigured(a.Service) != s.isConfigured(old.Service) {
+			continue
+		}
 		if old.Incarnation > a.Incarnation {
 			return old
 		}
--- a/internal/membership/state.go
+++ b/internal/membership/state.go
@@ -5,6 +5,8 @@
 	"slices"
 	"time"
 
+	"github.com/tarragonmux/tarragonmux/internal/hostset"
+	"github.com/tarragonmux/tarragonmux/internal/shard"
 	"github.com/tarragonmux/tarragonmux/proto/fleetpb"
 )
 
@@ -19,6 +21,8 @@
 	servers    *serverTable
 	// lastRoundTrip is when the last complete round trip with another node ended.
 	lastRoundTrip time.Time
+	// fleet is what the configuration in force says of the services; nil before the first one.
+	fleet *hostset.Fleet
 	rotation
 }
 
@@ -51,6 +55,16 @@
 	return s
 }
 
+// SetFleet sets the services of the configuration in force.
+func (s *State) SetFleet(fleet *hostset.Fleet) {
+	s.fleet = fleet
+}
+
+// isConfigured reports whether the configuration in force names the service.
+func (s *State) isConfigured(service string) bool {
+	return s.fleet != nil && slices.ContainsFunc(s.fleet.Services, func(c hostset.Service) bool { return shard.ServiceOf(c.Name) == service })
+}
+
 // Clock returns this node's clock in milliseconds. Forwarded announcements state the time to which
 // their ages refer on this clock.
 func (s *State) Clock(now time.Time) int64 {
