Departures: a withdrawal without an incarnation counts only while its sender waits

Cause: a control host that had been paused read withdrawals whose senders had long told another one. Without a start they stand for every process of the id, so they took out the new ones. Change: such a withdrawal is recorded only if its sender has not disconnected, for which the host looks for 20 ms. Ruled out: covering only what the host knows, since it would confirm departures of processes that it doesn't know.

--- a/internal/attach/confirmation.go
+++ b/internal/attach/confirmation.go
@@ -23,15 +23,27 @@
 // departure.
 var ErrNotConfirmed = errors.New("the control hosts could not be told; send it again, best to another control host")
 
+// goneSenderWait is how long a withdrawal that names no process waits for the end of its connection. A host that was
+// paused reads the withdrawal and that end together.
+const goneSenderWait = 20 * time.Millisecond
+
+// ErrSenderGone means that the sender of a withdrawal that names no process no longer waits for the confirmation. It
+// may have told another control host and started again since.
+var ErrSenderGone = errors.New("the sender has disconnected; state the incarnation of the process that leaves")
+
 // RecordDeparture marks a backend server as draining or left and returns nil once the dispatchers of
 // its services and a majority of the control group have confirmed the mark. Every other control host
 // polls a majority before it reports its departures to an entry host as current, so within pollInterval
-// and a heartbeat all hosts that may send requests to the server know it too. Errors: ErrNotConfirmed, MalformedError.
+// and a heartbeat all hosts that may send requests to the server know it too. Errors: ErrNotConfirmed, ErrSenderGone, MalformedError.
 func (s *Server) RecordDeparture(ctx context.Context, instance string, incarnation uint64, state backend.State) error {
 	if err := membership.CheckDeparture(instance, incarnation); err != nil {
 		return err
 	}
 	started := time.Now()
+	if incarnation == 0 && senderGone(ctx) {
+		s.opts.Logger.Info("ignored the withdrawal of a backend server whose sender has disconnected", "instance", instance)
+		return ErrSenderGone
+	}
 	c := s.newConfirmation(instance, incarnation, state)
 	defer c.end()
 	err := c.await(ctx)
@@ -49,6 +61,16 @@
 	return nil
 }
 
+// senderGone reports whether the sender disconnects at once or has done so.
+func senderGone(ctx context.Context) bool {
+	select {
+	case <-ctx.Done():
+		return true
+	case <-time.After(goneSenderWait):
+		return false
+	}
+}
+
 // departureConfirmation is the state of one call of RecordDeparture.
 type departureConfirmation struct {
 	server   *Server
