Agreement: a large value is not sent again to members whose vote is outstanding

Cause: once a majority had voted, the decision went with its value to all others, whose votes for the same value were still on their way. So each change of a large configuration was sent up to twice to nearly half of the members.

--- a/internal/agreement/agreementtest/network.go
+++ b/internal/agreement/agreementtest/network.go
@@ -35,11 +35,13 @@
 	maxDelay    time.Duration
 	messages    int
 	observer    Observer
+	// requests is called with each request when it arrives; nil means none.
+	requests Observer
 }
 
-// Observer is called with each reply before it is delivered, with the ids of the caller and of the replica. It may change
-// the network and the processes, but must not block.
-type Observer func(from, to string, reply proto.Message)
+// Observer is called with each reply before it is delivered, or with each request when it arrives, with the ids of the
+// caller and of the replica. It may change the network and the processes, but must not block.
+type Observer func(from, to string, message proto.Message)
 
 type attachment struct {
 	server     agreementpb.DRPCReplicaServer
@@ -99,6 +101,22 @@
 	n.observer = o
 }
 
+// ObserveRequests sets the observer of all requests; nil means none.
+func (n *Network) ObserveRequests(o Observer) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.requests = o
+}
+
+func (n *Network) observeRequest(from, to string, request proto.Message) {
+	n.mu.Lock()
+	o := n.requests
+	n.mu.Unlock()
+	if o != nil {
+		o(from, to, request)
+	}
+}
+
 func (n *Network) observe(from, to string, reply proto.Message) {
 	n.mu.Lock()
 	o := n.observer
@@ -209,6 +227,7 @@
 	if !ok {
 		return reply, errors.WithStack(agreement.ErrNotSent), true
 	}
+	r.network.observeRequest(r.from, r.to, in)
 	reply, err = do(target.server, context.Background(), in)
 	if err == nil {
 		r.network.observe(r.from, r.to, reply)
--- a/internal/agreement/announce.go
+++ b/internal/agreement/announce.go
@@ -1,7 +1,9 @@
 package agreement
 
 import (
+	"bytes"
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -11,6 +13,8 @@
 const (
 	// announceDelay is how long decisions are batched, so that a busy proposer sends few messages.
 	announceDelay = 2 * time.Millisecond
+	// largeValueBytes is the size from which a value is not sent again to members whose vote is outstanding.
+	largeValueBytes = 64 << 10
 	// maxAnnouncementBytes bounds one announcement.
 	maxAnnouncementBytes = 4 << 20
 )
@@ -29,22 +33,18 @@
 	epoch  uint64
 }
 
-// announce queues the decision for every member. The members in acceptedBy get it without the value, which
-// they stored when they voted for it in the ballot.
-func (a *announcer) announce(voters voterSet, key string, value []byte, acceptedBy []Member, b ballot) {
+// announce queues a decided register for the members.
+func (a *announcer) announce(epoch uint64, members []Member, r *agreementpb.Register) {
+	if len(members) == 0 {
+		return
+	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if a.queued == nil {
 		a.queued = map[announceTarget][]*agreementpb.Register{}
 	}
-	for _, m := range voters.members {
-		r := &agreementpb.Register{Key: key, Decided: true, HasAccepted: true, Value: value}
-		for _, acceptor := range acceptedBy {
-			if acceptor == m {
-				r = &agreementpb.Register{Key: key, Decided: true, Accepted: b.message()}
-			}
-		}
-		target := announceTarget{m, voters.epoch}
+	for _, m := range members {
+		target := announceTarget{m, epoch}
 		a.queued[target] = append(a.queued[target], r)
 	}
 	if !a.running {
@@ -53,6 +53,57 @@
 	}
 }
 
+// decisionNotice announces a decided value to the members.
+type decisionNotice struct {
+	t      *tally
+	key    string
+	value  []byte
+	ballot ballot
+	// acceptedBy are the members known to have voted for the value in the ballot. They have it.
+	acceptedBy []Member
+}
+
+func (d decisionNotice) announce(responses <-chan response[*agreementpb.RegisterReply]) {
+	d.announceWithoutValue(d.acceptedBy)
+	var others, outstanding []Member
+	for _, m := range d.t.voters.members {
+		switch {
+		case slices.Contains(d.acceptedBy, m):
+		case slices.Contains(d.t.respondedBy, m) || len(d.value) < largeValueBytes:
+			others = append(others, m)
+		default:
+			outstanding = append(outstanding, m)
+		}
+	}
+	d.announceWithValue(others)
+	if len(outstanding) > 0 {
+		go d.announceToLate(len(outstanding), responses)
+	}
+}
+
+// announceToLate announces the decision to the members whose vote was outstanding once they have responded or
+// their call has ended. Most of them have accepted the value; to send it again would double the cost of a large one.
+func (d decisionNotice) announceToLate(outstanding int, responses <-chan response[*agreementpb.RegisterReply]) {
+	for range outstanding {
+		resp := <-responses
+		h := resp.reply.GetHeader()
+		accepted := resp.err == nil && resp.reply.GetOk() && h.GetRefusal() == "" && h.GetEpoch() == d.t.voters.epoch
+		if accepted && bytes.Equal(d.value, d.t.proposedValue) {
+			d.announceWithoutValue([]Member{resp.member})
+		} else {
+			d.announceWithValue([]Member{resp.member})
+		}
+	}
+}
+
+func (d decisionNotice) announceWithoutValue(members []Member) {
+	d.t.o.p.announcer.announce(d.t.voters.epoch, members, &agreementpb.Register{Key: d.key, Decided: true, Accepted: d.ballot.message()})
+}
+
+func (d decisionNotice) announceWithValue(members []Member) {
+	d.t.o.p.announcer.announce(d.t.voters.epoch, members, &agreementpb.Register{Key: d.key, Decided: true, HasAccepted: true, Value: d.value})
+}
+
 // sendQueued sends the queued decisions and returns when the queue is empty.
 func (a *announcer) sendQueued() {
 	for {
--- a/internal/agreement/operation.go
+++ b/internal/agreement/operation.go
@@ -146,6 +146,8 @@
 	rejected []register
 	// grantedBy are the members that promised or voted.
 	grantedBy []Member
+	// respondedBy are the members whose response has been counted.
+	respondedBy []Member
 	// notAccepted counts the members that certainly did not accept the value.
 	notAccepted int
 	ended       attemptResult
@@ -158,6 +160,7 @@
 // addResponse counts one response. It sets ended if the response ends the operation.
 func (t *tally) addResponse(resp response[*agreementpb.RegisterReply]) {
 	t.outstanding--
+	t.respondedBy = append(t.respondedBy, resp.member)
 	if resp.err != nil {
 		if errors.Is(resp.err, ErrNotSent) {
 			t.notAccepted++
@@ -234,7 +237,7 @@
 	for t.awaitResponse(ctx, responses, grace) {
 		states := append(append([]register(nil), t.granted...), t.rejected...)
 		if value, ok := decidedBy(len(voters.members), states); ok {
-			return o.recordDecision(voters, value, o.membersAccepting(t, value), ballot{})
+			return o.recordDecision(t, ballot{}, value, responses)
 		}
 		if grace == nil && len(states) >= voters.majority() && len(t.rejected) > 0 {
 			timer := time.NewTimer(fastRoundGrace)
@@ -248,14 +251,6 @@
 	return retryResult
 }
 
-// membersAccepting returns the members whose granted vote is for the value.
-func (o *operation) membersAccepting(t *tally, value []byte) []Member {
-	if bytes.Equal(value, o.value) {
-		return t.grantedBy
-	}
-	return nil
-}
-
 // ordinaryRound runs the prepare and accept phases with a new ballot.
 func (o *operation) ordinaryRound(ctx context.Context, voters voterSet) attemptResult {
 	b := o.p.nextBallot(o.nextRound)
@@ -310,7 +305,7 @@
 	}
 	for t.awaitResponse(ctx, responses, nil) && !t.majorityImpossible() {
 		if len(t.granted) >= voters.majority() {
-			return o.recordDecision(voters, value, t.grantedBy, b)
+			return o.recordDecision(t, b, value, responses)
 		}
 	}
 	if t.ended != 0 {
@@ -325,10 +320,13 @@
 	})
 }
 
-// recordDecision stores and announces the decision. The members in acceptedBy accepted the value in the
-// ballot, so the announcement to them omits it.
-func (o *operation) recordDecision(voters voterSet, value []byte, acceptedBy []Member, b ballot) attemptResult {
+// recordDecision stores and announces the decision of the tally for a value that the members voted for in the ballot.
+func (o *operation) recordDecision(t *tally, b ballot, value []byte, responses <-chan response[*agreementpb.RegisterReply]) attemptResult {
 	o.decided = value
-	o.p.announcer.announce(voters, o.key, value, acceptedBy, b)
+	d := decisionNotice{t: t, key: o.key, value: value, ballot: b}
+	if bytes.Equal(value, t.proposedValue) {
+		d.acceptedBy = t.grantedBy
+	}
+	d.announce(responses)
 	return decidedResult
 }
--- a/internal/agreement/read.go
+++ b/internal/agreement/read.go
@@ -229,7 +229,8 @@
 			value = page.values[next]
 		}
 		if ok && !states[0].decided {
-			p.announcer.announce(page.voters, registerKey(page.prefix, next), value, nil, ballot{})
+			p.announcer.announce(page.voters.epoch, page.voters.members,
+				&agreementpb.Register{Key: registerKey(page.prefix, next), Decided: true, HasAccepted: true, Value: value})
 		}
 		if !ok {
 			value, ok = p.completeRegister(ctx, registerKey(page.prefix, next))
