Agreement: large values go to the members compressed

Cause: the value was encoded and buffered as it is, once for each member. Change: values from 64 KiB are compressed once for all members and sent with a call of their own, AcceptCompressed. A member of a former release does not know it and gets the plain value. Members of former releases vote as before.

--- a/internal/agreement/agreementtest/network.go
+++ b/internal/agreement/agreementtest/network.go
@@ -252,6 +252,10 @@
 	return call(ctx, r, in, agreementpb.DRPCReplicaServer.Accept)
 }
 
+func (r remoteReplica) AcceptCompressed(ctx context.Context, in *agreementpb.AcceptRequest) (*agreementpb.RegisterReply, error) {
+	return call(ctx, r, in, agreementpb.DRPCReplicaServer.AcceptCompressed)
+}
+
 func (r remoteReplica) Decide(ctx context.Context, in *agreementpb.DecideRequest) (*agreementpb.DecideReply, error) {
 	return call(ctx, r, in, agreementpb.DRPCReplicaServer.Decide)
 }
--- a/internal/agreement/client.go
+++ b/internal/agreement/client.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"strings"
 
 	"github.com/pkg/errors"
 
@@ -57,11 +58,30 @@
 	return out, callError(err)
 }
 
+// Accept sends the compressed value if there is one, and the plain one to replicas of releases that cannot read it.
 func (r transportReplica) Accept(ctx context.Context, in *agreementpb.AcceptRequest) (*agreementpb.RegisterReply, error) {
-	out, err := r.client.Accept(ctx, in)
+	plain := &agreementpb.AcceptRequest{Header: in.GetHeader(), Key: in.GetKey(), Ballot: in.GetBallot(), Value: in.GetValue()}
+	if len(in.GetCompressedValue()) > 0 {
+		compressed := &agreementpb.AcceptRequest{Header: in.GetHeader(), Key: in.GetKey(), Ballot: in.GetBallot(), CompressedValue: in.GetCompressedValue()}
+		out, err := r.AcceptCompressed(ctx, compressed)
+		if !isUnknownCall(err) {
+			return out, err
+		}
+	}
+	out, err := r.client.Accept(ctx, plain)
+	return out, callError(err)
+}
+
+func (r transportReplica) AcceptCompressed(ctx context.Context, in *agreementpb.AcceptRequest) (*agreementpb.RegisterReply, error) {
+	out, err := r.client.AcceptCompressed(ctx, in)
 	return out, callError(err)
 }
 
+// isUnknownCall reports whether the replica does not have the method. drpc has no error code for that.
+func isUnknownCall(err error) bool {
+	return err != nil && strings.Contains(err.Error(), "unknown rpc")
+}
+
 func (r transportReplica) Decide(ctx context.Context, in *agreementpb.DecideRequest) (*agreementpb.DecideReply, error) {
 	out, err := r.client.Decide(ctx, in)
 	return out, callError(err)
--- a/internal/agreement/operation.go
+++ b/internal/agreement/operation.go
@@ -315,8 +315,11 @@
 }
 
 func (o *operation) sendAccept(ctx context.Context, voters voterSet, b ballot, value []byte) <-chan response[*agreementpb.RegisterReply] {
+	compressed := compress(value)
 	return broadcast(ctx, o.p, voters, func(ctx context.Context, c agreementpb.DRPCReplicaServer) (*agreementpb.RegisterReply, error) {
-		return c.Accept(ctx, &agreementpb.AcceptRequest{Header: o.p.header(voters), Key: o.key, Ballot: b.message(), Value: value})
+		return c.Accept(ctx, &agreementpb.AcceptRequest{
+			Header: o.p.header(voters), Key: o.key, Ballot: b.message(), Value: value, CompressedValue: compressed,
+		})
 	})
 }
 
--- a/internal/agreement/serve.go
+++ b/internal/agreement/serve.go
@@ -160,6 +160,15 @@
 	return state
 }
 
+// AcceptCompressed is Accept with a compressed value.
+func (r *Replica) AcceptCompressed(ctx context.Context, in *agreementpb.AcceptRequest) (*agreementpb.RegisterReply, error) {
+	value, err := decompress(in.GetCompressedValue())
+	if err != nil {
+		return nil, err
+	}
+	return r.Accept(ctx, &agreementpb.AcceptRequest{Header: in.GetHeader(), Key: in.GetKey(), Ballot: in.GetBallot(), Value: value})
+}
+
 // Decide stores decided values. A register without a value confirms the value that this replica
 // accepted in the given ballot, and counts only in the epoch of that vote.
 func (r *Replica) Decide(_ context.Context, in *agreementpb.DecideRequest) (*agreementpb.DecideReply, error) {
--- a/internal/bench/durable/faults.go
+++ b/internal/bench/durable/faults.go
@@ -116,6 +116,10 @@
 	return callThroughFaults(ctx, r, in, agreementpb.DRPCReplicaServer.Accept)
 }
 
+func (r faultyReplica) AcceptCompressed(ctx context.Context, in *agreementpb.AcceptRequest) (*agreementpb.RegisterReply, error) {
+	return callThroughFaults(ctx, r, in, agreementpb.DRPCReplicaServer.AcceptCompressed)
+}
+
 func (r faultyReplica) Decide(ctx context.Context, in *agreementpb.DecideRequest) (*agreementpb.DecideReply, error) {
 	return callThroughFaults(ctx, r, in, agreementpb.DRPCReplicaServer.Decide)
 }
