--- a/internal/attach/confirmation.go
+++ b/internal/attach/confirmation.go
@@ -25,7 +25,7 @@
 
 // goneSenderWait is how long a withdrawal that names no process waits for the end of its connection. A host that was
 // paused reads the withdrawal and that end together.
-const goneSenderWait = 20 * time.Millisecond
+const goneSenderWait = 50 * time.Millisecond
 
 // ErrSenderGone means that the sender of a withdrawal that names no process no longer waits for the confirmation. It
 // may have told another control host and started again since.
@@ -65,10 +65,9 @@
 func senderGone(ctx context.Context) bool {
 	select {
 	case <-ctx.Done():
-		return true
 	case <-time.After(goneSenderWait):
-		return false
 	}
+	return ctx.Err() != nil
 }
 
 // departureConfirmation is the state of one call of RecordDeparture.
