--- a/internal/adapter/bodies.go
+++ b/internal/adapter/bodies.go
@@ -25,7 +25,6 @@
 func LimitBodies(next http.Handler, memory *roundtrip.Memory) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		body := &limitedBody{ReadCloser: r.Body, memory: memory}
-		// The handler reads the body itself and has returned, so nothing reads it any more.
 		defer body.release()
 		r.Body = body
 		next.ServeHTTP(w, r)
--- a/internal/agreement/announce.go
+++ b/internal/agreement/announce.go
@@ -13,7 +13,8 @@
 const (
 	// announceDelay is how long decisions are batched, so that a busy proposer sends few messages.
 	announceDelay = 2 * time.Millisecond
-	// largeValueBytes is the size from which a value is not sent again to members whose vote is outstanding.
+	// largeValueBytes is the size from which a value is compressed, and not sent again to members whose vote is
+	// outstanding.
 	largeValueBytes = 64 << 10
 	// maxAnnouncementBytes bounds one announcement.
 	maxAnnouncementBytes = 4 << 20
@@ -55,7 +56,7 @@
 
 // decisionNotice announces a decided value to the members.
 type decisionNotice struct {
-	t      *tally
+	tally  *tally
 	key    string
 	value  []byte
 	ballot ballot
@@ -63,13 +64,14 @@
 	acceptedBy []Member
 }
 
+// announce announces the decision to those whose vote is known; the others follow with their responses.
 func (d decisionNotice) announce(responses <-chan response[*agreementpb.RegisterReply]) {
 	d.announceWithoutValue(d.acceptedBy)
 	var others, outstanding []Member
-	for _, m := range d.t.voters.members {
+	for _, m := range d.tally.voters.members {
 		switch {
 		case slices.Contains(d.acceptedBy, m):
-		case slices.Contains(d.t.respondedBy, m) || len(d.value) < largeValueBytes:
+		case slices.Contains(d.tally.respondedBy, m) || len(d.value) < largeValueBytes:
 			others = append(others, m)
 		default:
 			outstanding = append(outstanding, m)
@@ -87,8 +89,8 @@
 	for range outstanding {
 		resp := <-responses
 		h := resp.reply.GetHeader()
-		accepted := resp.err == nil && resp.reply.GetOk() && h.GetRefusal() == "" && h.GetEpoch() == d.t.voters.epoch
-		if accepted && bytes.Equal(d.value, d.t.proposedValue) {
+		accepted := resp.err == nil && resp.reply.GetOk() && h.GetRefusal() == "" && h.GetEpoch() == d.tally.voters.epoch
+		if accepted && bytes.Equal(d.value, d.tally.proposedValue) {
 			d.announceWithoutValue([]Member{resp.member})
 		} else {
 			d.announceWithValue([]Member{resp.member})
@@ -97,11 +99,11 @@
 }
 
 func (d decisionNotice) announceWithoutValue(members []Member) {
-	d.t.o.p.announcer.announce(d.t.voters.epoch, members, &agreementpb.Register{Key: d.key, Decided: true, Accepted: d.ballot.message()})
+	d.tally.o.p.announcer.announce(d.tally.voters.epoch, members, &agreementpb.Register{Key: d.key, Decided: true, Accepted: d.ballot.message()})
 }
 
 func (d decisionNotice) announceWithValue(members []Member) {
-	d.t.o.p.announcer.announce(d.t.voters.epoch, members, &agreementpb.Register{Key: d.key, Decided: true, HasAccepted: true, Value: d.value})
+	d.tally.o.p.announcer.announce(d.tally.voters.epoch, members, &agreementpb.Register{Key: d.key, Decided: true, HasAccepted: true, Value: d.value})
 }
 
 // sendQueued sends the queued decisions and returns when the queue is empty.
--- a/internal/agreement/operation.go
+++ b/internal/agreement/operation.go
@@ -326,7 +326,7 @@
 // recordDecision stores and announces the decision of the tally for a value that the members voted for in the ballot.
 func (o *operation) recordDecision(t *tally, b ballot, value []byte, responses <-chan response[*agreementpb.RegisterReply]) attemptResult {
 	o.decided = value
-	d := decisionNotice{t: t, key: o.key, value: value, ballot: b}
+	d := decisionNotice{tally: t, key: o.key, value: value, ballot: b}
 	if bytes.Equal(value, t.proposedValue) {
 		d.acceptedBy = t.grantedBy
 	}
--- a/internal/attach/confirmation.go
+++ b/internal/attach/confirmation.go
@@ -34,7 +34,8 @@
 // RecordDeparture marks a backend server as draining or left and returns nil once the dispatchers of
 // its services and a majority of the control group have confirmed the mark. Every other control host
 // polls a majority before it reports its departures to an entry host as current, so within pollInterval
-// and a heartbeat all hosts that may send requests to the server know it too. Errors: ErrNotConfirmed, ErrSenderGone, MalformedError.
+// and a heartbeat all hosts that may send requests to the server know it too. An incarnation of 0 stands for all known
+// processes, if the sender still waits. Errors: ErrNotConfirmed, ErrSenderGone, MalformedError.
 func (s *Server) RecordDeparture(ctx context.Context, instance string, incarnation uint64, state backend.State) error {
 	if err := membership.CheckDeparture(instance, incarnation); err != nil {
 		return err
