Departures: a late call between control hosts takes no new process out

The host that confirms a withdrawal without an incarnation tells the others in calls, and the paused one reads these late, too. They cover every process that it knows by then. Change: a call without an incarnation is ignored if its caller no longer waits; others in the same call are recorded. Test: TestMarkWithoutIncarnationNeedsACallerThatWaits fails without the check.

A member that did not vote yet got neither the value nor the decision, as the group needs a majority only. The test now waits until all members vote.

--- a/internal/agreement/compress_test.go
+++ b/internal/agreement/compress_test.go
@@ -98,6 +98,10 @@
 				go func() { _ = transport.Serve(ctx, listeners[i], mux, logging.Discard()) }()
 				go func() { _ = r.Run(ctx) }()
 			}
+			// A member that does not vote yet would learn the decision only by its next read.
+			for _, r := range replicas {
+				g.Eventually(func() agreement.State { return r.Status().State }, "10s", "20ms").Should(Equal(agreement.Voting))
+			}
 			dialer := &sentBytes{Dialer: transport.NewDialer()}
 			own := transport.NewPool(dialer)
 			defer func() { g.Expect(own.Close()).To(Succeed()) }()
--- a/internal/attach/attach_test.go
+++ b/internal/attach/attach_test.go
@@ -184,6 +184,25 @@
 	g.Expect(m.calls["c:1"]).To(Equal(1), "a control host that has confirmed is not sent the mark again")
 }
 
+// A control host that was paused read marks of withdrawals that named no process, long after the caller had given up, and
+// took out processes that had started since.
+func TestMarkWithoutIncarnationNeedsACallerThatWaits(t *testing.T) {
+	g := NewWithT(t)
+	ended, end := context.WithCancel(context.Background())
+	end()
+	for _, c := range []struct {
+		ctx         context.Context
+		incarnation uint64
+		out         bool
+	}{{ended, 0, false}, {ended, 5, true}, {context.Background(), 0, true}} {
+		s, r, _ := newServer("b", "b:1", "c:1")
+		g.Expect(s.Announce(context.Background(), serverInState(backend.Ready))).To(Succeed())
+		_, err := s.Mark(c.ctx, &fleetpb.MarkRequest{Instance: "i-1", Incarnation: c.incarnation, State: fleetpb.ServerState(backend.Left)})
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(r.stateOf("i-1") == backend.Left).To(Equal(c.out), "incarnation %d", c.incarnation)
+	}
+}
+
 // A draining server repeats its drain with each announcement. When many servers drain together, telling every
 // control host each time takes the processor time that configuration changes need.
 func TestRepeatedDrainsAreToldToTheGroupOnly(t *testing.T) {
--- a/internal/attach/confirmation.go
+++ b/internal/attach/confirmation.go
@@ -23,9 +23,9 @@
 // departure.
 var ErrNotConfirmed = errors.New("the control hosts could not be told; send it again, best to another control host")
 
-// goneSenderWait is how long a withdrawal that names no process waits for the end of its connection. A host that was
-// paused reads the withdrawal and that end together.
-const goneSenderWait = 50 * time.Millisecond
+// callerGoneWait is how long a withdrawal that names no process waits for the end of its connection or call. A host
+// that was paused reads the withdrawal and that end together.
+const callerGoneWait = 50 * time.Millisecond
 
 // ErrSenderGone means that the sender of a withdrawal that names no process no longer waits for the confirmation. It
 // may have told another control host and started again since.
@@ -41,7 +41,7 @@
 		return err
 	}
 	started := time.Now()
-	if incarnation == 0 && senderGone(ctx) {
+	if incarnation == 0 && callerGone(ctx) {
 		s.opts.Logger.Info("ignored the withdrawal of a backend server whose sender has disconnected", "instance", instance)
 		return ErrSenderGone
 	}
@@ -62,11 +62,11 @@
 	return nil
 }
 
-// senderGone reports whether the sender disconnects at once or has done so.
-func senderGone(ctx context.Context) bool {
+// callerGone reports whether the caller disconnects or cancels at once or has done so.
+func callerGone(ctx context.Context) bool {
 	select {
 	case <-ctx.Done():
-	case <-time.After(goneSenderWait):
+	case <-time.After(callerGoneWait):
 	}
 	return ctx.Err() != nil
 }
--- a/internal/attach/server.go
+++ b/internal/attach/server.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/charmbracelet/log"
@@ -137,11 +138,20 @@
 }
 
 // Mark marks backend servers as draining or left on request of another control host.
-func (s *Server) Mark(_ context.Context, r *fleetpb.MarkRequest) (*fleetpb.MarkReply, error) {
+//
+// One without an incarnation covers every process that this host knows, so it is ignored if the caller no longer waits:
+// a host that was paused reads it late, and may know a process that has started since.
+func (s *Server) Mark(ctx context.Context, r *fleetpb.MarkRequest) (*fleetpb.MarkReply, error) {
 	further := r.GetFurther()[:min(len(r.GetFurther()), maxFurtherMarks)]
 	marks := append([]*fleetpb.Mark{{Instance: r.GetInstance(), Incarnation: r.GetIncarnation(), State: r.GetState()}}, further...)
+	withoutIncarnation := slices.ContainsFunc(marks, func(m *fleetpb.Mark) bool { return m.GetIncarnation() == 0 })
+	tooLate := withoutIncarnation && callerGone(ctx)
 	var added []string
 	for _, m := range marks {
+		if tooLate && m.GetIncarnation() == 0 {
+			s.opts.Logger.Info("ignored a mark of another control host that no longer waits", "instance", m.GetInstance())
+			continue
+		}
 		if err := membership.CheckDeparture(m.GetInstance(), m.GetIncarnation()); err != nil {
 			s.opts.Logger.Warn("ignored a mark of another control host", "instance", m.GetInstance(), "err", logging.Err(err))
 			continue
