--- a/internal/agreement/compress_test.go
+++ b/internal/agreement/compress_test.go
@@ -121,6 +121,7 @@
 				}, "5s", "20ms").Should(BeTrue())
 			}
 			time.Sleep(100 * time.Millisecond)
+			t.Logf("sent %d bytes for a value of %d", dialer.sent.Load()-before, len(value))
 			g.Expect(dialer.sent.Load() - before).To(BeNumerically("<", c.maxBytes))
 		})
 	}
