--- a/internal/entry/heldbytes_test.go
+++ b/internal/entry/heldbytes_test.go
@@ -7,7 +7,6 @@
 	"io"
 	"net"
 	"net/http"
-	"runtime"
 	"runtime/debug"
 	"strings"
 	"sync"
@@ -20,6 +19,7 @@
 	"github.com/tarragonmux/tarragonmux/internal/entry"
 	"github.com/tarragonmux/tarragonmux/internal/entry/roundtrip"
 	"github.com/tarragonmux/tarragonmux/internal/grant"
+	"github.com/tarragonmux/tarragonmux/internal/heaptest"
 	"github.com/tarragonmux/tarragonmux/internal/settings"
 )
 
@@ -52,30 +52,6 @@
 	})
 }
 
-// peakHeap returns by how many bytes the heap in use grows while f runs.
-func peakHeap(f func()) uint64 {
-	var before, now runtime.MemStats
-	runtime.GC()
-	runtime.ReadMemStats(&before)
-	done, peak := make(chan struct{}), make(chan uint64)
-	go func() {
-		highest := uint64(0)
-		for {
-			select {
-			case <-done:
-				peak <- highest
-				return
-			case <-time.After(5 * time.Millisecond):
-				runtime.ReadMemStats(&now)
-				highest = max(highest, now.HeapInuse)
-			}
-		}
-	}()
-	f()
-	close(done)
-	return max(<-peak, before.HeapInuse) - before.HeapInuse
-}
-
 // smallFields returns header fields of a few bytes each.
 func smallFields(n int) string {
 	var b strings.Builder
@@ -120,7 +96,7 @@
 				c.Pool.Memory = roundtrip.NewMemory(hostMemory / 8)
 				c.Settings.BodyTimeout = settings.Duration(time.Second)
 			}, addresses[0])
-			grown := peakHeap(func() {
+			grown := heaptest.Growth(func() {
 				var group sync.WaitGroup
 				for range calls {
 					c := f.open()
--- a/internal/transport/suspect_test.go
+++ b/internal/transport/suspect_test.go
@@ -46,6 +46,14 @@
 	return d.open[len(d.open)-1], nil
 }
 
+// fetch calls the feed at the address, with a deadline.
+func fetch(pool *transport.Pool, address string, within time.Duration) error {
+	ctx, cancel := context.WithTimeout(context.Background(), within)
+	defer cancel()
+	_, err := configpb.NewDRPCFeedClient(pool.Conn(ctx, address)).Fetch(ctx, &configpb.FetchRequest{})
+	return err
+}
+
 // Guards against a pool that keeps reusing a connection that delivers no data and was not reset, and so never
 // reaches its peer again.
 func TestSilentConnectionIsGivenUp(t *testing.T) {
@@ -54,12 +62,7 @@
 	dialer := &blackholeDialer{}
 	pool := transport.NewPool(dialer)
 	defer func() { g.Expect(pool.Close()).To(Succeed()) }()
-	call := func() error {
-		ctx, cancel := context.WithTimeout(context.Background(), 300*time.Millisecond)
-		defer cancel()
-		_, err := configpb.NewDRPCFeedClient(pool.Conn(ctx, address)).Fetch(ctx, &configpb.FetchRequest{})
-		return err
-	}
+	call := func() error { return fetch(pool, address, 300*time.Millisecond) }
 	g.Expect(call()).To(Succeed())
 	g.Expect(call()).To(Succeed())
 	g.Expect(dialer.dials.Load()).To(BeEquivalentTo(1))
@@ -113,12 +116,7 @@
 	dialer := &lateEndDialer{delay: 5 * time.Millisecond}
 	pool := transport.NewPool(dialer)
 	defer func() { g.Expect(pool.Close()).To(Succeed()) }()
-	call := func() error {
-		ctx, cancel := context.WithTimeout(context.Background(), 300*time.Millisecond)
-		defer cancel()
-		_, err := configpb.NewDRPCFeedClient(pool.Conn(ctx, address)).Fetch(ctx, &configpb.FetchRequest{})
-		return err
-	}
+	call := func() error { return fetch(pool, address, 300*time.Millisecond) }
 	g.Expect(call()).To(Succeed())
 	dialer.open[0].dropWrites.Store(true)
 	g.Expect(call()).NotTo(Succeed())
@@ -161,10 +159,7 @@
 	pool := transport.NewPool(dialer)
 	defer func() { g.Expect(pool.Close()).To(Succeed()) }()
 	for range 40 {
-		ctx, cancel := context.WithTimeout(context.Background(), 100*time.Millisecond)
-		_, err := configpb.NewDRPCFeedClient(pool.Conn(ctx, address)).Fetch(ctx, &configpb.FetchRequest{})
-		g.Expect(err).To(HaveOccurred())
-		cancel()
+		g.Expect(fetch(pool, address, 100*time.Millisecond)).NotTo(Succeed())
 	}
 	g.Expect(dialer.dials.Load()).To(BeNumerically("<=", 4), "the late responses show that the connections work")
 }
