Entry: log the connection of each attempt, count rejected attempts and skipped responses

A request that runs twice can't be traced: the line of a request has neither the addresses of its attempts nor what their servers said, 421 reads like a failed connection, requests that were sent again and succeeded have no line, and responses that are skipped leave no trace.

The tries of a request now state the status, the address and the number of the request on its connection. Requests that must not repeat and were sent again have a line also when they succeed. Two counters by service: tarragonmux_entry_rejected_attempts_total and tarragonmux_entry_skipped_responses_total.

--- a/internal/entry/exchange.go
+++ b/internal/entry/exchange.go
@@ -69,7 +69,9 @@
 	responseBody []byte
 	bodyComplete bool
 	// signals is what the server said about itself in the response.
-	signals   grant.ServerSignals
+	signals grant.ServerSignals
+	// rejected is set if the response states that the server did not run the request.
+	rejected  bool
 	completed bool
 }
 
--- a/internal/entry/forward.go
+++ b/internal/entry/forward.go
@@ -204,6 +204,7 @@
 		// arrived completely is not waited for; its connection is closed instead.
 		_, _ = io.Copy(io.Discard, x.response)
 	}
+	x.rejected = true
 	x.completeAttempt(result)
 	if claim := x.heldClaim(); claim != nil {
 		claim.Rejected()
@@ -290,7 +291,7 @@
 		return
 	}
 	x.completed = true
-	x.attemptLog.add(x.grant.Server(), result, x.sentAt.Sub(x.arrivedAt), time.Since(x.sentAt))
+	x.attemptLog.add(x.grant.Server(), result, x.sentAt.Sub(x.arrivedAt), time.Since(x.sentAt), x.connectionUse())
 	if x.response != nil {
 		x.response.Close()
 	}
@@ -302,6 +303,15 @@
 	})
 }
 
+func (x *Exchange) connectionUse() connectionUse {
+	if x.response == nil {
+		return connectionUse{}
+	}
+	return connectionUse{
+		status: x.response.Status, position: x.response.Position, skipped: x.response.Skipped, rejected: x.rejected,
+	}
+}
+
 // discard ends an attempt whose response is not used.
 func (x *Exchange) discard() {
 	x.completeAttempt(grant.Cancelled)
--- a/internal/entry/metrics.go
+++ b/internal/entry/metrics.go
@@ -39,6 +39,8 @@
 	routes   *prometheus.CounterVec
 	teams    *prometheus.CounterVec
 	extra    *prometheus.CounterVec
+	rejected *prometheus.CounterVec
+	skipped  *prometheus.CounterVec
 
 	routeLabels   labelSet
 	serviceLabels labelSet
@@ -88,10 +90,16 @@
 		extra: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "tarragonmux_entry_extra_attempts_total", Help: "Retries and hedges by service.",
 		}, []string{"service", "kind"}),
+		rejected: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "tarragonmux_entry_rejected_attempts_total", Help: "Attempts whose backend server stated that it did not run the request, by service.",
+		}, []string{"service"}),
+		skipped: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "tarragonmux_entry_skipped_responses_total", Help: "Responses to other requests that backend servers sent where the next one was due, by service.",
+		}, []string{"service"}),
 		routeLabels:   labelSet{limit: MaxRouteLabels},
 		serviceLabels: labelSet{limit: MaxServiceLabels},
 	}
-	for _, c := range []prometheus.Collector{m.requests, m.latency, m.routes, m.teams, m.extra} {
+	for _, c := range []prometheus.Collector{m.requests, m.latency, m.routes, m.teams, m.extra, m.rejected, m.skipped} {
 		if err := r.Register(c); err != nil {
 			return nil, errors.Wrap(err, "entry: cannot register metrics; use one registry per server")
 		}
@@ -114,6 +122,12 @@
 	if o.Hedged {
 		m.extra.WithLabelValues(m.serviceLabel(o), "hedge").Inc()
 	}
+	if o.Rejected > 0 {
+		m.rejected.WithLabelValues(m.serviceLabel(o)).Add(float64(o.Rejected))
+	}
+	if o.Skipped > 0 {
+		m.skipped.WithLabelValues(m.serviceLabel(o)).Add(float64(o.Skipped))
+	}
 }
 
 func (m *Metrics) resolve(o Observation) *resolvedSeries {
--- a/internal/entry/observer.go
+++ b/internal/entry/observer.go
@@ -38,6 +38,10 @@
 	// Hedged is set if a second attempt was started while the first one was still running: a hedge,
 	// or a retry because the server was ejected.
 	Hedged bool
+	// Rejected is the number of attempts whose server stated that it did not run the request.
+	Rejected int
+	// Skipped is the number of responses to other requests that servers sent in place of the response to this one.
+	Skipped int
 }
 
 // Priority returns the priority of the request's route.
--- a/internal/entry/recovery.go
+++ b/internal/entry/recovery.go
@@ -73,6 +73,7 @@
 		Match: x.match, Matched: x.matched, TeamBucket: teamBucket(x.team.ID),
 		Status: x.status, Latency: time.Since(x.arrivedAt), Attempts: x.attempts, Hedged: x.hedged,
 	}
+	o.Rejected, o.Skipped = x.attemptLog.counts()
 	switch {
 	case err == errCallerGone:
 		o.Outcome = OutcomeCallerGone
@@ -90,10 +91,11 @@
 }
 
 // logRequest writes one line for each request that got no backend response with a status below 500,
-// or whose server was selected from a stale server list. Other requests are logged at level debug.
-// The number of lines per second is limited.
+// whose server was selected from a stale server list, or that was sent more than once although its work must not
+// repeat. Other requests are logged at level debug. The number of lines per second is limited.
 func (f *recovery) logRequest(x *Exchange, o Observation, refusal *problem.Problem) {
-	good := o.Outcome == OutcomeAnswered && o.Status < 500 && !x.attemptLog.selectedFromStaleList()
+	good := o.Outcome == OutcomeAnswered && o.Status < 500 && !x.attemptLog.selectedFromStaleList() &&
+		(x.match.Idempotent || x.attempts <= 1)
 	if good && f.cfg.Log.GetLevel() > log.DebugLevel {
 		return
 	}
--- a/internal/entry/roundtrip/conn.go
+++ b/internal/entry/roundtrip/conn.go
@@ -22,10 +22,13 @@
 	writing  sync.Mutex
 	writeErr error
 	// header counts the response headers while they are read.
-	header    headerMeter
-	idleSince time.Time
-	closeOnce sync.Once
-	raw       syscall.RawConn
+	header headerMeter
+	// requests counts the requests that were written to the connection, skipped the responses to others that were
+	// discarded during the current one.
+	requests, skipped int
+	idleSince         time.Time
+	closeOnce         sync.Once
+	raw               syscall.RawConn
 	// peekFunc is the method value peekSocket, stored to save an allocation per request. peekSocket
 	// writes to peekBuffer and nothingToRead.
 	peekFunc      func(fd uintptr) bool
--- a/internal/entry/roundtrip/roundtrip.go
+++ b/internal/entry/roundtrip/roundtrip.go
@@ -89,6 +89,10 @@
 	// Length is the length of the body in bytes, or -1 if the body is chunked or ends with the
 	// connection.
 	Length int64
+	// Position is the number of the request on its connection, from 1.
+	Position int
+	// Skipped is the number of responses to other requests that were discarded before this one.
+	Skipped int
 
 	ctx           context.Context
 	pool          *Pool
@@ -127,6 +131,7 @@
 		return nil, failure
 	}
 	c.written.Store(0)
+	c.skipped = 0
 	resp := &Response{ctx: ctx, pool: p, conn: c, abort: r.Abort}
 	if !resp.abort.attach(c) {
 		p.release(c, true)
@@ -147,6 +152,8 @@
 }
 
 func (resp *Response) roundTrip(r *Request) *Error {
+	resp.conn.requests++
+	resp.Position = resp.conn.requests
 	if err := resp.writeRequest(r); err != nil {
 		return &Error{Stage: StageSend, Err: err}
 	}
@@ -338,6 +345,7 @@
 			return &Error{Stage: StageHeader, Err: ErrUnattributed}
 		}
 		if r.isMismatched(httpResponse) {
+			c.skipped++
 			if err := discardMismatched(httpResponse); err != nil {
 				return &Error{Stage: StageHeader, Err: err}
 			}
@@ -383,6 +391,7 @@
 
 func (resp *Response) acceptHeader(httpResponse *http.Response, request *Request) *Error {
 	resp.Status = httpResponse.StatusCode
+	resp.Skipped = resp.conn.skipped
 	resp.Header = httpResponse.Header
 	resp.Length = httpResponse.ContentLength
 	resp.body = httpResponse.Body
--- a/internal/entry/tries.go
+++ b/internal/entry/tries.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -23,22 +24,50 @@
 type attemptLog struct {
 	mu    sync.Mutex
 	lines []string
+	// rejected counts the attempts whose server stated that it did not run the request, skipped the responses to other
+	// requests that were discarded.
+	rejected, skipped int
 	// usedStaleList is set if the server of an attempt was selected from a list at least staleListAge old.
 	usedStaleList bool
 }
 
+// connectionUse is how an attempt that got a response used its connection. The zero value stands for no response.
+type connectionUse struct {
+	status int
+	// position is the number of the request on its connection, skipped how many responses to others came before its own.
+	position, skipped int
+	// rejected is set if the response states that the server did not run the request.
+	rejected bool
+}
+
+// String returns the end of a log line on an attempt.
+func (u connectionUse) String(address string) string {
+	if u.status == 0 {
+		return ""
+	}
+	text := " with status " + strconv.Itoa(u.status) + ", request " + strconv.Itoa(u.position) + " on its connection to " + address
+	if u.skipped > 0 {
+		text += ", responses skipped: " + strconv.Itoa(u.skipped)
+	}
+	return text
+}
+
 // add records the end of one attempt, which was sent at the given offset from the arrival of the request.
-func (l *attemptLog) add(server grant.Server, result grant.Result, offset, duration time.Duration) {
+func (l *attemptLog) add(server grant.Server, result grant.Result, offset, duration time.Duration, use connectionUse) {
 	if l == nil {
 		return
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	l.skipped += use.skipped
+	if use.rejected {
+		l.rejected++
+	}
 	l.usedStaleList = l.usedStaleList || server.Autonomous && server.ListAge >= staleListAge
 	if len(l.lines) >= maxLoggedAttempts {
 		return
 	}
-	line := server.Instance + " at " + offset.Round(time.Millisecond).String() + " " + result.String() + " after " + duration.Round(time.Millisecond).String()
+	line := server.Instance + " at " + offset.Round(time.Millisecond).String() + " " + result.String() + " after " + duration.Round(time.Millisecond).String() + use.String(server.Address)
 	if server.Autonomous {
 		line += " without a dispatcher, list " + server.ListAge.Round(listAgePrecision).String() + " old"
 	}
@@ -55,6 +84,16 @@
 	return l.usedStaleList
 }
 
+// counts returns how many attempts were rejected by their servers, and how many responses were skipped.
+func (l *attemptLog) counts() (rejected, skipped int) {
+	if l == nil {
+		return 0, 0
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.rejected, l.skipped
+}
+
 // String lists the attempts in the order in which they ended.
 func (l *attemptLog) String() string {
 	l.mu.Lock()
