Round trip: a refused request does not return to its connection

Seen by callers: an unsafe request ran at two servers, or its caller got 503, which states that it had not run.

Cause: servers may send a refusal once more, with the id of the refused request. If that request is under way again on the same connection, the copy was taken for its response: a second run, or an untrue refusal. A request stays away from the instances that refused it, but connections belong to addresses, and another process of the service may have taken over the address (421 for the former process, then a grant for the new one). docs/proofs.md ruled this out for ids only.

Evidence: tries of one request in the failing test: 'p-3 ... status 421, request 15 on its connection to :39033; p-4 ... status 421, request 16 on its connection to :39033; q-3 ... ok', and p-4 had run it.

A refusal on any other connection can't be a copy, so it still proves that the request has not run. Where responses state no id, the connection ends with the refusal.

--- a/internal/entry/forward.go
+++ b/internal/entry/forward.go
@@ -205,6 +205,7 @@
 		_, _ = io.Copy(io.Discard, x.response)
 	}
 	x.rejected = true
+	x.response.Refused()
 	x.completeAttempt(result)
 	if claim := x.heldClaim(); claim != nil {
 		claim.Rejected()
--- a/internal/entry/roundtrip/conn.go
+++ b/internal/entry/roundtrip/conn.go
@@ -26,6 +26,7 @@
 	// requests counts the requests that were written to the connection, skipped the responses to others that were
 	// discarded during the current one.
 	requests, skipped int
+	refused           refusals
 	idleSince         time.Time
 	closeOnce         sync.Once
 	raw               syscall.RawConn
--- a/internal/entry/roundtrip/doc.go
+++ b/internal/entry/roundtrip/doc.go
@@ -11,6 +11,10 @@
 // the connection. An idle connection that became readable is closed instead of reused, so that
 // a late response is never delivered to a later request.
 //
+// A request that was refused is never sent again on the connection that refused it: servers
+// may send a refusal once more, and with the same id the copy could not be told from the
+// response.
+//
 // Responses must state their length, by Content-Length or by chunked encoding. A response that
 // ends with the connection is refused unless Request.CloseDelimited is set, since a truncated
 // one would look complete.
--- a/internal/entry/roundtrip/pool.go
+++ b/internal/entry/roundtrip/pool.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"slices"
 	"sync"
 	"time"
 
@@ -111,18 +112,18 @@
 	return open
 }
 
-// acquire returns a connection for one request. A reused connection was idle for less than maxIdle. The
-// deadline limits the wait for a free connection.
-func (p *Pool) acquire(ctx context.Context, address string, maxIdle time.Duration, deadline time.Time) (*conn, *Error) {
+// acquire returns a connection for one request. A reused connection was idle for less than Request.MaxIdle, and no
+// request with the same id was refused on it. Request.AcquireDeadline limits the wait for a free connection.
+func (p *Pool) acquire(ctx context.Context, address string, r *Request) (*conn, *Error) {
 	s, err := p.addUser(address)
 	if err != nil {
 		return nil, &Error{Stage: StageAcquire, Err: err}
 	}
-	if err := s.acquireSlot(ctx, deadline); err != nil {
+	if err := s.acquireSlot(ctx, r.AcquireDeadline); err != nil {
 		p.removeUser(s)
 		return nil, &Error{Stage: StageAcquire, Err: err}
 	}
-	if c := p.reuseIdle(s, maxIdle); c != nil {
+	if c := p.reuseIdle(s, r); c != nil {
 		return c, nil
 	}
 	nc, err := p.dial(ctx, address)
@@ -174,32 +175,41 @@
 	}
 }
 
-// reuseIdle returns the most recently used idle connection that is fit for reuse, or nil. It closes the
-// unfit ones that it finds on the way.
-func (p *Pool) reuseIdle(s *server, maxIdle time.Duration) *conn {
+// reuseIdle returns the most recently used idle connection that is fit for the request, or nil. It closes the
+// ones that it finds on the way and that are fit for no request.
+func (p *Pool) reuseIdle(s *server, r *Request) *conn {
 	for {
-		c := p.popIdle(s)
+		c, surplus := p.popIdle(s, r.EchoValue)
+		if surplus != nil {
+			surplus.closeNow()
+		}
 		if c == nil {
 			return nil
 		}
-		if time.Since(c.idleSince) < min(maxIdle, p.cfg.IdleTimeout) && c.openAndEmpty() {
+		if time.Since(c.idleSince) < min(r.MaxIdle, p.cfg.IdleTimeout) && c.openAndEmpty() {
 			return c
 		}
 		c.closeNow()
 	}
 }
 
-func (p *Pool) popIdle(s *server) *conn {
+// popIdle removes and returns the most recently used idle connection on which no request with the id was refused. If
+// there are only others, and a new one would exceed the limit, it removes the one that was unused for longest as
+// surplus.
+func (p *Pool) popIdle(s *server, id string) (fit, surplus *conn) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	last := len(s.idle) - 1
-	if last < 0 {
-		return nil
+	for i, c := range slices.Backward(s.idle) {
+		if !c.refused.contains(id) {
+			s.idle = slices.Delete(s.idle, i, i+1)
+			return c, nil
+		}
+	}
+	if len(s.idle) > 0 && len(s.idle)+len(s.inUse) > p.cfg.Connections {
+		surplus = s.idle[0]
+		s.idle = slices.Delete(s.idle, 0, 1)
 	}
-	c := s.idle[last]
-	s.idle[last] = nil
-	s.idle = s.idle[:last]
-	return c
+	return nil, surplus
 }
 
 func (p *Pool) dial(ctx context.Context, address string) (net.Conn, error) {
--- a/internal/entry/roundtrip/roundtrip.go
+++ b/internal/entry/roundtrip/roundtrip.go
@@ -69,8 +69,8 @@
 	// MaxIdle limits how long a reused connection may have been idle.
 	MaxIdle time.Duration
 	// EchoName, if set, is a header that servers copy from the request to the response, and EchoValue its
-	// value. Responses with another value belong to another request; they are read to their end and
-	// discarded.
+	// value, the id of the request. Responses with another value belong to another request; they are read to their
+	// end and discarded.
 	EchoName, EchoValue string
 	// CloseDelimited accepts responses whose body has no stated length and ends with the connection.
 	CloseDelimited bool
@@ -101,8 +101,10 @@
 	detachContext func() bool
 	abort         *Abort
 	bodySender    *bodySender
-	complete      bool
-	closeAfter    bool
+	// id is Request.EchoValue.
+	id         string
+	complete   bool
+	closeAfter bool
 	// closeDelimited is set if the body ends with the connection.
 	closeDelimited bool
 }
@@ -126,13 +128,13 @@
 // the response. When the context ends, the connection is closed, which tells the server that
 // the caller is gone. Errors are *Error.
 func (p *Pool) Send(ctx context.Context, address string, r *Request) (*Response, error) {
-	c, failure := p.acquire(ctx, address, r.MaxIdle, r.AcquireDeadline)
+	c, failure := p.acquire(ctx, address, r)
 	if failure != nil {
 		return nil, failure
 	}
 	c.written.Store(0)
 	c.skipped = 0
-	resp := &Response{ctx: ctx, pool: p, conn: c, abort: r.Abort}
+	resp := &Response{ctx: ctx, pool: p, conn: c, abort: r.Abort, id: r.EchoValue}
 	if !resp.abort.attach(c) {
 		p.release(c, true)
 		return nil, &Error{Stage: StageStart, Err: ErrAborted}
@@ -421,6 +423,15 @@
 	return n, &Error{Stage: StageBody, Written: true, Err: resp.cause(err)}
 }
 
+// Refused records that the response states that its server did not run the request. The server may send that response
+// once more, so the request must not be sent again on this connection. If responses do not state the id of their request,
+// the connection is not reused at all. Refused must be called before Close.
+func (resp *Response) Refused() {
+	if resp.id == "" || !resp.conn.refused.add(resp.id) {
+		resp.closeAfter = true
+	}
+}
+
 // Close ends the request. The connection is reused if the request was written and the response was read
 // completely.
 func (resp *Response) Close() {
