Round trip: a skipped response with Connection: close does not end the request behind it

Seen by callers: 502 for a request that its server runs to a good end, if the server sends a copy of an earlier response with Connection: close before it. The connection was closed while the server was at work.

Cause: discardMismatched took the end that the skipped response announces for the end of its body. Only a response without a length ends with its connection.

Fix: such a response is skipped like others; the connection is not reused after the response behind it.

Measured: TestMismatchedResponseWithCloseDoesNotEndTheRequest failed before (ErrMismatchedResponse), passes now.

--- a/internal/entry/roundtrip/mismatched_test.go
+++ b/internal/entry/roundtrip/mismatched_test.go
@@ -130,3 +130,21 @@
 		}
 	}
 }
+
+// A skipped response that announces the end of its connection must not end the request behind it, whose response may
+// still come.
+func TestMismatchedResponseWithCloseDoesNotEndTheRequest(t *testing.T) {
+	g := NewWithT(t)
+	p := newPool(t, roundtrip.Config{})
+	for _, framing := range []string{"Content-Length: 5\r\n\r\nwrong", "Transfer-Encoding: chunked\r\n\r\n5\r\nwrong\r\n0\r\n\r\n"} {
+		mismatched := "HTTP/1.1 503 Service Unavailable\r\nX-Id: 6\r\nConnection: close\r\n" + framing
+		matching := "HTTP/1.1 200 OK\r\nX-Id: 7\r\nContent-Length: 5\r\n\r\nright"
+		body, err := fetchEcho(p, respondRepeatedly(t, mismatched+matching))
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(body).To(Equal("right"))
+		g.Expect(p.Open()).To(BeZero(), "the connection is not reused")
+	}
+	endless := "HTTP/1.1 503 Service Unavailable\r\nX-Id: 6\r\nConnection: close\r\n\r\nHTTP/1.1 200 OK\r\nX-Id: 7\r\nContent-Length: 5\r\n\r\nwrong"
+	_, err := fetchEcho(p, respondRepeatedly(t, endless))
+	g.Expect(err).To(HaveOccurred(), "a response without a length ends with the connection")
+}
--- a/internal/entry/roundtrip/roundtrip.go
+++ b/internal/entry/roundtrip/roundtrip.go
@@ -335,6 +335,8 @@
 	if r.Method == http.MethodHead {
 		request = headRequest
 	}
+	// closes is set if a skipped response announced the end of the connection.
+	closes := false
 	for range maxInformational {
 		if err := c.awaitStatusLine(); err != nil {
 			return &Error{Stage: StageHeader, Err: err}
@@ -351,9 +353,11 @@
 			if err := discardMismatched(httpResponse); err != nil {
 				return &Error{Stage: StageHeader, Err: err}
 			}
+			closes = closes || httpResponse.Close
 			continue
 		}
 		if httpResponse.StatusCode >= http.StatusOK {
+			httpResponse.Close = httpResponse.Close || closes
 			return resp.acceptHeader(httpResponse, r)
 		}
 		if httpResponse.StatusCode == http.StatusSwitchingProtocols {
@@ -379,9 +383,10 @@
 }
 
 // discardMismatched reads a response to another request to its end, so that the response behind it can be
-// read. It fails if the response is too long: the next status line must not be looked for inside it.
+// read. It fails if the response ends with the connection or is too long: the next status line must not be looked for
+// inside it.
 func discardMismatched(httpResponse *http.Response) error {
-	if httpResponse.Close {
+	if httpResponse.ContentLength < 0 && len(httpResponse.TransferEncoding) == 0 {
 		return ErrMismatchedResponse
 	}
 	n, err := io.Copy(io.Discard, io.LimitReader(httpResponse.Body, maxMismatchedBodyBytes+1))
