Round trip: the body of a skipped response is no response to a HEAD request

Seen by callers: the response to a HEAD request could come from inside the body of a response to another request.

Cause: a response that came too many was parsed as one to the present request. For a HEAD request its body counts as absent, and was then read as the next response.

Fix: a skipped response that states a body ends a HEAD request and its connection.

Measured: TestMismatchedBodyIsNoResponseToHEAD failed before (the forged response was accepted), passes now.

--- a/internal/entry/roundtrip/errors.go
+++ b/internal/entry/roundtrip/errors.go
@@ -73,8 +73,8 @@
 	// ErrInformationalStatus means that no response with a final status arrived: the server switched
 	// protocols or sent too many responses that are informational or belong to other requests.
 	ErrInformationalStatus = errors.New("the answer has an unexpected informational status; the backend server must send a final status")
-	// ErrMismatchedResponse means that the response belongs to another request and closes the connection.
-	ErrMismatchedResponse = errors.New("the connection ends with an answer to another request; the backend server must answer in order")
+	// ErrMismatchedResponse means that the response belongs to another request and that its end cannot be told.
+	ErrMismatchedResponse = errors.New("an answer to another request came whose end is not known; the backend server must answer in order")
 	// ErrUnattributed means that a response on a reused connection does not state the id of its request.
 	ErrUnattributed = errors.New("the answer does not say to which request it belongs; the backend server must send the request's id back")
 	// ErrClosed means that the pool was closed.
--- a/internal/entry/roundtrip/mismatched_test.go
+++ b/internal/entry/roundtrip/mismatched_test.go
@@ -148,3 +148,24 @@
 	_, err := fetchEcho(p, respondRepeatedly(t, endless))
 	g.Expect(err).To(HaveOccurred(), "a response without a length ends with the connection")
 }
+
+// The body of a skipped response must not be looked at for the response to a HEAD request, which has none.
+func TestMismatchedBodyIsNoResponseToHEAD(t *testing.T) {
+	g := NewWithT(t)
+	forged := "HTTP/1.1 200 OK\r\nX-Id: 7\r\nX-Forged: yes\r\nContent-Length: 5\r\n\r\n"
+	mismatched := fmt.Sprintf("HTTP/1.1 200 OK\r\nX-Id: 6\r\nContent-Length: %d\r\n\r\n%s", len(forged), forged)
+	chunked := fmt.Sprintf("HTTP/1.1 200 OK\r\nX-Id: 6\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n\r\n", len(forged), forged)
+	empty := "HTTP/1.1 503 Service Unavailable\r\nX-Id: 6\r\nContent-Length: 0\r\n\r\n"
+	matching := "HTTP/1.1 200 OK\r\nX-Id: 7\r\nContent-Length: 5\r\n\r\n"
+	for text, accepted := range map[string]bool{mismatched + matching: false, chunked + matching: false, empty + matching: true} {
+		p := newPool(t, roundtrip.Config{})
+		r := get("/")
+		r.Method, r.EchoName, r.EchoValue = http.MethodHead, "X-Id", "7"
+		resp, err := p.Send(context.Background(), respondRepeatedly(t, text), r)
+		g.Expect(err == nil).To(Equal(accepted), "%v after %q", err, text)
+		if err == nil {
+			g.Expect(resp.Header.Get("X-Forged")).To(BeEmpty())
+			resp.Close()
+		}
+	}
+}
--- a/internal/entry/roundtrip/roundtrip.go
+++ b/internal/entry/roundtrip/roundtrip.go
@@ -350,7 +350,7 @@
 		}
 		if r.isMismatched(httpResponse) {
 			c.skipped++
-			if err := discardMismatched(httpResponse); err != nil {
+			if err := discardMismatched(httpResponse, r.Method); err != nil {
 				return &Error{Stage: StageHeader, Err: err}
 			}
 			closes = closes || httpResponse.Close
@@ -383,10 +383,11 @@
 }
 
 // discardMismatched reads a response to another request to its end, so that the response behind it can be
-// read. It fails if the response ends with the connection or is too long: the next status line must not be looked for
-// inside it.
-func discardMismatched(httpResponse *http.Response) error {
-	if httpResponse.ContentLength < 0 && len(httpResponse.TransferEncoding) == 0 {
+// read. It fails if the response ends with the connection, is too long, or may have a body that was not read because
+// this request is a HEAD: the next status line must not be looked for inside it.
+func discardMismatched(httpResponse *http.Response, method string) error {
+	endsWithConnection := httpResponse.ContentLength < 0 && len(httpResponse.TransferEncoding) == 0
+	if endsWithConnection || method == http.MethodHead && httpResponse.ContentLength != 0 {
 		return ErrMismatchedResponse
 	}
 	n, err := io.Copy(io.Discard, io.LimitReader(httpResponse.Body, maxMismatchedBodyBytes+1))
