--- a/internal/entry/exchange.go
+++ b/internal/entry/exchange.go
@@ -69,9 +69,8 @@
 	responseBody []byte
 	bodyComplete bool
 	// signals is what the server said about itself in the response.
-	signals grant.ServerSignals
-	// rejected is set if the response states that the server did not run the request.
-	rejected  bool
+	signals   grant.ServerSignals
+	use       attemptUse
 	completed bool
 }
 
--- a/internal/entry/forward.go
+++ b/internal/entry/forward.go
@@ -34,6 +34,7 @@
 		return f.failSend(x, err)
 	}
 	x.response = resp
+	x.use = attemptUse{Use: resp.Use, status: resp.Status}
 	dialect := f.cfg.Dialect
 	if dialect.AddressReassigned(resp.Status, resp.Header) {
 		return f.failRejected(x, grant.ConnectFailed, "another backend server has the address")
@@ -204,7 +205,7 @@
 		// arrived completely is not waited for; its connection is closed instead.
 		_, _ = io.Copy(io.Discard, x.response)
 	}
-	x.rejected = true
+	x.use.rejected = true
 	x.response.Refused()
 	x.completeAttempt(result)
 	if claim := x.heldClaim(); claim != nil {
@@ -221,6 +222,7 @@
 		x.completeAttempt(grant.Broken)
 		return &failure{kind: problem.BackendFailed, detail: err.Error(), mayHaveRun: true}
 	}
+	x.use.Use = e.Use
 	if !e.Written && x.heldClaim() != nil && e.Stage >= roundtrip.StageSend {
 		// The claim was started but nothing was written, so the server cannot run the work.
 		x.heldClaim().Rejected()
@@ -292,7 +294,7 @@
 		return
 	}
 	x.completed = true
-	x.attemptLog.add(x.grant.Server(), result, x.sentAt.Sub(x.arrivedAt), time.Since(x.sentAt), x.connectionUse())
+	x.attemptLog.add(x.grant.Server(), result, x.sentAt.Sub(x.arrivedAt), time.Since(x.sentAt), x.use)
 	if x.response != nil {
 		x.response.Close()
 	}
@@ -304,15 +306,6 @@
 	})
 }
 
-func (x *Exchange) connectionUse() connectionUse {
-	if x.response == nil {
-		return connectionUse{}
-	}
-	return connectionUse{
-		status: x.response.Status, position: x.response.Position, skipped: x.response.Skipped, rejected: x.rejected,
-	}
-}
-
 // discard ends an attempt whose response is not used.
 func (x *Exchange) discard() {
 	x.completeAttempt(grant.Cancelled)
--- a/internal/entry/recovery.go
+++ b/internal/entry/recovery.go
@@ -16,13 +16,18 @@
 // recovery reports the result of each request to the caller, the observer and the log, even if a
 // filter panics.
 type recovery struct {
-	next       Filter
-	cfg        *Config
-	logLimiter *logging.Limiter
+	next Filter
+	cfg  *Config
+	// Lines on requests that succeeded have a limit of their own, so that they do not crowd out those on failures.
+	failureLimiter, successLimiter *logging.Limiter
 }
 
 func newRecovery(_ context.Context, next Filter, cfg *Config, _ string) (Filter, error) {
-	return &recovery{next: next, cfg: cfg, logLimiter: logging.NewLimiter(logging.DefaultLinesPerSecond)}, nil
+	return &recovery{
+		next: next, cfg: cfg,
+		failureLimiter: logging.NewLimiter(logging.DefaultLinesPerSecond),
+		successLimiter: logging.NewLimiter(logging.DefaultLinesPerSecond),
+	}, nil
 }
 
 // Handle writes refusals. It panics with http.ErrAbortHandler to abort the caller's connection.
@@ -94,12 +99,17 @@
 // whose server was selected from a stale server list, or that was sent more than once although its work must not
 // repeat. Other requests are logged at level debug. The number of lines per second is limited.
 func (f *recovery) logRequest(x *Exchange, o Observation, refusal *problem.Problem) {
-	good := o.Outcome == OutcomeAnswered && o.Status < 500 && !x.attemptLog.selectedFromStaleList() &&
-		(x.match.Idempotent || x.attempts <= 1)
+	limiter := f.failureLimiter
+	succeeded := o.Outcome == OutcomeAnswered && o.Status < 500
+	if succeeded {
+		limiter = f.successLimiter
+	}
+	repeated := !x.match.Idempotent && x.attempts > 1
+	good := succeeded && !repeated && !x.attemptLog.selectedFromStaleList()
 	if good && f.cfg.Log.GetLevel() > log.DebugLevel {
 		return
 	}
-	ok, suppressed := f.logLimiter.Allow(time.Now())
+	ok, suppressed := limiter.Allow(time.Now())
 	if suppressed > 0 {
 		f.cfg.Log.Warn("suppressed lines on ended requests", "lines", suppressed)
 	}
--- a/internal/entry/roundtrip/conn.go
+++ b/internal/entry/roundtrip/conn.go
@@ -23,13 +23,12 @@
 	writeErr error
 	// header counts the response headers while they are read.
 	header headerMeter
-	// requests counts the requests that were written to the connection, skipped the responses to others that were
-	// discarded during the current one.
-	requests, skipped int
-	refused           refusals
-	idleSince         time.Time
-	closeOnce         sync.Once
-	raw               syscall.RawConn
+	// use states how the current request uses the connection.
+	use       Use
+	refused   refusals
+	idleSince time.Time
+	closeOnce sync.Once
+	raw       syscall.RawConn
 	// peekFunc is the method value peekSocket, stored to save an allocation per request. peekSocket
 	// writes to peekBuffer and nothingToRead.
 	peekFunc      func(fd uintptr) bool
@@ -37,8 +36,8 @@
 	nothingToRead bool
 }
 
-func newConn(nc net.Conn, s *server, m *Memory) *conn {
-	c := &conn{Conn: nc, server: s, header: headerMeter{memory: m}}
+func newConn(nc net.Conn, number uint64, s *server, m *Memory) *conn {
+	c := &conn{Conn: nc, server: s, header: headerMeter{memory: m}, use: Use{Connection: number}}
 	c.br = bufio.NewReaderSize(c, bufferBytes)
 	c.bw = bufio.NewWriterSize(c, bufferBytes)
 	if sc, ok := nc.(syscall.Conn); ok {
--- a/internal/entry/roundtrip/errors.go
+++ b/internal/entry/roundtrip/errors.go
@@ -39,6 +39,7 @@
 	Stage Stage
 	// Written is set if at least one byte of the request was handed to the network.
 	Written bool
+	Use     Use
 	Err     error
 }
 
--- a/internal/entry/roundtrip/pool.go
+++ b/internal/entry/roundtrip/pool.go
@@ -5,6 +5,7 @@
 	"net"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/tarragonmux/tarragonmux/internal/invariant"
@@ -48,8 +49,10 @@
 	mu      sync.Mutex
 	servers map[string]*server
 	closed  bool
-	stop    chan struct{}
-	done    chan struct{}
+	// opened counts the connections that were opened.
+	opened atomic.Uint64
+	stop   chan struct{}
+	done   chan struct{}
 }
 
 // server holds the connections to one address. Its fields are guarded by the pool's mutex.
@@ -132,7 +135,7 @@
 		p.removeUser(s)
 		return nil, &Error{Stage: StageConnect, Err: err}
 	}
-	return newConn(nc, s, p.cfg.Memory), nil
+	return newConn(nc, p.opened.Add(1), s, p.cfg.Memory), nil
 }
 
 func (p *Pool) addUser(address string) (*server, error) {
@@ -175,8 +178,8 @@
 	}
 }
 
-// reuseIdle returns the most recently used idle connection that is fit for the request, or nil. It closes the
-// ones that it finds on the way and that are fit for no request.
+// reuseIdle returns the most recently used idle connection that is fit for the request, or nil. It closes those that
+// it finds on the way and that are broken or were idle for too long.
 func (p *Pool) reuseIdle(s *server, r *Request) *conn {
 	for {
 		c, surplus := p.popIdle(s, r.EchoValue)
--- a/internal/entry/roundtrip/roundtrip.go
+++ b/internal/entry/roundtrip/roundtrip.go
@@ -82,6 +82,16 @@
 	Abort *Abort
 }
 
+// Use states how a round trip used its connection.
+type Use struct {
+	// Connection is the number of the connection in its pool, from 1; 0 means that the round trip got none.
+	Connection uint64
+	// Position is the number of the request on its connection, from 1.
+	Position int
+	// Skipped is the number of responses to other requests that were discarded.
+	Skipped int
+}
+
 // Response is the response to one request. Close must be called exactly once.
 type Response struct {
 	Status int
@@ -89,10 +99,7 @@
 	// Length is the length of the body in bytes, or -1 if the body is chunked or ends with the
 	// connection.
 	Length int64
-	// Position is the number of the request on its connection, from 1.
-	Position int
-	// Skipped is the number of responses to other requests that were discarded before this one.
-	Skipped int
+	Use    Use
 
 	ctx           context.Context
 	pool          *Pool
@@ -133,7 +140,7 @@
 		return nil, failure
 	}
 	c.written.Store(0)
-	c.skipped = 0
+	c.use.Skipped = 0
 	resp := &Response{ctx: ctx, pool: p, conn: c, abort: r.Abort, id: r.EchoValue}
 	if !resp.abort.attach(c) {
 		p.release(c, true)
@@ -148,14 +155,14 @@
 		failure.Err = resp.cause(failure.Err)
 		resp.abandon()
 		failure.Written = c.written.Load() > 0
+		failure.Use = c.use
 		return nil, failure
 	}
 	return resp, nil
 }
 
 func (resp *Response) roundTrip(r *Request) *Error {
-	resp.conn.requests++
-	resp.Position = resp.conn.requests
+	resp.conn.use.Position++
 	if err := resp.writeRequest(r); err != nil {
 		return &Error{Stage: StageSend, Err: err}
 	}
@@ -349,7 +356,7 @@
 			return &Error{Stage: StageHeader, Err: ErrUnattributed}
 		}
 		if r.isMismatched(httpResponse) {
-			c.skipped++
+			c.use.Skipped++
 			if err := discardMismatched(httpResponse, r.Method); err != nil {
 				return &Error{Stage: StageHeader, Err: err}
 			}
@@ -399,7 +406,7 @@
 
 func (resp *Response) acceptHeader(httpResponse *http.Response, request *Request) *Error {
 	resp.Status = httpResponse.StatusCode
-	resp.Skipped = resp.conn.skipped
+	resp.Use = resp.conn.use
 	resp.Header = httpResponse.Header
 	resp.Length = httpResponse.ContentLength
 	resp.body = httpResponse.Body
--- a/internal/entry/tries.go
+++ b/internal/entry/tries.go
@@ -1,11 +1,12 @@
 package entry
 
 import (
-	"strconv"
+	"fmt"
 	"strings"
 	"sync"
 	"time"
 
+	"github.com/tarragonmux/tarragonmux/internal/entry/roundtrip"
 	"github.com/tarragonmux/tarragonmux/internal/grant"
 )
 
@@ -31,35 +32,39 @@
 	usedStaleList bool
 }
 
-// connectionUse is how an attempt that got a response used its connection. The zero value stands for no response.
-type connectionUse struct {
+// attemptUse is how an attempt used its connection, and what it got.
+type attemptUse struct {
+	roundtrip.Use
+	// status is that of the response; 0 without one.
 	status int
-	// position is the number of the request on its connection, skipped how many responses to others came before its own.
-	position, skipped int
 	// rejected is set if the response states that the server did not run the request.
 	rejected bool
 }
 
 // String returns the end of a log line on an attempt.
-func (u connectionUse) String(address string) string {
-	if u.status == 0 {
+func (u attemptUse) String(address string) string {
+	if u.Connection == 0 {
 		return ""
 	}
-	text := " with status " + strconv.Itoa(u.status) + ", request " + strconv.Itoa(u.position) + " on its connection to " + address
-	if u.skipped > 0 {
-		text += ", responses skipped: " + strconv.Itoa(u.skipped)
+	var text strings.Builder
+	if u.status != 0 {
+		fmt.Fprintf(&text, " with status %d", u.status)
 	}
-	return text
+	fmt.Fprintf(&text, ", request %d on connection %d to %s", u.Position, u.Connection, address)
+	if u.Skipped > 0 {
+		fmt.Fprintf(&text, ", responses skipped: %d", u.Skipped)
+	}
+	return text.String()
 }
 
 // add records the end of one attempt, which was sent at the given offset from the arrival of the request.
-func (l *attemptLog) add(server grant.Server, result grant.Result, offset, duration time.Duration, use connectionUse) {
+func (l *attemptLog) add(server grant.Server, result grant.Result, offset, duration time.Duration, use attemptUse) {
 	if l == nil {
 		return
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.skipped += use.skipped
+	l.skipped += use.Skipped
 	if use.rejected {
 		l.rejected++
 	}
