--- a/internal/entry/roundtrip/refusals_test.go
+++ b/internal/entry/roundtrip/refusals_test.go
@@ -7,6 +7,8 @@
 	"io"
 	"net"
 	"net/http"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -67,8 +69,9 @@
 	}
 }
 
-// A connection must not forget which requests it has refused.
-func TestConnectionsEndBeforeTheyForgetRefusals(t *testing.T) {
+// A connection must not forget which requests it has refused, and refusals are common under load, so that a connection
+// must serve many of them.
+func TestConnectionsDoNotForgetRefusals(t *testing.T) {
 	g := NewWithT(t)
 	numbers := make(chan int, 1000)
 	address := refuseAll(t, numbers)
@@ -81,9 +84,59 @@
 		last = <-numbers
 		refusedOn[id] = last
 	}
-	g.Expect(last).To(BeNumerically("<=", 10), "refusals are common under load and must not cost a connection each")
-	g.Expect(sendRefused(p, address, "r-499")).To(Succeed())
-	g.Expect(<-numbers).NotTo(Equal(refusedOn["r-499"]))
+	g.Expect(last).To(BeNumerically("<=", 10), "%d connections for 500 refusals", last)
+	for i := range 500 {
+		// The second request opens a connection if the first one has left none.
+		for _, id := range []string{fmt.Sprint("other-", i), fmt.Sprint("r-", i)} {
+			g.Expect(sendRefused(p, address, id)).To(Succeed())
+			n := <-numbers
+			g.Expect(n).NotTo(Equal(refusedOn[id]), "%s returned to connection %d", id, n)
+			refusedOn[id] = n
+		}
+	}
+}
+
+// Requests must stay away from the connections that refused them also while many share these, and the limit of
+// connections must hold.
+func TestRefusedRequestsAvoidTheirConnectionsConcurrently(t *testing.T) {
+	g := NewWithT(t)
+	var mu sync.Mutex
+	seen := map[string]bool{}
+	var returned atomic.Int64
+	address := listen(t, func(n int, c net.Conn, br *bufio.Reader) {
+		defer c.Close()
+		for {
+			r, err := http.ReadRequest(br)
+			if err != nil {
+				return
+			}
+			id := r.Header.Get("X-Id")
+			mu.Lock()
+			key := fmt.Sprint(n, " ", id)
+			if seen[key] {
+				returned.Add(1)
+			}
+			seen[key] = true
+			mu.Unlock()
+			_, _ = fmt.Fprintf(c, "HTTP/1.1 503 Service Unavailable\r\nX-Id: %s\r\nContent-Length: 0\r\n\r\n", id)
+		}
+	})
+	p := newPool(t, roundtrip.Config{Connections: 3})
+	var group sync.WaitGroup
+	for worker := range 8 {
+		group.Go(func() {
+			for i := range 100 {
+				// Waiting too long for a connection is no matter of this test.
+				_ = sendRefused(p, address, fmt.Sprint("r-", (worker+i)%5))
+			}
+		})
+	}
+	group.Wait()
+	g.Expect(returned.Load()).To(BeZero())
+	mu.Lock()
+	defer mu.Unlock()
+	g.Expect(len(seen)).To(BeNumerically(">", 100))
+	g.Expect(p.Open()).To(BeNumerically("<=", 3))
 }
 
 // Where responses do not state the id of their request, the copy of a refusal can't be told from any other response.
