--- a/internal/storage/memfs.go
+++ b/internal/storage/memfs.go
@@ -4,6 +4,7 @@
 	iofs "io/fs"
 	"math/rand/v2"
 	"path"
+	"slices"
 	"sort"
 	"strings"
 	"sync"
@@ -26,10 +27,12 @@
 	files      map[string]*memNode
 	// durableFiles holds the files whose names survive a crash.
 	durableFiles map[string]*memNode
-	failSyncs    bool
-	full         bool
-	syncDelay    time.Duration
-	syncs        int
+	// unsyncedNames are the changes of names since the last sync of their folder, for LosePower.
+	unsyncedNames []nameChange
+	failSyncs     bool
+	full          bool
+	syncDelay     time.Duration
+	syncs         int
 }
 
 type memNode struct {
@@ -38,6 +41,12 @@
 	synced []byte
 	// dropped lists the ranges that a failed sync dropped. Later syncs leave zeros there.
 	dropped [][2]int
+	// unsynced lists the ranges written since the last sync, for LosePower.
+	unsynced [][2]int
+	// truncated is the file that was truncated when this one was created under its name; nil if there was none.
+	truncated *memNode
+	// everSynced is set once the file has been synced.
+	everSynced bool
 }
 
 // NewMemFS returns an empty file system.
@@ -62,6 +71,7 @@
 		m.files[name] = &memNode{data: content, synced: append([]byte(nil), content...)}
 	}
 	m.durableFiles = copyFiles(m.files)
+	m.unsyncedNames = nil
 }
 
 // FailSyncs makes every sync fail while on is true. A failed sync loses the data that it should have
@@ -108,7 +118,7 @@
 		return errors.Errorf("offset %d is outside the file %s", offset, name)
 	}
 	node.data[offset] ^= 0xff
-	node.synced = append([]byte(nil), node.data...)
+	node.markSynced()
 	return nil
 }
 
@@ -134,7 +144,8 @@
 func (m *MemFS) Create(name string) (File, error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.files[name] = &memNode{}
+	m.files[name] = &memNode{truncated: m.files[name]}
+	m.unsyncedNames = append(m.unsyncedNames, nameChange{to: name, created: m.files[name]})
 	return &memFile{fs: m, node: m.files[name], generation: m.generation}, nil
 }
 
@@ -191,6 +202,7 @@
 	if !moved {
 		return notExist(from)
 	}
+	m.unsyncedNames = append(m.unsyncedNames, nameChange{from: from, to: to})
 	return nil
 }
 
@@ -202,6 +214,7 @@
 		return notExist(name)
 	}
 	delete(m.files, name)
+	m.unsyncedNames = append(m.unsyncedNames, nameChange{from: name})
 	return nil
 }
 
@@ -214,7 +227,7 @@
 		return notExist(name)
 	}
 	node.data = node.data[:size]
-	node.synced = append([]byte(nil), node.data...)
+	node.markSynced()
 	return nil
 }
 
@@ -235,6 +248,7 @@
 			m.durableFiles[name] = node
 		}
 	}
+	m.unsyncedNames = slices.DeleteFunc(m.unsyncedNames, func(c nameChange) bool { return c.isBelow(folder) })
 	return nil
 }
 
@@ -252,10 +266,10 @@
 	}
 	if f.fs.full {
 		half := len(b) / 2
-		f.node.data = append(f.node.data, b[:half]...)
+		f.node.write(b[:half])
 		return half, errors.WithStack(syscall.ENOSPC)
 	}
-	f.node.data = append(f.node.data, b...)
+	f.node.write(b)
 	return len(b), nil
 }
 
@@ -280,6 +294,7 @@
 	for _, r := range f.node.dropped {
 		clear(f.node.synced[r[0]:r[1]])
 	}
+	f.node.unsynced, f.node.truncated, f.node.everSynced = nil, nil, true
 	return nil
 }
 
