Storage: sync what a start replays, before it counts as durable

Users saw nothing yet; a control host that was killed and then lost its power would have lost votes that it had reported, or set its whole folder aside.

Cause: a process that is killed between the write of a frame and the end of its sync leaves the frame in the page cache. The next start replayed it and set durable to it without a sync, so votes in it were reported to proposers and counted. The next frame went to a new segment, so nothing ever synced the old one. A loss of power then took the frame: the vote was gone, and as the new segment begins after it, the folder counted as damaged and was set aside. After a kill of all control hosts this can meet several disks at once.

Evidence: TestReplayedEntriesAreDurable and TestDeathAtEachOperation failed on (ErrDamaged) and pass.

Older segments were synced before the next one was started. If that sync fails, the log is stopped and the host starts without a vote, as after a failed sync (TestStartOnAFailingDisk).

--- a/internal/storage/doc.go
+++ b/internal/storage/doc.go
@@ -4,8 +4,9 @@
 // arrive while a sync is running share the next sync (group commit), and each sync writes one frame
 // with a CRC-32C. An entry is durable once Sync has returned nil for its sequence.
 //
-// On a start, Open reads the newest snapshot and then the segments after it. An incomplete frame at
-// the very end of the newest segment was left by a crash and is truncated. Any other frame with a
+// On a start, Open reads the newest snapshot and then the segments after it, and syncs them: a process
+// that was killed may have written an entry without its sync. An incomplete frame at the very end of the
+// newest segment was left by a crash and is truncated. Any other frame with a
 // wrong checksum, a gap between segments or an incomplete snapshot is reported as ErrDamaged, and
 // the segments and snapshots are left unchanged.
 //
--- a/internal/storage/log.go
+++ b/internal/storage/log.go
@@ -105,6 +105,7 @@
 // Open reads the folder and calls replay with the entries of the newest snapshot (snapshot true)
 // and with the journal entries that follow it, in order. It creates the folder if it is missing and
 // truncates a torn frame at the end. The error is ErrDamaged if synced data is damaged or missing.
+// If the replayed files cannot be synced, the log is stopped; see Err.
 func Open(cfg Config, replay func(entry []byte, snapshot bool) error) (*Log, error) {
 	l := &Log{fs: cfg.FS, folder: cfg.Folder, segmentBytes: cfg.SegmentBytes, needsNewSegment: true}
 	l.commitDone = sync.NewCond(&l.mu)
--- a/internal/storage/recover.go
+++ b/internal/storage/recover.go
@@ -1,6 +1,7 @@
 package storage
 
 import (
+	"io/fs"
 	"path"
 	"strings"
 
@@ -31,10 +32,44 @@
 			return errors.Wrapf(err, "segment %s", segmentName(first))
 		}
 	}
+	if err := l.syncRecovered(names); err != nil {
+		// The process starts and can say so; nothing that was replayed may be reported.
+		l.failure = errors.Wrap(ErrStopped, err.Error())
+		return nil
+	}
 	l.durable = l.appended
 	return nil
 }
 
+// syncRecovered makes durable what the replay has read. A process that was killed may have left a frame in the newest
+// segment, or a renamed snapshot, that it had not synced; a later loss of power would take it away. Older segments were
+// synced before the next one was started.
+func (l *Log) syncRecovered(names []string) error {
+	if len(names) == 0 {
+		return nil
+	}
+	if segments := parseSequences(names, segmentSuffix); len(segments) > 0 {
+		err := l.syncSegment(segmentName(segments[len(segments)-1]))
+		// A segment without a complete header was removed by the replay.
+		if err != nil && !errors.Is(err, fs.ErrNotExist) {
+			return err
+		}
+	}
+	return l.fs.SyncFolder(l.folder)
+}
+
+func (l *Log) syncSegment(name string) error {
+	f, err := l.fs.Append(path.Join(l.folder, name))
+	if err != nil {
+		return err
+	}
+	err = f.Sync()
+	if closeErr := f.Close(); err == nil {
+		err = closeErr
+	}
+	return err
+}
+
 // removeTemporary removes the files of snapshots that a crash interrupted.
 func (l *Log) removeTemporary(names []string) error {
 	for _, name := range names {
