Storage: a torn header of an empty segment does not set the folder aside

Cause: a process that dies after it created a segment and before the first frame leaves a segment with a header only. The next start creates a segment of the same name over it. If the power is lost then, the file may hold parts of both headers, and its checksum made the whole folder count as damaged.

Found by TestDeathAtEachOperation with -rapid.checks=5000 (once; the loss of the truncation has to meet a torn write, which LosePower allows and journaling file systems may not). TestTornHeaderOfAnEmptySegment failed before.

--- a/internal/storage/power_test.go
+++ b/internal/storage/power_test.go
@@ -138,6 +138,33 @@
 	g.Expect(l.Durable()).To(BeEquivalentTo(1))
 }
 
+// Guards against a folder that counts as damaged because the newest segment, which has no entry yet, was created again
+// over an empty one of its name: the torn header has parts of both.
+func TestTornHeaderOfAnEmptySegment(t *testing.T) {
+	g := NewWithT(t)
+	fs := storage.NewMemFS()
+	operations := -1
+	l, _, err := openLog(dyingFS{fs, &operations}, folder, 1)
+	g.Expect(err).NotTo(HaveOccurred())
+	appendAndSync(g, l, "first")
+	sequence, err := l.Append([]byte("second"))
+	g.Expect(err).NotTo(HaveOccurred())
+	operations = 4 // The second segment is created, its header written and synced, and its folder synced.
+	g.Expect(l.Sync(sequence)).NotTo(Succeed())
+	names, err := fs.List(folder)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(names).To(HaveLen(2))
+	g.Expect(fs.Damage(folder+"/"+names[1], 20)).To(Succeed())
+	l, replayed, err := openLog(fs, folder, 1)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(replayed).To(Equal([]string{"first"}))
+	appendAndSync(g, l, "second")
+	fs.Crash(nil)
+	_, replayed, err = openLog(fs, folder, 1)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(replayed).To(Equal([]string{"first", "second"}))
+}
+
 // powerRun is a log whose process dies again and again, at any operation on its files.
 type powerRun struct {
 	g          *WithT
--- a/internal/storage/recover.go
+++ b/internal/storage/recover.go
@@ -113,11 +113,13 @@
 	if err != nil {
 		return err
 	}
-	if newest && len(content) < fileHeaderSize {
-		// The process crashed while it created the segment, before any entry in it was synced.
+	h, headerErr := decodeFileHeader(content, segmentMagic)
+	if newest && headerErr != nil && len(content) <= fileHeaderSize {
+		// The process crashed while it created the segment, before any entry in it was synced. It may have written over
+		// the header of an empty segment of that name, so that a torn write left parts of both.
 		return l.fs.Remove(name)
 	}
-	if h, err := decodeFileHeader(content, segmentMagic); err == nil && (h.base+1 != first || h.base > l.appended) {
+	if headerErr == nil && (h.base+1 != first || h.base > l.appended) {
 		return errors.Wrapf(ErrDamaged, "segment starts after entry %d, but the entry before it is %d", h.base, l.appended)
 	}
 	last, size, err := readFile(content, segmentMagic, func(sequence uint64, entry []byte) error {
