--- a/internal/entry/fakes_test.go
+++ b/internal/entry/fakes_test.go
@@ -74,7 +74,8 @@
 	return m, true
 }
 
-// fakeGrants grants the first address that is not excluded, and records the results of the grants.
+// fakeGrants grants the first address that is not excluded, and records the results of the grants. An address may end
+// with # and a name; those that differ only in the name are instances that have the same address one after another.
 type fakeGrants struct {
 	mu         sync.Mutex
 	addresses  []string
@@ -138,6 +139,20 @@
 	return f.signals[len(f.signals)-1]
 }
 
+// reset makes the source grant the addresses, and forgets what it has recorded.
+func (f *fakeGrants) reset(addresses ...string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.addresses, f.results, f.signals, f.early, f.purposes = addresses, nil, nil, nil, nil
+}
+
+// allSignals returns what servers said about themselves, before the ends of their responses and with them.
+func (f *fakeGrants) allSignals() []grant.ServerSignals {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return slices.Concat(f.early, f.signals)
+}
+
 // earlySignals returns what servers said about themselves before the ends of their responses.
 func (f *fakeGrants) earlySignals() []grant.ServerSignals {
 	f.mu.Lock()
@@ -159,7 +174,8 @@
 }
 
 func (g *fakeGrant) Server() grant.Server {
-	return grant.Server{Service: "cuefeed", Instance: g.address, Address: g.address, DataCentre: "a"}
+	address, _, _ := strings.Cut(g.address, "#")
+	return grant.Server{Service: "cuefeed", Instance: g.address, Address: address, DataCentre: "a"}
 }
 func (g *fakeGrant) Expires() time.Time { return g.expires }
 func (g *fakeGrant) FirstByte()         {}
