Round trip: the body of a skipped response does not count as header

Seen by callers: an unsafe request got 502 although its server ran it and sent the whole response.

Cause: while the headers of a response are read, all bytes count against the limit of headers, also those of the body of a response to another request that is skipped on the way. A copy with a body of 256 KiB, or a shorter one with many lines, ended the next request with 'the answer's headers are too large', although up to 1 MiB may be skipped.

Change: the count pauses while a body is discarded. The headers of all responses that are read still count together.

Evidence: the property test against erratic servers: tries 'p-3 at 29ms broken after 18ms', while p-3 had run c13-18 and written its whole response after the copy of c6-29's.

--- a/internal/entry/roundtrip/memory.go
+++ b/internal/entry/roundtrip/memory.go
@@ -64,6 +64,16 @@
 	h.reading = false
 }
 
+// pause ends the headers of a response that is skipped. The last Read may have been its body in part, so it is not counted.
+func (h *headerMeter) pause() {
+	h.reading, h.lastCost = false, 0
+}
+
+// resume continues with the headers of the response behind it.
+func (h *headerMeter) resume() {
+	h.reading = true
+}
+
 // next counts the last Read and returns how many bytes the next one may have.
 func (h *headerMeter) next() (limit int64, err error) {
 	h.cost += h.lastCost
--- a/internal/entry/roundtrip/roundtrip.go
+++ b/internal/entry/roundtrip/roundtrip.go
@@ -357,9 +357,11 @@
 		}
 		if r.isMismatched(httpResponse) {
 			c.use.Skipped++
+			c.header.pause()
 			if err := discardMismatched(httpResponse, r.Method); err != nil {
 				return &Error{Stage: StageHeader, Err: err}
 			}
+			c.header.resume()
 			closes = closes || httpResponse.Close
 			continue
 		}
