--- a/internal/agreement/learn.go
+++ b/internal/agreement/learn.go
@@ -405,8 +405,12 @@
 		r.mu.Unlock()
 		return errors.WithStack(errGroupChanged)
 	}
+	// The store changes together with the journal, since a snapshot of the store replaces the entries before it. Replies
+	// wait until the entry is durable.
 	joined := findMember(group, r.cfg.ID).GetJoined()
+	r.store.readyEpoch = joined
 	wait := r.appendEntries(entryReady(joined))
+	r.groupSequence = wait
 	journal := r.log
 	r.mu.Unlock()
 	err := journal.Sync(wait)
@@ -415,10 +419,9 @@
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.store.group.GetEpoch() != group.GetEpoch() || r.state != Learning {
+	if r.store.group.GetEpoch() != group.GetEpoch() || (r.state != Learning && r.state != Voting) {
 		return errors.WithStack(errGroupChanged)
 	}
-	r.store.readyEpoch = joined
 	r.folderVerified = true
 	r.setStateLocked(Voting, "")
 	return nil
