Entry: a caller whose body was interrupted is told that its connection ends

What callers saw: a streamed request was refused by its server before the body was read, the response said nothing of the connection, and the next request on it that was passed on to a server ended with a closed connection and without a response.

Cause: when a server responds early, the read of the caller's body is interrupted by a read deadline in the past. A read that is just under way may still reach the end of the body. The body then counted as read, and the connection as reusable; but net/http reads on in the background at the end of a body, gets the deadline, takes the caller for gone and cancels the context of the connection and of all its later requests.

A body whose read was interrupted counts as unread: the response says Connection: close.

--- a/internal/entry/body.go
+++ b/internal/entry/body.go
@@ -46,9 +46,10 @@
 	firstErr atomic.Pointer[error]
 }
 
-// unread reports whether a part of the body has not been read.
+// unread reports whether a part of the body may not have been read. A read that was interrupted may have reached the end
+// all the same, but the caller's connection cannot be reused then either.
 func (b *body) unread() bool {
-	return b.source != nil && !b.source.eof.Load()
+	return b.source != nil && (!b.source.eof.Load() || b.source.interrupted.Load())
 }
 
 // bodyUnread reports whether a part of the body is still outstanding. If so, the caller's
