Entry: a request is not repeated once the configuration says that its work must not

What callers saw: a request of a non-idempotent route ran twice if it arrived at a host that still had an older configuration, in which an idempotent route matches its path, and its first response was lost.

Cause: the match of a request is taken once, when it arrives. Callers, and the operator's acknowledgement, may be ahead of the host by then. The decision to send a request again used that match even if the host had received the newer configuration meanwhile.

Before a request that may have run is sent again, and once more when the grant for that has come, the path is matched with the configuration in force, if that has another revision. If its route is not idempotent there, the request is not sent again, hedged or taken over. If there is no route any more, the former match holds. The first attempt is as before, and a request without a repeat costs nothing. A host that has not received the newer configuration by then can still repeat the request; it can't know better.

--- a/internal/entry/changed_route_test.go
+++ b/internal/entry/changed_route_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"io"
 	"net"
 	"net/http"
@@ -12,6 +13,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/tarragonmux/tarragonmux/internal/entry"
+	"github.com/tarragonmux/tarragonmux/internal/grant"
 	"github.com/tarragonmux/tarragonmux/internal/route"
 )
 
@@ -45,6 +47,19 @@
 	return l.then(m)
 }
 
+// changingGrants changes the configuration when a request asks for a grant after the first one.
+type changingGrants struct {
+	grant.Source
+	routes *changingRoutes
+}
+
+func (c changingGrants) Acquire(ctx context.Context, r grant.Request) (grant.Grant, error) {
+	if r.Purpose != grant.First {
+		c.routes.changed.Store(true)
+	}
+	return c.Source.Acquire(ctx, r)
+}
+
 // lostResponse is how the response to the first attempt fails to come.
 type lostResponse int
 
@@ -57,7 +72,7 @@
 
 var _ = Describe("A configuration that changes while a request is under way", func() {
 	// The request may be one of a route whose work must not repeat: a host learns of such a route after its callers.
-	DescribeTable("decides whether the request is sent again", func(lost lostResponse, path string, then func(route.Match) (route.Match, bool), sent int) {
+	DescribeTable("decides whether the request is sent again", func(lost lostResponse, path string, waits bool, then func(route.Match) (route.Match, bool), sent int) {
 		routes := &changingRoutes{then: then}
 		var runs atomic.Int64
 		failing := rawServer(func(c net.Conn) {
@@ -66,7 +81,9 @@
 				return
 			}
 			runs.Add(1)
-			routes.changed.Store(true)
+			if !waits {
+				routes.changed.Store(true)
+			}
 			switch lost {
 			case serverError:
 				_, _ = io.WriteString(c, "HTTP/1.1 500 Error\r\nContent-Length: 0\r\n\r\n")
@@ -76,7 +93,9 @@
 				_, _ = io.Copy(io.Discard, c)
 			}
 		})
-		f := start(func(c *entry.Config) { c.Routes = routes }, failing, statusServer(200, &runs))
+		f := start(func(c *entry.Config) {
+			c.Routes, c.Grants = routes, changingGrants{Source: c.Grants, routes: routes}
+		}, failing, statusServer(200, &runs))
 		if lost == serverStalls {
 			f.grants.hedgeDelay = 40 * time.Millisecond
 			f.grants.advised = make(chan struct{})
@@ -89,15 +108,19 @@
 			Expect(a.status).To(Equal(http.StatusOK))
 		}
 	},
-		Entry("connection closed, now non-idempotent", connectionCloses, "/read", nonIdempotent, 1),
-		Entry("server error, now non-idempotent", serverError, "/read", nonIdempotent, 1),
-		Entry("response broken off, now non-idempotent", responseBreaksOff, "/read", nonIdempotent, 1),
-		Entry("advised to retry, now non-idempotent", serverStalls, "/read", nonIdempotent, 1),
-		Entry("hedge due, now non-idempotent", serverStalls, "/urgent", nonIdempotent, 1),
-		Entry("connection closed, still idempotent", connectionCloses, "/read", stillIdempotent, 2),
-		Entry("server error, still idempotent", serverError, "/read", stillIdempotent, 2),
-		Entry("advised to retry, still idempotent", serverStalls, "/read", stillIdempotent, 2),
-		Entry("connection closed, route removed", connectionCloses, "/read", removed, 2),
+		Entry("connection closed, now non-idempotent", connectionCloses, "/read", false, nonIdempotent, 1),
+		Entry("server error, now non-idempotent", serverError, "/read", false, nonIdempotent, 1),
+		Entry("response broken off, now non-idempotent", responseBreaksOff, "/read", false, nonIdempotent, 1),
+		Entry("advised to retry, now non-idempotent", serverStalls, "/read", false, nonIdempotent, 1),
+		Entry("hedge due, now non-idempotent", serverStalls, "/urgent", false, nonIdempotent, 1),
+		Entry("connection closed, non-idempotent when a grant comes", connectionCloses, "/read", true, nonIdempotent, 1),
+		Entry("server error, non-idempotent when a grant comes", serverError, "/read", true, nonIdempotent, 1),
+		Entry("advised to retry, non-idempotent when a grant comes", serverStalls, "/read", true, nonIdempotent, 1),
+		Entry("hedge due, non-idempotent when a grant comes", serverStalls, "/urgent", true, nonIdempotent, 1),
+		Entry("connection closed, still idempotent", connectionCloses, "/read", false, stillIdempotent, 2),
+		Entry("server error, still idempotent", serverError, "/read", false, stillIdempotent, 2),
+		Entry("advised to retry, still idempotent", serverStalls, "/read", false, stillIdempotent, 2),
+		Entry("connection closed, route removed", connectionCloses, "/read", false, removed, 2),
 	)
 })
 
--- a/internal/entry/dispatch.go
+++ b/internal/entry/dispatch.go
@@ -158,7 +158,7 @@
 // the server reported a failure, with a status of 500 or above, and the work may run again.
 func (l *attemptLoop) shouldRetryResponse(candidate *Exchange) bool {
 	return candidate.serverFailed() &&
-		l.x.retryable() && l.x.runs+1 < l.maxRuns() && l.x.ctx.Err() == nil
+		l.retryable() && l.x.runs+1 < l.maxRuns() && l.x.ctx.Err() == nil
 }
 
 // serverFailed reports whether the attempt got a complete response with which the server reports a failure.
@@ -198,6 +198,11 @@
 		g.Complete(grant.Completion{Result: grant.Unused})
 		return nil, err
 	}
+	if x.mayHaveRun && !l.retryable() {
+		// The configuration has changed while the request waited.
+		g.Complete(grant.Completion{Result: grant.Unused})
+		return nil, l.lastFailureProblem()
+	}
 	if time.Now().Before(g.Expires()) {
 		return g, nil
 	}
@@ -270,17 +275,32 @@
 	if x.ctx.Err() != nil {
 		return x.contextError()
 	}
-	if failed.mayHaveRun && !x.retryable() {
+	if failed.mayHaveRun && !l.retryable() {
 		return l.lastFailureProblem()
 	}
 	return l.waitBackoff()
 }
 
-// retryable reports whether the work may be sent again after it may have run.
+// retryable reports whether the work may be sent again after it may have run, by the configuration that the request uses.
 func (x *Exchange) retryable() bool {
 	return x.match.Idempotent && x.body.buffered
 }
 
+// retryable reports whether the work may be sent again after it may have run, now. Callers may know of a route before the
+// host does, so the work must not repeat either if a configuration that has come into force meanwhile says so.
+func (l *attemptLoop) retryable() bool {
+	x := l.x
+	if !x.retryable() {
+		return false
+	}
+	current := l.cfg.Routes.Current()
+	if current == nil || current.Revision() == x.snapshot.Revision() {
+		return true
+	}
+	match, ok := current.Match(hostName(x.r.Host), x.r.Method, routePath(l.cfg.Dialect, x.r))
+	return !ok || match.Idempotent
+}
+
 // withOutcome replaces the outcome of a refusal by that of all attempts so far.
 func (l *attemptLoop) withOutcome(err error) error {
 	var p *problem.Problem
--- a/internal/entry/race.go
+++ b/internal/entry/race.go
@@ -6,6 +6,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"github.com/tarragonmux/tarragonmux/internal/entry/roundtrip"
 	"github.com/tarragonmux/tarragonmux/internal/grant"
 	"github.com/tarragonmux/tarragonmux/internal/priority"
@@ -19,6 +21,9 @@
 	minHedgeDelay = 30 * time.Millisecond
 )
 
+// errNotRepeated ends a second attempt at work that must not repeat any more.
+var errNotRepeated = errors.New("the work must not repeat by the configuration that has come into force")
+
 // attemptRace is an attempt at retryable work that a second attempt may join. The first response that
 // is complete, or too long to be read before it is relayed, wins. The other attempt is cancelled. A server
 // failure of the first attempt does not win while the second one may still get a response. Each attempt
@@ -154,7 +159,7 @@
 		return
 	}
 	purpose, due := r.awaitDue(firstDone)
-	if !due {
+	if !due || !r.retryable() {
 		return
 	}
 	ctx, cancel := context.WithCancel(r.x.ctx)
@@ -233,6 +238,11 @@
 	if err != nil {
 		return err
 	}
+	if !r.retryable() {
+		// The configuration has changed while the attempt waited.
+		g.Complete(grant.Completion{Result: grant.Unused})
+		return errNotRepeated
+	}
 	child.grant = g
 	r.secondServer = g.Server().Instance
 	if err := r.next.Handle(child); err != nil {
--- a/internal/entry/routing.go
+++ b/internal/entry/routing.go
@@ -26,7 +26,7 @@
 // Handle refuses requests without a route, teams that may not call the service, and bodies whose
 // stated length exceeds the limit.
 func (f *routing) Handle(x *Exchange) error {
-	match, ok := x.snapshot.Match(hostName(x.r.Host), x.r.Method, f.path(x.r))
+	match, ok := x.snapshot.Match(hostName(x.r.Host), x.r.Method, routePath(f.dialect, x.r))
 	if !ok {
 		return problem.New(problem.NoRoute, problem.NotRun, "")
 	}
@@ -53,10 +53,10 @@
 	return f.next.Handle(x)
 }
 
-// path returns the path that is compared with the prefixes of routes. A target with an empty path stands for "/".
-func (f *routing) path(r *http.Request) string {
+// routePath returns the path that is compared with the prefixes of routes. A target with an empty path stands for "/".
+func routePath(d *Dialect, r *http.Request) string {
 	path := r.URL.Path
-	if f.dialect.LiteralPaths {
+	if d.LiteralPaths {
 		path, _, _ = strings.Cut(requestTarget(r), "?")
 	}
 	if path == "" {
