Agreement: complete an unfinished change of the group early, and never into a group that cannot work

Users would have lost the configuration: after the loss of one disk of three, no majority answers any more, for good.

Cause: a change of the group that one member has voted for stays open when its proposer loses its power or its links. Paxos makes the next change complete it, whenever that comes. If it adds a host that has gone or lost its disk, and the next change is the repair of another lost disk, a group of four has two members: neither the repair nor a read has a majority.

And a change of another proposer is completed only while a majority of its members answers with the listed disks and a majority of the present group votes. Otherwise the members that are there go on in their group, and the change waits until the others are back.

--- a/internal/agreement/identity.go
+++ b/internal/agreement/identity.go
@@ -154,6 +154,17 @@
 	return nil
 }
 
+// newestGroup must be called with r.mu held.
+func (r *Replica) newestGroup() *agreementpb.Group {
+	newest := r.store.group
+	for _, resp := range r.peerResponses {
+		if resp.reply.GetGroup().GetEpoch() > newest.GetEpoch() {
+			newest = resp.reply.GetGroup()
+		}
+	}
+	return newest
+}
+
 // peers returns the replicas to exchange state with: the members of this replica's group and its previous
 // group, of the newest known group, and of FirstGroup, and without a group also the discovered ones. It must
 // be called with r.mu held.
--- a/internal/agreement/operation.go
+++ b/internal/agreement/operation.go
@@ -25,6 +25,8 @@
 	// ambiguousResult means that all members responded and several values may still have been decided,
 	// because a lost disk held the vote that would settle it. Only the end of the retention resolves that.
 	ambiguousResult
+	// withheldResult means that another proposer's value may have been decided, and must not be completed now.
+	withheldResult
 )
 
 // operation decides one register. It is not safe for concurrent use.
@@ -59,6 +61,8 @@
 			return nil, errors.WithStack(errNothingDecided)
 		case ambiguousResult:
 			return nil, errors.WithStack(ErrUndecided)
+		case withheldResult:
+			return nil, errors.WithStack(errChangeWithheld)
 		case retryResult:
 		}
 		if ctx.Err() != nil || !pause.wait(ctx) {
@@ -259,6 +263,8 @@
 	switch {
 	case ended != 0:
 		return ended
+	case rule == oneValue && o.withholds(ctx, value):
+		return withheldResult
 	case rule == oneValue:
 		return o.accept(ctx, voters, b, value)
 	case rule == anyValue && o.hasValue:
--- a/internal/agreement/proposer.go
+++ b/internal/agreement/proposer.go
@@ -66,6 +66,8 @@
 	logger     *log.Logger
 	operations atomic.Uint64
 	announcer  announcer
+	// mayComplete reports whether a value of another proposer may be proposed; nil means always.
+	mayComplete func(ctx context.Context, value []byte) bool
 
 	mu            sync.Mutex
 	epoch         uint64
--- a/internal/agreement/replica.go
+++ b/internal/agreement/replica.go
@@ -142,6 +142,8 @@
 	// exchanging is set for peers with an exchange in flight.
 	exchanging      map[string]bool
 	swapRequestedAt time.Time
+	// unfinishedSince is since when a change of the group has the vote of this replica and no decision.
+	unfinishedSince time.Time
 	learnerRunning  bool
 	compacting      bool
 	compactedAt     time.Time
@@ -330,17 +332,6 @@
 	return r.newestGroup()
 }
 
-// newestGroup must be called with r.mu held.
-func (r *Replica) newestGroup() *agreementpb.Group {
-	newest := r.store.group
-	for _, resp := range r.peerResponses {
-		if resp.reply.GetGroup().GetEpoch() > newest.GetEpoch() {
-			newest = resp.reply.GetGroup()
-		}
-	}
-	return newest
-}
-
 // Run exchanges state with the peers, copies state if needed and compacts, until the context ends. Then
 // it closes the files; the replica cannot be used afterwards.
 func (r *Replica) Run(ctx context.Context) error {
@@ -352,6 +343,7 @@
 		r.resumeAfterFullDisk()
 		r.exchangeWithPeers(ctx)
 		r.actOnSurvey(ctx)
+		r.completeUnfinishedChange(ctx)
 		r.flush()
 		select {
 		case <-ctx.Done():
--- a/internal/agreement/swap.go
+++ b/internal/agreement/swap.go
@@ -213,15 +213,12 @@
 	if err != nil {
 		return nil, errors.WithStack(err)
 	}
-	p := newProposer(ProposerConfig{ID: r.cfg.ID, FirstGroup: r.cfg.FirstGroup, Client: r.client, Logger: r.cfg.Logger})
-	p.updateGroup(next.GetEpoch()-1, next.GetPrevious())
+	p := r.groupProposer(&agreementpb.Group{Epoch: next.GetEpoch() - 1, Members: next.GetPrevious()})
 	decided, err := p.Propose(ctx, groupPrefix, next.GetEpoch(), value)
 	if err != nil {
 		return nil, err
 	}
-	r.mu.Lock()
-	r.storeDecision(groupPrefix, r.store.get(groupPrefix, next.GetEpoch()), decided)
-	r.mu.Unlock()
+	r.storeGroupDecision(next.GetEpoch(), decided)
 	if string(decided) != string(value) {
 		return nil, errors.New("another change of the group was decided first; look at the group and ask again")
 	}
