Round trip tests: the copy of a response without an id ends the next request (fails)

A response without the id of its request is taken on a new connection, which is then kept. If the server writes it once more, the next request on the connection ends with ErrUnattributed though its server runs it: its caller gets 502, and the server a failed result.

--- a/internal/entry/roundtrip/mismatched_test.go
+++ b/internal/entry/roundtrip/mismatched_test.go
@@ -204,3 +204,30 @@
 		}
 	}
 }
+
+// A response without the id of its request can't be told from its copy. The copy of a first response on a connection must
+// not end the next request.
+func TestConnectionsEndBehindResponsesWithoutID(t *testing.T) {
+	g := NewWithT(t)
+	const bare = "HTTP/1.1 503 Busy\r\nContent-Length: 4\r\n\r\nbusy"
+	address := listen(t, func(n int, c net.Conn, br *bufio.Reader) {
+		defer c.Close()
+		for i := range 2 {
+			if _, err := http.ReadRequest(br); err != nil {
+				return
+			}
+			text := bare
+			if n > 1 || i > 0 {
+				text += "HTTP/1.1 200 OK\r\nX-Id: 7\r\nContent-Length: 5\r\n\r\nright"
+			}
+			if n > 1 {
+				text = text[len(bare):]
+			}
+			_, _ = io.WriteString(c, text)
+		}
+	})
+	p := newPool(t, roundtrip.Config{})
+	g.Expect(fetchEcho(p, address)).To(Equal("busy"))
+	g.Expect(p.Open()).To(BeZero())
+	g.Expect(fetchEcho(p, address)).To(Equal("right"))
+}
