Round trip: a connection ends behind a response without the id of its request

What callers saw: a server that left the id out of a response, such as a refusal, and wrote it once more, ended the next request on the connection with 502, though it ran that request; the server got a failed result for it. A server that never states ids failed every second request.

Cause: a response without an id is taken on a new connection, where it can belong to no other request, and the connection was kept. On a kept connection it can't be told from a copy, so the next one like it ends its request.

The connection is closed behind such a response.

--- a/internal/entry/roundtrip/roundtrip.go
+++ b/internal/entry/roundtrip/roundtrip.go
@@ -412,7 +412,8 @@
 	resp.Header = httpResponse.Header
 	resp.Length = httpResponse.ContentLength
 	resp.body = httpResponse.Body
-	resp.closeAfter = httpResponse.Close
+	// A copy of a response without an id would be taken for the response to the next request, or end it.
+	resp.closeAfter = httpResponse.Close || request.isUnattributed(httpResponse)
 	noBody := request.Method == http.MethodHead || resp.Status == http.StatusNoContent || resp.Status == http.StatusNotModified
 	resp.closeDelimited = resp.Length < 0 && len(httpResponse.TransferEncoding) == 0 && !noBody
 	if resp.closeDelimited && !request.CloseDelimited {
