Entry tests: no second attempt at non-idempotent work when its server is ejected

Hedges of work with a key had a spec; the advice to leave an ejected server, and work without a key, had none.

--- a/internal/entry/response_test.go
+++ b/internal/entry/response_test.go
@@ -214,6 +214,26 @@
 		Expect(second.Ledger().Total.Started).To(BeZero())
 	})
 
+	// The advice to leave a server that stalls is for work that may repeat.
+	It("is never sent for non-idempotent work when the first server is ejected", func() {
+		for _, keyless := range []bool{true, false} {
+			var runs atomic.Int64
+			stalled := rawServer(func(c net.Conn) {
+				if _, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
+					runs.Add(1)
+				}
+			})
+			f := start(func(c *entry.Config) { c.Routes = limitedRoutes{keyless: keyless} }, stalled, statusServer(200, &runs))
+			f.grants.hedgeDelay = 30 * time.Millisecond
+			f.grants.advised = make(chan struct{})
+			close(f.grants.advised)
+			a := f.do("POST", "/urgent-once", "x", "Idempotency-Key", "k", "Grpc-Timeout", "400m")
+			Expect([]string{a.kind(), a.problem.Outcome}).To(Equal([]string{"deadline-passed", "unknown"}))
+			Expect(runs.Load()).To(BeEquivalentTo(1))
+			Expect(f.grants.purposes).To(Equal([]grant.Purpose{grant.First}))
+		}
+	})
+
 	// Without the second attempt, requests in flight to an ejected server would wait until their
 	// deadline.
 	It("is sent at once when the first server is ejected", func() {
