--- a/internal/agreement/powerloss_test.go
+++ b/internal/agreement/powerloss_test.go
@@ -294,7 +294,9 @@
 	r.random.Shuffle(len(ids), func(i, j int) { ids[i], ids[j] = ids[j], ids[i] })
 	for _, id := range ids {
 		if r.running[id] == nil {
-			r.start(id)
+			if s := r.start(id).Status(); s.FoldersSetAside > 0 {
+				r.t.Errorf("%s set its folder aside: %s", id, s.Reason)
+			}
 			r.sleep(longestPause)
 		}
 	}
