--- a/internal/agreement/doc.go
+++ b/internal/agreement/doc.go
@@ -16,6 +16,8 @@
 // the members before the swap. A replica with a new id is swapped in by an operator (Swap). A swap is
 // refused if fewer than a majority of the members would remain voting, because the new member could then
 // not copy the state.
+// A change of the group that its proposer left undecided is completed by a member that has voted for it, while a majority
+// of the changed group answers. Otherwise the group goes on without it.
 //
 // Memory: about 260 bytes plus the value for each register; 100,000 registers with values of 200 bytes
 // take 46 MB. A value of 64 KiB takes 64 KiB. A copy is read in pages of 1 MiB, of which a learner holds one for each
