Round trip tests: the copy of a response to HEAD ends another request (fails)

A response to another request is skipped with the framing of the present one. If one of the two is HEAD, the body is looked for where there is none or the reverse, and the present request ends with "bytes that are no answer": its caller gets 502 though its server runs it.

--- a/internal/entry/roundtrip/refusals_test.go
+++ b/internal/entry/roundtrip/refusals_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -152,3 +153,42 @@
 		time.Sleep(time.Millisecond)
 	}
 }
+
+// The copy of a response to HEAD has no body, whatever its header says. If it arrives in place of the response to a request
+// of another method, or the reverse, its end is looked for at the wrong place, and the next request ends.
+func TestCopiesOfResponsesToHEADDoNotEndOtherRequests(t *testing.T) {
+	address := listen(t, func(_ int, c net.Conn, br *bufio.Reader) {
+		defer c.Close()
+		copied := ""
+		for {
+			r, err := http.ReadRequest(br)
+			if err != nil {
+				return
+			}
+			response := fmt.Sprintf("HTTP/1.1 503 Busy\r\nX-Id: %s\r\nContent-Length: 40\r\n\r\n", r.Header.Get("X-Id"))
+			if r.Method != http.MethodHead {
+				response += strings.Repeat("x", 40)
+			}
+			_, _ = io.WriteString(c, copied+response)
+			copied = response
+		}
+	})
+	for _, connections := range []int{1, 6} {
+		g := NewWithT(t)
+		p := newPool(t, roundtrip.Config{Connections: connections})
+		for i, method := range []string{"HEAD", "HEAD", "GET", "POST", "HEAD", "POST"} {
+			r := get("/")
+			r.Method, r.EchoName, r.EchoValue = method, "X-Id", fmt.Sprint(i)
+			r.Extra[0] = roundtrip.Field{Name: "X-Id", Value: r.EchoValue}
+			resp, err := p.Send(context.Background(), address, r)
+			g.Expect(err).NotTo(HaveOccurred(), "%s, request %d", method, i)
+			body, err := io.ReadAll(resp)
+			g.Expect(err).NotTo(HaveOccurred())
+			resp.Refused()
+			resp.Close()
+			g.Expect(resp.Header.Get("X-Id")).To(Equal(r.EchoValue))
+			g.Expect(len(body) == 0).To(Equal(method == "HEAD"))
+			g.Expect(p.Open()).To(BeNumerically("<=", connections))
+		}
+	}
+}
