Round trip: HEAD requests have connections of their own

What callers saw: a server that writes a response to HEAD once more ended the next request of another method on that connection with 502, though it ran that request, and the reverse.

Cause: whether a response has a body follows from the method of its request. A response to an earlier request is skipped by its framing, and which method that request had is not known.

A connection carries either HEAD requests or others, so that the method of the present request tells the framing of each response on the connection. A host that gets HEAD requests opens a further connection for them, within the limit.

--- a/internal/entry/roundtrip/conn.go
+++ b/internal/entry/roundtrip/conn.go
@@ -24,8 +24,11 @@
 	// header counts the response headers while they are read.
 	header headerMeter
 	// use states how the current request uses the connection.
-	use       Use
-	refused   refusals
+	use     Use
+	refused refusals
+	// forHead is set if the connection carries HEAD requests only; otherwise it carries none. The end of a response to
+	// another request can't be found if that may have been either.
+	forHead   bool
 	idleSince time.Time
 	closeOnce sync.Once
 	raw       syscall.RawConn
--- a/internal/entry/roundtrip/pool.go
+++ b/internal/entry/roundtrip/pool.go
@@ -115,8 +115,9 @@
 	return open
 }
 
-// acquire returns a connection for one request. A reused connection was idle for less than Request.MaxIdle, and no
-// request with the same id was refused on it. Request.AcquireDeadline limits the wait for a free connection.
+// acquire returns a connection for one request. A reused connection was idle for less than Request.MaxIdle, no request
+// with the same id was refused on it, and its requests were HEAD if and only if this one is. Request.AcquireDeadline limits
+// the wait for a free connection.
 func (p *Pool) acquire(ctx context.Context, address string, r *Request) (*conn, *Error) {
 	s, err := p.addUser(address)
 	if err != nil {
@@ -135,7 +136,9 @@
 		p.removeUser(s)
 		return nil, &Error{Stage: StageConnect, Err: err}
 	}
-	return newConn(nc, p.opened.Add(1), s, p.cfg.Memory), nil
+	c := newConn(nc, p.opened.Add(1), s, p.cfg.Memory)
+	c.forHead = r.isHead()
+	return c, nil
 }
 
 func (p *Pool) addUser(address string) (*server, error) {
@@ -182,7 +185,7 @@
 // it finds on the way and that are broken or were idle for too long.
 func (p *Pool) reuseIdle(s *server, r *Request) *conn {
 	for {
-		c, surplus := p.popIdle(s, r.EchoValue)
+		c, surplus := p.popIdle(s, r)
 		if surplus != nil {
 			surplus.closeNow()
 		}
@@ -196,14 +199,13 @@
 	}
 }
 
-// popIdle removes and returns the most recently used idle connection on which no request with the id was refused. If
-// there are only others, and a new one would exceed the limit, it removes the one that was unused for longest as
-// surplus.
-func (p *Pool) popIdle(s *server, id string) (fit, surplus *conn) {
+// popIdle removes and returns the most recently used idle connection that may carry the request. If there are only
+// others, and a new one would exceed the limit, it removes the one that was unused for longest as surplus.
+func (p *Pool) popIdle(s *server, r *Request) (fit, surplus *conn) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for i, c := range slices.Backward(s.idle) {
-		if !c.refused.contains(id) {
+		if c.forHead == r.isHead() && !c.refused.contains(r.EchoValue) {
 			s.idle = slices.Delete(s.idle, i, i+1)
 			return c, nil
 		}
--- a/internal/entry/roundtrip/roundtrip.go
+++ b/internal/entry/roundtrip/roundtrip.go
@@ -339,7 +339,7 @@
 		r.Hooks.FirstByte()
 	}
 	request := getRequest
-	if r.Method == http.MethodHead {
+	if r.isHead() {
 		request = headRequest
 	}
 	// closes is set if a skipped response announced the end of the connection.
@@ -358,7 +358,7 @@
 		if r.isMismatched(httpResponse) {
 			c.use.Skipped++
 			c.header.pause()
-			if err := discardMismatched(httpResponse, r.Method); err != nil {
+			if err := discardMismatched(httpResponse, r.isHead()); err != nil {
 				return &Error{Stage: StageHeader, Err: err}
 			}
 			c.header.resume()
@@ -376,6 +376,10 @@
 	return &Error{Stage: StageHeader, Err: ErrInformationalStatus}
 }
 
+func (r *Request) isHead() bool {
+	return r.Method == http.MethodHead
+}
+
 // isMismatched reports whether a final response belongs to another request.
 func (r *Request) isMismatched(httpResponse *http.Response) bool {
 	if r.EchoName == "" || httpResponse.StatusCode < http.StatusOK {
@@ -392,11 +396,13 @@
 }
 
 // discardMismatched reads a response to another request to its end, so that the response behind it can be
-// read. It fails if the response ends with the connection, is too long, or may have a body that was not read because
-// this request is a HEAD: the next status line must not be looked for inside it.
-func discardMismatched(httpResponse *http.Response, method string) error {
-	endsWithConnection := httpResponse.ContentLength < 0 && len(httpResponse.TransferEncoding) == 0
-	if endsWithConnection || method == http.MethodHead && httpResponse.ContentLength != 0 {
+// read. It fails if the response ends with the connection or is too long: the next status line must not be looked for
+// inside it. Responses on a connection for HEAD requests have no body.
+func discardMismatched(httpResponse *http.Response, forHead bool) error {
+	if forHead {
+		return nil
+	}
+	if httpResponse.ContentLength < 0 && len(httpResponse.TransferEncoding) == 0 {
 		return ErrMismatchedResponse
 	}
 	n, err := io.Copy(io.Discard, io.LimitReader(httpResponse.Body, maxMismatchedBodyBytes+1))
@@ -414,7 +420,7 @@
 	resp.body = httpResponse.Body
 	// A copy of a response without an id would be taken for the response to the next request, or end it.
 	resp.closeAfter = httpResponse.Close || request.isUnattributed(httpResponse)
-	noBody := request.Method == http.MethodHead || resp.Status == http.StatusNoContent || resp.Status == http.StatusNotModified
+	noBody := request.isHead() || resp.Status == http.StatusNoContent || resp.Status == http.StatusNotModified
 	resp.closeDelimited = resp.Length < 0 && len(httpResponse.TransferEncoding) == 0 && !noBody
 	if resp.closeDelimited && !request.CloseDelimited {
 		return &Error{Stage: StageHeader, Err: ErrNoLength}
