Review case 7: a line end in an announced id changes the body of requests

Cause: an id of an announcement is written into a header as it is, so a line end in it ends the header block.

--- a/review/drill/main.go
+++ b/review/drill/main.go
@@ -27,7 +27,7 @@
 	file := flag.String("record", "record.txt", "file for the record")
 	flag.Parse()
 	c, ok := map[string]play{
-		"partial-status": partialStatus, "unreadable-id": unreadableID, "lost-departure": lostDeparture,
+		"partial-status": partialStatus, "unreadable-id": unreadableID, "lost-departure": lostDeparture, "line-end": lineEnd,
 	}[*name]
 	if !ok {
 		fmt.Fprintln(os.Stderr, "unknown case", *name)
--- a/review/drill/server.go
+++ b/review/drill/server.go
@@ -28,11 +28,12 @@
 	// request on its connection, from 1.
 	before func(count int) string
 
-	mu    sync.Mutex
-	runs  map[string]int
-	given map[string]string
-	times map[string]time.Time
-	conns map[net.Conn]bool
+	mu   sync.Mutex
+	runs map[string]int
+	// bodies holds the body with which each request ran, given the status that was answered.
+	bodies, given map[string]string
+	times         map[string]time.Time
+	conns         map[net.Conn]bool
 }
 
 // startInstances starts n instances of the service cuefeed.
@@ -82,7 +83,7 @@
 	}
 	s := &instance{
 		fleet: f, id: id, service: service, address: l.Addr().String(), born: time.Now().UnixMilli(), work: 20 * time.Millisecond,
-		listener: l, stopBeats: make(chan struct{}), runs: map[string]int{}, given: map[string]string{}, times: map[string]time.Time{}, conns: map[net.Conn]bool{},
+		listener: l, stopBeats: make(chan struct{}), runs: map[string]int{}, bodies: map[string]string{}, given: map[string]string{}, times: map[string]time.Time{}, conns: map[net.Conn]bool{},
 	}
 	s.state.Store("ready")
 	go func() {
@@ -144,7 +145,8 @@
 			return
 		}
 		id := r.Header.Get("X-Request-Id")
-		if _, err := io.Copy(io.Discard, r.Body); err != nil {
+		body, err := io.ReadAll(r.Body)
+		if err != nil {
 			return
 		}
 		if r.URL.Path == "/health" {
@@ -160,15 +162,16 @@
 		s.runs[id]++
 		run := s.runs[id]
 		s.times[id] = time.Now()
+		s.bodies[id] = string(body)
 		s.mu.Unlock()
-		s.fleet.record.event("instance", s.id, "runs", id, r.Method, r.URL.RequestURI(), "run", run, "connection", c.RemoteAddr(), "request", count)
+		s.fleet.record.event("instance", s.id, "runs", id, r.Method, r.URL.RequestURI(), "run", run, "body", len(body), "connection", c.RemoteAddr(), "request", count)
 		time.Sleep(s.work)
 		status := "200 OK"
 		if strings.HasSuffix(r.URL.Path, "/fails") {
 			status = "500 Internal Server Error"
 		}
-		body := "answer of " + s.id + " to " + id + "\n"
-		ordinary := fmt.Sprintf("HTTP/1.1 %s\r\nX-Request-Id: %s\r\nX-Response-Seal: %s\r\nContent-Length: %d\r\n\r\n%s", status, id, newSeal(), len(body), body)
+		text := "answer of " + s.id + " to " + id + "\n"
+		ordinary := fmt.Sprintf("HTTP/1.1 %s\r\nX-Request-Id: %s\r\nX-Response-Seal: %s\r\nContent-Length: %d\r\n\r\n%s", status, id, newSeal(), len(text), text)
 		s.mu.Lock()
 		s.given[id] = status
 		s.mu.Unlock()
