--- a/review/drill/client.go
+++ b/review/drill/client.go
@@ -32,7 +32,11 @@
 }
 
 func (f *fleet) exchange(front *process, method, path, id, body string) answer {
-	c, err := net.DialTimeout("tcp", f.at(front.ip, f.ports.front), time.Second)
+	return f.exchangeAt(f.at(front.ip, f.ports.front), method, path, id, body)
+}
+
+func (f *fleet) exchangeAt(address, method, path, id, body string) answer {
+	c, err := net.DialTimeout("tcp", address, time.Second)
 	if err != nil {
 		return answer{err: err}
 	}
--- a/review/drill/lineend.go
+++ b/review/drill/lineend.go
@@ -28,7 +28,7 @@
 	if trouble {
 		stop := make(chan struct{})
 		defer close(stop)
-		go f.writeHeartbeats(lineEndID, instances[0], stop)
+		go f.writeHeartbeats(lineEndID, instances[0].service, instances[0].address, instances[0].born, stop)
 		time.Sleep(contact)
 	}
 	const body = "signed by the editor"
@@ -54,9 +54,9 @@
 }
 
 // writeHeartbeats announces an instance under an id, each time at the next control node.
-func (f *fleet) writeHeartbeats(id string, s *instance, stop <-chan struct{}) {
+func (f *fleet) writeHeartbeats(id, service, address string, born int64, stop <-chan struct{}) {
 	for n := 1; ; n++ {
-		status, text := f.call(http.MethodPut, f.control(n), "/-/instances/"+id, s.beatBody(int64(n), "ready"))
+		status, text := f.call(http.MethodPut, f.control(n), "/-/instances/"+id, beatBody(service, address, born, int64(n), "ready"))
 		f.record.event("another writer's heartbeat of", id, "to", f.control(n), "status", status, text)
 		select {
 		case <-stop:
--- a/review/drill/main.go
+++ b/review/drill/main.go
@@ -27,7 +27,7 @@
 	file := flag.String("record", "record.txt", "file for the record")
 	flag.Parse()
 	c, ok := map[string]play{
-		"partial-status": partialStatus, "unreadable-id": unreadableID, "lost-departure": lostDeparture, "line-end": lineEnd,
+		"partial-status": partialStatus, "unreadable-id": unreadableID, "lost-departure": lostDeparture, "line-end": lineEnd, "entry-hosts": entryHosts,
 	}[*name]
 	if !ok {
 		fmt.Fprintln(os.Stderr, "unknown case", *name)
--- a/review/drill/server.go
+++ b/review/drill/server.go
@@ -49,10 +49,15 @@
 	return list, nil
 }
 
-// serve puts the first configuration, lets the instances announce themselves, and returns once all fronts serve.
+// serve puts a configuration of the service cuefeed and returns once all fronts serve it.
 func (f *fleet) serve(instances []*instance) error {
 	routes := []route{{"/signoff/", "unsafe", "cuefeed"}, {"/cues/", "safe", "cuefeed"}}
-	if err := f.put(1, routes, []string{"cuefeed"}); err != nil {
+	return f.putAndServe(routes, []string{"cuefeed"}, instances)
+}
+
+// putAndServe puts the first configuration, lets the instances announce themselves, and returns once all fronts serve.
+func (f *fleet) putAndServe(routes []route, services []string, instances []*instance) error {
+	if err := f.put(1, routes, services); err != nil {
 		return err
 	}
 	for _, s := range instances {
@@ -102,8 +107,12 @@
 }
 
 func (s *instance) beatBody(sequence int64, state string) string {
+	return beatBody(s.service, s.address, s.born, sequence, state)
+}
+
+func beatBody(service, address string, born, sequence int64, state string) string {
 	return fmt.Sprintf(`{"service":%q,"address":%q,"zone":"a","version":"v1","slots":6,"state":%q,"warmup_left":"0ms","sequence":%d,"born":%d}`,
-		s.service, s.address, state, sequence, s.born)
+		service, address, state, sequence, born)
 }
 
 // beat sends one heartbeat, to the next control host if one does not acknowledge it.
--- a/review/drill/unreadable.go
+++ b/review/drill/unreadable.go
@@ -36,7 +36,7 @@
 	if trouble {
 		stop := make(chan struct{})
 		defer close(stop)
-		go f.writeOddHeartbeats(stop)
+		go f.writeHeartbeats(oddID, "cuefeed", f.at(f.ip(120), 9), time.Now().UnixMilli(), stop)
 		f.writeOddWithdrawal()
 	}
 	time.Sleep(2 * contact)
@@ -71,22 +71,6 @@
 	return held, "no request reached the leaving instance later than the bound"
 }
 
-// writeOddHeartbeats announces an instance with an odd id, each time at the next control node.
-func (f *fleet) writeOddHeartbeats(stop <-chan struct{}) {
-	born := time.Now().UnixMilli()
-	for n := 1; ; n++ {
-		body := fmt.Sprintf(`{"service":"cuefeed","address":%q,"zone":"a","version":"v1","slots":6,"state":"ready","warmup_left":"0ms","sequence":%d,"born":%d}`,
-			f.at(f.ip(120), 9), n, born)
-		status, text := f.call(http.MethodPut, f.control(n), "/-/instances/"+oddID, body)
-		f.record.event("another writer's heartbeat of", oddID, "to", f.control(n), "status", status, text)
-		select {
-		case <-stop:
-			return
-		case <-time.After(heartbeatInterval):
-		}
-	}
-}
-
 // writeOddWithdrawal withdraws another instance with an odd id. A call that is not acknowledged goes to the next node.
 func (f *fleet) writeOddWithdrawal() {
 	body := fmt.Sprintf(`{"born":%d}`, time.Now().UnixMilli())
