Membership: entry hosts have a table of their own

After a heartbeat of another writer for the service "entry hosts", the directory listed a backend server, and callers got answers from a server of the wrong service. A withdrawal or announcement with the id of an entry host, or an announcement for an unknown service with its address and a later start, took the host out of the directory.

Cause: control hosts kept attached entry hosts in the table of announced servers, which finds entries by service, id and address, and told them apart by a service name that announcements may use.

Change: entry hosts have a type, a table and calls of their own. Gossip exchanges both kinds; an entry states its kind. Entry hosts of control hosts of a former version, which state none, are still known by the name.

--- a/internal/attach/attach_test.go
+++ b/internal/attach/attach_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"maps"
+	"slices"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -26,16 +27,34 @@
 type registry struct {
 	mu      sync.Mutex
 	servers map[string]backend.Server
+	hosts   map[string]membership.EntryHost
 	refuse  error
 	members []membership.Member
 }
 
-func (r *registry) AnnounceLocal(s backend.Server) error {
+func (r *registry) AnnounceEntryHost(h membership.EntryHost) error {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.refuse != nil {
 		return r.refuse
 	}
+	if r.hosts == nil {
+		r.hosts = map[string]membership.EntryHost{}
+	}
+	h.Renewed = time.Now()
+	r.hosts[h.ID] = h
+	return nil
+}
+
+func (r *registry) EntryHosts() []membership.EntryHost {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return slices.Collect(maps.Values(r.hosts))
+}
+
+func (r *registry) AnnounceLocal(s backend.Server) error {
+	r.mu.Lock()
+	defer r.mu.Unlock()
 	s.Renewed = time.Now()
 	r.servers[s.Instance] = s
 	return nil
@@ -47,15 +66,6 @@
 	return r.servers[instance].State
 }
 
-func (r *registry) Servers(service string) (list []backend.Server) {
-	for _, s := range r.servers {
-		if s.Service == service {
-			list = append(list, s)
-		}
-	}
-	return list
-}
-
 func (r *registry) Members() []membership.Member { return r.members }
 
 func (r *registry) EachServer(f func(backend.Server)) {
--- a/internal/attach/endpoints.go
+++ b/internal/attach/endpoints.go
@@ -69,14 +69,14 @@
 func (s *Server) currentEndpoints(now time.Time) *endpointList {
 	l := &endpointList{at: now, heard: map[string]bool{}}
 	var missed []hostset.Endpoint
-	for _, h := range s.opts.Registry.Servers(entryHostService) {
-		endpoint := hostset.Endpoint{Node: h.Instance, Address: h.Address, DataCentre: h.DataCentre}
+	for _, h := range s.opts.Registry.EntryHosts() {
+		endpoint := hostset.Endpoint{Node: h.ID, Address: h.Address, DataCentre: h.DataCentre}
 		sinceHeartbeat := now.Sub(h.Renewed)
 		switch {
 		case h.State != backend.Ready:
 		case sinceHeartbeat < HeartbeatExpiry:
 			l.list = append(l.list, endpoint)
-			l.heard[h.Instance] = true
+			l.heard[h.ID] = true
 		case sinceHeartbeat < missedHostRetention:
 			missed = append(missed, endpoint)
 		}
--- a/internal/attach/server.go
+++ b/internal/attach/server.go
@@ -17,9 +17,6 @@
 )
 
 const (
-	// entryHostService is the service name under which the control hosts gossip the entry hosts. It is
-	// not a valid service name, so no configured service can have it.
-	entryHostService = "entry hosts"
 	// HeartbeatExpiry is the age of the last heartbeat from which an entry host is no longer listed.
 	HeartbeatExpiry = 2 * time.Second
 	// missedHostRetention is how long an entry host whose heartbeats are missed may count as one that
@@ -34,10 +31,11 @@
 // Registry is the membership of the control hosts.
 type Registry interface {
 	AnnounceLocal(s backend.Server) error
-	Servers(service string) []backend.Server
+	AnnounceEntryHost(h membership.EntryHost) error
+	EntryHosts() []membership.EntryHost
 	Members() []membership.Member
 	MarkServer(instance string, incarnation uint64, state backend.State) []string
-	// EachServer calls the function for every entry; the function must not call the registry.
+	// EachServer calls the function for every backend server; the function must not call the registry.
 	EachServer(func(backend.Server))
 }
 
@@ -97,9 +95,8 @@
 	case host.GetReady():
 		state = backend.Ready
 	}
-	if err := s.opts.Registry.AnnounceLocal(backend.Server{
-		Service: entryHostService, Instance: host.GetId(), Incarnation: host.GetIncarnation(),
-		Address: host.GetEntryAddress(), DataCentre: host.GetDataCentre(), State: state,
+	if err := s.opts.Registry.AnnounceEntryHost(membership.EntryHost{
+		ID: host.GetId(), Incarnation: host.GetIncarnation(), Address: host.GetEntryAddress(), DataCentre: host.GetDataCentre(), State: state,
 	}); err != nil {
 		var superseded *membership.SupersededError
 		if !errors.As(err, &superseded) {
@@ -214,9 +211,9 @@
 // RunningEntryHosts returns the ids of the entry hosts that serve callers and whose last heartbeat is recent.
 func RunningEntryHosts(now time.Time, r Registry) []string {
 	var ids []string
-	for _, host := range r.Servers(entryHostService) {
+	for _, host := range r.EntryHosts() {
 		if host.State == backend.Ready && now.Sub(host.Renewed) < HeartbeatExpiry {
-			ids = append(ids, host.Instance)
+			ids = append(ids, host.ID)
 		}
 	}
 	return ids
--- a/internal/attach/tracker.go
+++ b/internal/attach/tracker.go
@@ -196,16 +196,18 @@
 // their departure.
 func (t *tracker) syncWithRegistry(now time.Time) {
 	var late []backend.Server
+	serving := 0
+	for _, h := range t.opts.Registry.EntryHosts() {
+		if h.State == backend.Ready && now.Sub(h.Renewed) < missedHostRetention {
+			serving++
+		}
+	}
 	t.mu.Lock()
+	t.entryHostCount = serving
 	t.departures.expire(now)
 	t.recorded.retain(func(instance string) bool { _, kept := t.departures.entries[instance]; return kept })
-	t.entryHostCount = 0
 	t.opts.Registry.EachServer(func(b backend.Server) {
 		switch {
-		case b.Service == entryHostService:
-			if b.State == backend.Ready && now.Sub(b.Renewed) < missedHostRetention {
-				t.entryHostCount++
-			}
 		case b.State >= backend.Draining:
 			t.departures.record(now, b.Instance, b.Incarnation)
 		case t.departures.covers(b.Instance, b.Incarnation):
--- a/internal/membership/exchange.go
+++ b/internal/membership/exchange.go
@@ -109,7 +109,7 @@
 		}
 	}
 	for _, key := range r.GetWantServers() {
-		if e, ok := s.servers.byKey[key]; ok && now.Sub(e.Renewed) <= serverShareMaxAge {
+		if e, ok := s.gossiped.byKey[key]; ok && now.Sub(e.Renewed) <= serverShareMaxAge {
 			reply.Servers = append(reply.Servers, serverMessageWithAges(now, e))
 		}
 	}
--- a/internal/membership/serve.go
+++ b/internal/membership/serve.go
@@ -81,6 +81,19 @@
 	return r.recordAnnouncement(server)
 }
 
+// AnnounceEntryHost records the heartbeat that an entry host just sent to this node. Errors: MalformedError,
+// SupersededError.
+func (r *Runner) AnnounceEntryHost(h EntryHost) (err error) {
+	r.withState(func(s *State, now time.Time) { err = s.AnnounceEntryHost(now, h) })
+	return err
+}
+
+// EntryHosts returns the attached entry hosts whose last heartbeat is less than a minute old, ordered by id.
+func (r *Runner) EntryHosts() (hosts []EntryHost) {
+	r.withState(func(s *State, now time.Time) { hosts = s.EntryHosts(now) })
+	return hosts
+}
+
 // MarkServer records that a backend server drains or has left, for all its services. An incarnation of
 // 0 covers every known one. It returns the services of the matching entries.
 func (r *Runner) MarkServer(instance string, incarnation uint64, state backend.State) (services []string) {
@@ -171,7 +184,7 @@
 	server.Renewed = announcedAt
 	server.ReadySince = announcedAt
 	request.ReferenceMs = reply.GetClockMs()
-	request.Servers = []*fleetpb.Server{serverMessageWithAges(receivedAt, &serverEntry{Server: server, version: 1})}
+	request.Servers = []*fleetpb.Server{serverMessageWithAges(receivedAt, &serverEntry{Server: server, kind: fleetpb.EntryKind_ENTRY_KIND_BACKEND_SERVER, version: 1})}
 	_, _, err = r.sendGossip(ctx, h.FleetAddress, request)
 	return err == nil
 }
--- a/internal/membership/servers.go
+++ b/internal/membership/servers.go
@@ -34,15 +34,28 @@
 	_, _ = d.WriteString(e.Instance)
 	_, _ = d.Write(numbers[:])
 	_, _ = d.WriteString(e.Address)
+	if e.kind == fleetpb.EntryKind_ENTRY_KIND_ENTRY_HOST {
+		// The keys of backend servers stay those of former versions.
+		_, _ = d.Write([]byte{0, byte(e.kind)})
+	}
 	return d.Sum64()
 }
 
+// table returns the table of the entries of a kind.
+func (s *State) table(kind fleetpb.EntryKind) *serverTable {
+	if kind == fleetpb.EntryKind_ENTRY_KIND_ENTRY_HOST {
+		return s.entryHosts
+	}
+	return s.servers
+}
+
 func (s *State) putServer(e *serverEntry) {
-	if old, ok := s.servers.entries[e.id()]; ok && old.Incarnation == e.Incarnation {
+	table := s.table(e.kind)
+	if old, ok := table.entries[e.id()]; ok && old.Incarnation == e.Incarnation {
 		invariant.Check(!e.Renewed.Before(old.Renewed), "membership.age-never-falls-back",
 			"the renewal of %s/%s went back by %v", e.Service, e.Instance, old.Renewed.Sub(e.Renewed))
 	}
-	s.servers.put(e)
+	table.put(e)
 }
 
 // Announce records an announcement that a backend server made to a node of the fleet. announcedAt is
@@ -51,16 +64,44 @@
 	if err := checkAnnouncement(a); err != nil {
 		return err
 	}
+	return s.announce(announcedAt, a, fleetpb.EntryKind_ENTRY_KIND_BACKEND_SERVER)
+}
+
+// AnnounceEntryHost records the heartbeat that an entry host sent to this node. Errors: MalformedError,
+// SupersededError.
+func (s *State) AnnounceEntryHost(now time.Time, h EntryHost) error {
+	a := backend.Server{Instance: h.ID, Incarnation: h.Incarnation, Address: h.Address, DataCentre: h.DataCentre, State: h.State}
+	const kind = fleetpb.EntryKind_ENTRY_KIND_ENTRY_HOST
+	if err := checkServer(serverMessage(&serverEntry{Server: a, kind: kind})); err != nil {
+		return err
+	}
+	return s.announce(now, a, kind)
+}
+
+// EntryHosts returns the attached entry hosts whose last heartbeat is less than a minute old, ordered by id.
+func (s *State) EntryHosts(now time.Time) []EntryHost {
+	entries := s.entryHosts.ofService("")
+	list := make([]EntryHost, 0, len(entries))
+	for _, e := range entries {
+		if now.Sub(e.Renewed) < serverRetention {
+			list = append(list, e.entryHost())
+		}
+	}
+	return list
+}
+
+func (s *State) announce(announcedAt time.Time, a backend.Server, kind fleetpb.EntryKind) error {
 	a.Renewed = announcedAt
 	a.ReadySince = announcedAt
+	table := s.table(kind)
 	if a.State != backend.Left {
-		if newer := s.supersedeAddress(a); newer != nil {
+		if newer := s.supersedeAddress(table, a); newer != nil {
 			return &SupersededError{Service: a.Service, Instance: a.Instance, Known: newer.Incarnation}
 		}
 	}
-	old, ok := s.servers.entries[serverID{a.Service, a.Instance}]
+	old, ok := table.entries[serverID{a.Service, a.Instance}]
 	if !ok || a.Incarnation > old.Incarnation {
-		s.putServer(&serverEntry{Server: a, version: 1})
+		s.putServer(&serverEntry{Server: a, kind: kind, version: 1})
 		return nil
 	}
 	if a.Incarnation < old.Incarnation || old.State == backend.Left {
@@ -80,7 +121,7 @@
 	if contentDiffers(a, old.Server) {
 		version++
 	}
-	s.putServer(&serverEntry{Server: a, version: version})
+	s.putServer(&serverEntry{Server: a, kind: kind, version: version})
 	return nil
 }
 
@@ -127,12 +168,12 @@
 	return services
 }
 
-// supersedeAddress marks entries of other servers with the same address and a lower incarnation as
+// supersedeAddress marks other entries of the table with the same address and a lower incarnation as
 // left, since their processes have ended. It returns the entry with a higher incarnation that has the address, or
 // nil. A service that is not configured shows nothing about the servers of one that is: whoever announces it need not
 // be a backend server.
-func (s *State) supersedeAddress(a backend.Server) (newer *serverEntry) {
-	for _, old := range s.servers.byAddress.get(a.Address) {
+func (s *State) supersedeAddress(table *serverTable, a backend.Server) (newer *serverEntry) {
+	for _, old := range table.byAddress.get(a.Address) {
 		if old.id() == (serverID{a.Service, a.Instance}) || old.State == backend.Left {
 			continue
 		}
@@ -172,7 +213,7 @@
 	if now.Sub(e.Renewed) > serverShareMaxAge {
 		return
 	}
-	old, ok := s.servers.entries[e.id()]
+	old, ok := s.table(e.kind).entries[e.id()]
 	if !ok || e.Incarnation > old.Incarnation {
 		s.putServer(e)
 		return
@@ -199,7 +240,7 @@
 // renewServer applies an age from the reply to a request that was sent at the given time. known is
 // false if this node has no entry with the key.
 func (s *State) renewServer(sent time.Time, key uint64, age uint32, load byte) (known bool) {
-	e, ok := s.servers.byKey[key]
+	e, ok := s.gossiped.byKey[key]
 	if !ok {
 		return false
 	}
@@ -213,7 +254,7 @@
 
 // sharedServers returns the entries to pass on, in ascending order of their keys, and their digest.
 func (s *State) sharedServers(now time.Time) (entries []*serverEntry, digest uint64) {
-	all := s.servers.ordered()
+	all := s.gossiped.ordered()
 	outdated := func(e *serverEntry) bool { return now.Sub(e.Renewed) > serverShareMaxAge }
 	entries = all
 	if slices.ContainsFunc(all, outdated) {
@@ -232,7 +273,7 @@
 }
 
 func serverMessage(e *serverEntry) *fleetpb.Server {
-	return &fleetpb.Server{
+	m := &fleetpb.Server{
 		Service:     e.Service,
 		Instance:    e.Instance,
 		Incarnation: e.Incarnation,
@@ -244,6 +285,23 @@
 		WarmUpMs:    e.WarmUp.Milliseconds(),
 		Load:        e.Load,
 		Version:     e.version,
+		Kind:        e.kind,
+	}
+	if e.kind == fleetpb.EntryKind_ENTRY_KIND_ENTRY_HOST {
+		m.Service = formerEntryHostService
+	}
+	return m
+}
+
+// entryKind returns what the message describes.
+func entryKind(m *fleetpb.Server) fleetpb.EntryKind {
+	switch {
+	case m.GetKind() != fleetpb.EntryKind_ENTRY_KIND_UNSPECIFIED:
+		return m.GetKind()
+	case m.GetService() == formerEntryHostService:
+		return fleetpb.EntryKind_ENTRY_KIND_ENTRY_HOST
+	default:
+		return fleetpb.EntryKind_ENTRY_KIND_BACKEND_SERVER
 	}
 }
 
@@ -257,7 +315,8 @@
 }
 
 func serverFromMessage(reference time.Time, m *fleetpb.Server) *serverEntry {
-	return &serverEntry{
+	e := &serverEntry{
+		kind: entryKind(m),
 		Server: backend.Server{
 			Service:     m.GetService(),
 			Instance:    m.GetInstance(),
@@ -274,4 +333,8 @@
 		},
 		version: m.GetVersion(),
 	}
+	if e.kind == fleetpb.EntryKind_ENTRY_KIND_ENTRY_HOST {
+		e.Service = ""
+	}
+	return e
 }
--- a/internal/membership/servertable.go
+++ b/internal/membership/servertable.go
@@ -5,20 +5,52 @@
 	"slices"
 )
 
-// serverTable holds the entries of the backend servers and finds them by several keys. Announcements and gossip
+// serverTable holds the entries of one kind and finds them by several keys. Announcements and gossip
 // renew entries far more often than they change them, so lists are kept in order and computed again only after a
 // change. Entries are modified by put only. The table is not safe for concurrent use.
 type serverTable struct {
 	entries    map[serverID]*serverEntry
-	byKey      map[uint64]*serverEntry
 	byAddress  entryIndex
 	byInstance entryIndex
 	// byService holds the entries of each service, ordered by instance; a service is missing after a change.
 	byService map[string][]*serverEntry
+	// shared holds the entries of all tables.
+	shared *gossipIndex
+}
+
+// gossipIndex holds the entries of several tables as gossip exchanges them. It is not safe for concurrent use.
+type gossipIndex struct {
+	byKey map[uint64]*serverEntry
 	// inKeyOrder holds all entries in ascending order of their keys; nil after a change.
 	inKeyOrder []*serverEntry
 }
 
+func newGossipIndex() *gossipIndex {
+	return &gossipIndex{byKey: map[uint64]*serverEntry{}}
+}
+
+func (x *gossipIndex) add(e *serverEntry) {
+	x.byKey[e.key] = e
+	x.inKeyOrder = nil
+}
+
+func (x *gossipIndex) remove(e *serverEntry) {
+	delete(x.byKey, e.key)
+	x.inKeyOrder = nil
+}
+
+// ordered returns all entries in ascending order of their keys. The list must not be modified.
+func (x *gossipIndex) ordered() []*serverEntry {
+	if x.inKeyOrder == nil {
+		x.inKeyOrder = make([]*serverEntry, 0, len(x.byKey))
+		for _, e := range x.byKey {
+			x.inKeyOrder = append(x.inKeyOrder, e)
+		}
+		slices.SortFunc(x.inKeyOrder, func(a, b *serverEntry) int { return cmp.Compare(a.key, b.key) })
+	}
+	return x.inKeyOrder
+}
+
 // entryIndex holds the entries that have the same value of a field.
 type entryIndex map[string][]*serverEntry
 
@@ -38,13 +70,13 @@
 	return x[value]
 }
 
-func newServerTable() *serverTable {
+func newServerTable(shared *gossipIndex) *serverTable {
 	return &serverTable{
 		entries:    map[serverID]*serverEntry{},
-		byKey:      map[uint64]*serverEntry{},
 		byAddress:  entryIndex{},
 		byInstance: entryIndex{},
 		byService:  map[string][]*serverEntry{},
+		shared:     shared,
 	}
 }
 
@@ -60,24 +92,19 @@
 		t.drop(old)
 	}
 	t.entries[e.id()] = e
-	t.byKey[e.key] = e
 	t.byAddress.add(e.Address, e)
 	t.byInstance.add(e.Instance, e)
-	t.forgetOrder(e)
+	delete(t.byService, e.Service)
+	t.shared.add(e)
 }
 
 // drop removes the entry.
 func (t *serverTable) drop(e *serverEntry) {
 	delete(t.entries, e.id())
-	delete(t.byKey, e.key)
 	t.byAddress.remove(e.Address, e)
 	t.byInstance.remove(e.Instance, e)
-	t.forgetOrder(e)
-}
-
-func (t *serverTable) forgetOrder(e *serverEntry) {
 	delete(t.byService, e.Service)
-	t.inKeyOrder = nil
+	t.shared.remove(e)
 }
 
 // ofService returns the entries of a service, ordered by instance. The list must not be modified.
@@ -95,15 +122,3 @@
 	t.byService[service] = list
 	return list
 }
-
-// ordered returns all entries in ascending order of their keys. The list must not be modified.
-func (t *serverTable) ordered() []*serverEntry {
-	if t.inKeyOrder == nil {
-		t.inKeyOrder = make([]*serverEntry, 0, len(t.entries))
-		for _, e := range t.entries {
-			t.inKeyOrder = append(t.inKeyOrder, e)
-		}
-		slices.SortFunc(t.inKeyOrder, func(a, b *serverEntry) int { return cmp.Compare(a.key, b.key) })
-	}
-	return t.inKeyOrder
-}
--- a/internal/membership/servertable_test.go
+++ b/internal/membership/servertable_test.go
@@ -16,7 +16,7 @@
 func TestServerTableFollowsChanges(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		g := NewWithT(t)
-		table := newServerTable()
+		table := newServerTable(newGossipIndex())
 		want := map[serverID]serverEntry{}
 		for range rapid.IntRange(1, 60).Draw(t, "steps") {
 			e := serverEntry{Server: backend.Server{
@@ -62,7 +62,7 @@
 	}
 	byKey := func(a, b serverEntry) int { return cmp.Compare(a.key, b.key) }
 	byInstance := func(a, b serverEntry) int { return cmp.Compare(a.Instance, b.Instance) }
-	g.Expect(values(table.ordered())).To(Equal(selected(func(serverEntry) bool { return true }, byKey)))
+	g.Expect(values(table.shared.ordered())).To(Equal(selected(func(serverEntry) bool { return true }, byKey)))
 	for _, service := range []string{"booking", "catalogue"} {
 		g.Expect(values(table.ofService(service))).To(Equal(selected(func(e serverEntry) bool { return e.Service == service }, byInstance)))
 	}
@@ -78,5 +78,5 @@
 		slices.SortFunc(got, byKey)
 		g.Expect(got).To(Equal(selected(func(e serverEntry) bool { return e.Instance == instance }, byKey)))
 	}
-	g.Expect(table.byKey).To(HaveLen(len(want)))
+	g.Expect(table.shared.byKey).To(HaveLen(len(want)))
 }
--- a/internal/membership/state.go
+++ b/internal/membership/state.go
@@ -19,6 +19,11 @@
 	nodes      map[string]*nodeEntry
 	nodesByKey map[uint64]*nodeEntry
 	servers    *serverTable
+	// entryHosts holds the entry hosts that are attached to control hosts. No announcement of a backend server reaches
+	// them, whatever it names.
+	entryHosts *serverTable
+	// gossiped holds the entries of servers and entryHosts.
+	gossiped *gossipIndex
 	// lastRoundTrip is when the last complete round trip with another node ended.
 	lastRoundTrip time.Time
 	// fleet is what the configuration in force says of the services; nil before the first one.
@@ -33,13 +38,16 @@
 
 // NewState returns the state of a node that knows only itself.
 func NewState(now time.Time, self Identity, random *rand.Rand) *State {
+	gossiped := newGossipIndex()
 	s := &State{
 		id:            self.ID,
 		start:         now,
 		random:        random,
 		nodes:         map[string]*nodeEntry{},
 		nodesByKey:    map[uint64]*nodeEntry{},
-		servers:       newServerTable(),
+		servers:       newServerTable(gossiped),
+		entryHosts:    newServerTable(gossiped),
+		gossiped:      gossiped,
 		lastRoundTrip: now,
 	}
 	s.putNode(now, &fleetpb.Node{
@@ -269,9 +277,11 @@
 			s.expireNode(now, e)
 		}
 	}
-	for _, e := range s.servers.entries {
-		if now.Sub(e.Renewed) > serverRetention {
-			s.servers.drop(e)
+	for _, table := range []*serverTable{s.servers, s.entryHosts} {
+		for _, e := range table.entries {
+			if now.Sub(e.Renewed) > serverRetention {
+				table.drop(e)
+			}
 		}
 	}
 }
--- a/internal/membership/types.go
+++ b/internal/membership/types.go
@@ -92,17 +92,42 @@
 	localSuspicion bool
 }
 
+// EntryHost is an entry host that attaches to the control hosts and takes no part in gossip itself.
+type EntryHost struct {
+	ID string
+	// Incarnation increases with each start of the process.
+	Incarnation uint64
+	// Address is the ip:port for callers.
+	Address    string
+	DataCentre string
+	State      backend.State
+	// Renewed is the time of the last heartbeat on this node's monotonic clock, never later than the actual one.
+	Renewed time.Time
+}
+
+// formerEntryHostService is the service name by which former versions tell entry hosts from backend servers. It is
+// still sent with entry hosts, and ignored unless the sender states no kind.
+const formerEntryHostService = "entry hosts"
+
 type serverID struct {
 	service  string
 	instance string
 }
 
+// serverEntry is the entry of a backend server or, without a service, of an entry host.
 type serverEntry struct {
 	backend.Server
+	kind    fleetpb.EntryKind
 	version uint64
 	key     uint64
 }
 
+func (e *serverEntry) entryHost() EntryHost {
+	return EntryHost{
+		ID: e.Instance, Incarnation: e.Incarnation, Address: e.Address, DataCentre: e.DataCentre, State: e.State, Renewed: e.Renewed,
+	}
+}
+
 func (e *serverEntry) id() serverID {
 	return serverID{e.Service, e.Instance}
 }
--- a/internal/membership/validate.go
+++ b/internal/membership/validate.go
@@ -83,6 +83,9 @@
 }
 
 func checkServer(s *fleetpb.Server) error {
+	if s.GetKind() < fleetpb.EntryKind_ENTRY_KIND_UNSPECIFIED || s.GetKind() > fleetpb.EntryKind_ENTRY_KIND_ENTRY_HOST {
+		return malformed("server.kind", "is unknown")
+	}
 	if err := checkName("server.service", s.GetService()); err != nil {
 		return err
 	}
