Departures: confirmed only once they are on the disks of a majority

The withdrawal of a server was confirmed, all processes were killed and back within a second, and a late heartbeat put the server back into use: requests reached it until it ended.

Cause: departures were confirmed from the memory of a majority, which is gone when all processes end. A host counted as knowing all departures 3 s after any start.

A confirmation needs durable copies at a majority, and that the dispatchers have stopped. A host that has lost its disk counts towards no majority until it has polled a majority of the others. A departure that is stated again after 30 s is written anew, so a confirmation holds for 30 s or more. A late heartbeat is looked up before it is recorded.

--- a/internal/agreement/replica.go
+++ b/internal/agreement/replica.go
@@ -284,6 +284,14 @@
 	return nil
 }
 
+// OpenedEmpty reports whether the folder held no journal when the replica was created: at the first start of a fleet, for
+// a new member, and after the loss of the disk.
+func (r *Replica) OpenedEmpty() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.openedSequence == 0
+}
+
 // Status returns the current state.
 func (r *Replica) Status() Status {
 	r.mu.Lock()
--- a/internal/app/discovery.go
+++ b/internal/app/discovery.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/http"
+	"path/filepath"
 	"sync"
 	"time"
 
@@ -26,6 +27,7 @@
 	"github.com/tarragonmux/tarragonmux/internal/membership"
 	"github.com/tarragonmux/tarragonmux/internal/settings"
 	"github.com/tarragonmux/tarragonmux/internal/shard"
+	"github.com/tarragonmux/tarragonmux/internal/storage"
 	"github.com/tarragonmux/tarragonmux/internal/transport"
 	"github.com/tarragonmux/tarragonmux/proto/configpb"
 	"github.com/tarragonmux/tarragonmux/proto/dispatchpb"
@@ -212,23 +214,31 @@
 	return newDispatcher(lc, b, s, newDocumentSettings(holder.document, s), m, e, running, registry, logger)
 }
 
-func newAttachServer(lc fx.Lifecycle, b *background, i incarnation, s *settings.Settings, m *membership.Runner, e *election.Runner, source hostset.Source, holder *logHolder, pool *transport.Pool, registry *prometheus.Registry, logger *log.Logger) (*attach.Server, error) {
+func newAttachServer(lc fx.Lifecycle, b *background, i incarnation, s *settings.Settings, replica *agreement.Replica, m *membership.Runner, e *election.Runner, source hostset.Source, holder *logHolder, pool *transport.Pool, registry *prometheus.Registry, logger *log.Logger) (*attach.Server, error) {
 	metrics, err := attach.NewServerMetrics(registry)
 	if err != nil {
 		return nil, err
 	}
-	server := attach.NewServer(attach.ServerOptions{
-		ID:          s.ID,
-		Address:     s.Fleet.Advertise,
-		Registry:    m,
-		Elections:   e,
-		Source:      source,
-		Revision:    func() uint64 { return holder.document().GetRevision() },
-		Peers:       attach.NewPeers(pool),
+	server, err := attach.NewServer(attach.ServerOptions{
+		ID:        s.ID,
+		Address:   s.Fleet.Advertise,
+		Registry:  m,
+		Elections: e,
+		Source:    source,
+		Revision:  func() uint64 { return holder.document().GetRevision() },
+		Peers:     attach.NewPeers(pool),
+		Departures: &attach.DepartureFolder{
+			FS:       storage.NewFS(),
+			Path:     filepath.Join(s.DataFolder, "departures"),
+			DiskLost: s.Discovery.Join && replica.OpenedEmpty(),
+		},
 		Incarnation: uint64(i),
 		Metrics:     metrics,
 		Logger:      logger,
 	})
+	if err != nil {
+		return nil, err
+	}
 	startComponent(lc, b, "departures", server.Run)
 	return server, nil
 }
--- a/internal/attach/attach_test.go
+++ b/internal/attach/attach_test.go
@@ -88,6 +88,15 @@
 	return []string{s.Service}
 }
 
+// startServer returns a server; one that does not start is a mistake of the test.
+func startServer(o attach.ServerOptions) *attach.Server {
+	s, err := attach.NewServer(o)
+	if err != nil {
+		panic(err)
+	}
+	return s
+}
+
 type elections struct{ holder leadership.Holder }
 
 func (e elections) Held(string) (leadership.Lease, bool) { return leadership.Lease{}, false }
@@ -136,7 +145,7 @@
 	for _, address := range up {
 		m.up[address] = true
 	}
-	s := attach.NewServer(attach.ServerOptions{
+	s := startServer(attach.ServerOptions{
 		ID: "a", Address: "a:1", Registry: r, Source: source{}, Peers: m, Logger: logging.Discard(),
 		Elections: elections{leadership.Holder{Node: dispatcher, Address: dispatcher + ":1", Term: 3}},
 		Revision:  func() uint64 { return 9 },
--- a/internal/attach/confirmation.go
+++ b/internal/attach/confirmation.go
@@ -19,8 +19,8 @@
 // may have changed.
 const recheckInterval = 100 * time.Millisecond
 
-// ErrNotConfirmed means that the dispatcher or a majority of the control group has not confirmed a
-// departure.
+// ErrNotConfirmed means that the dispatcher has not confirmed a departure, or that it is not durable at a majority of the
+// control group.
 var ErrNotConfirmed = errors.New("the control hosts could not be told; send it again, best to another control host")
 
 // callerGoneWait is how long a withdrawal that names no process waits for the end of its connection or call. A host
@@ -32,7 +32,7 @@
 var ErrSenderGone = errors.New("the sender has disconnected; state the incarnation of the process that leaves")
 
 // RecordDeparture marks a backend server as draining or left and returns nil once the dispatchers of
-// its services and a majority of the control group have confirmed the mark. Every other control host
+// its services have confirmed the mark and it is on the disks of a majority of the control group. Every other control host
 // polls a majority before it reports its departures to an entry host as current, so within pollInterval
 // and a heartbeat all hosts that may send requests to the server know it too. An incarnation of 0 stands for all known
 // processes, if the sender still waits. Errors: ErrNotConfirmed, ErrSenderGone, MalformedError.
@@ -56,8 +56,9 @@
 	}
 	s.tracker.noteConfirmed(instance, incarnation, state)
 	if c.isNew || !c.repeated && len(c.requested) > 0 {
+		told, durable := c.confirmations()
 		s.opts.Logger.Info("took a backend server out", "instance", instance, "incarnation", incarnation,
-			"state", state.String(), "services", c.services, "told", c.confirmations(), "took_ms", took.Milliseconds())
+			"state", state.String(), "services", c.services, "told", told, "durable_at", durable, "took_ms", took.Milliseconds())
 	}
 	return nil
 }
@@ -88,8 +89,9 @@
 	changed chan struct{}
 
 	mu sync.Mutex
-	// confirmedBy holds the fleet addresses of the control hosts that have confirmed the mark.
-	confirmedBy map[string]bool
+	// confirmedBy holds the fleet addresses of the control hosts that give the server no new work; durableAt those of
+	// them at which the mark is durable.
+	confirmedBy, durableAt map[string]bool
 	// ended is set once RecordDeparture has returned.
 	ended bool
 }
@@ -100,11 +102,11 @@
 		server: s, mark: &fleetpb.Mark{Instance: instance, Incarnation: incarnation, State: fleetpb.ServerState(state)},
 		services: services, isNew: isNew || state == backend.Left, repeated: s.tracker.wasConfirmed(instance, incarnation, state),
 		requested: map[string]bool{}, changed: make(chan struct{}, 1),
-		confirmedBy: map[string]bool{s.opts.Address: true},
+		confirmedBy: map[string]bool{s.opts.Address: true}, durableAt: map[string]bool{},
 	}
 	if state == backend.Draining && incarnation > 0 {
 		for _, address := range s.tracker.recordedBy(instance, incarnation) {
-			c.confirmedBy[address] = true
+			c.confirmedBy[address], c.durableAt[address] = true, true
 		}
 	}
 	return c
@@ -112,6 +114,7 @@
 
 // await tells the control hosts and waits until enough of them have confirmed. Errors: ErrNotConfirmed.
 func (c *departureConfirmation) await(ctx context.Context) error {
+	durableChange := c.checkOwnDisk()
 	if c.confirmed() {
 		return nil
 	}
@@ -123,6 +126,8 @@
 		case <-ctx.Done():
 			return ErrNotConfirmed
 		case <-c.changed:
+		case <-durableChange:
+			durableChange = c.checkOwnDisk()
 		case <-ticker.C:
 			c.requestMarks()
 		}
@@ -130,6 +135,19 @@
 	return nil
 }
 
+// checkOwnDisk counts this host once the mark is durable here. Otherwise it returns a channel that is closed when that
+// may have changed.
+func (c *departureConfirmation) checkOwnDisk() <-chan struct{} {
+	changed := c.server.tracker.durableChange()
+	if !c.server.tracker.isDurable(c.mark.GetInstance(), c.mark.GetIncarnation()) {
+		return changed
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.durableAt[c.server.opts.Address] = true
+	return nil
+}
+
 // requestMarks tells the control hosts that have not been told.
 func (c *departureConfirmation) requestMarks() {
 	for _, address := range c.pendingControlHosts() {
@@ -140,10 +158,13 @@
 	}
 }
 
-// confirmedAt records that a control host has confirmed the mark.
-func (c *departureConfirmation) confirmedAt(address string) {
+// confirmedAt records that a control host has confirmed the mark, and whether it is durable there.
+func (c *departureConfirmation) confirmedAt(address string, durable bool) {
 	c.mu.Lock()
 	c.confirmedBy[address] = true
+	if durable {
+		c.durableAt[address] = true
+	}
 	c.mu.Unlock()
 	select {
 	case c.changed <- struct{}{}:
@@ -157,11 +178,18 @@
 	return c.confirmedBy[address]
 }
 
-// confirmations returns the number of control hosts that have confirmed, including this one.
-func (c *departureConfirmation) confirmations() int {
+func (c *departureConfirmation) isDurableAt(address string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.durableAt[address]
+}
+
+// confirmations returns the number of control hosts that have confirmed, including this one, and at how many of them the
+// mark is durable.
+func (c *departureConfirmation) confirmations() (confirmed, durable int) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return len(c.confirmedBy)
+	return len(c.confirmedBy), len(c.durableAt)
 }
 
 func (c *departureConfirmation) end() {
@@ -176,15 +204,15 @@
 	return c.ended
 }
 
-// confirmed reports whether enough hosts have confirmed: a majority of the control group, also of the
+// confirmed reports whether enough hosts have confirmed: a majority of the control group durably, also of the
 // previous one after a change of hosts, and the dispatchers of all affected services.
 func (c *departureConfirmation) confirmed() bool {
 	fleet := c.server.opts.Source.Fleet()
 	return fleet != nil && c.hasMajorities(fleet) && len(c.missingDispatchers(fleet)) == 0
 }
 
-// hasMajorities reports whether a majority of the control group has confirmed, also of the previous one after a change of
-// hosts.
+// hasMajorities reports whether the mark is durable at a majority of the control group, also of the previous one after a
+// change of hosts.
 func (c *departureConfirmation) hasMajorities(fleet *hostset.Fleet) bool {
 	return c.hasMajority(fleet.Hosts) && (len(fleet.PreviousHosts) == 0 || c.hasMajority(fleet.PreviousHosts))
 }
@@ -211,19 +239,19 @@
 func (c *departureConfirmation) hasMajority(group []hostset.Host) bool {
 	count := 0
 	for _, h := range group {
-		if c.hasConfirmed(h.FleetAddress) {
+		if c.isDurableAt(h.FleetAddress) {
 			count++
 		}
 	}
 	return 2*count > len(group)
 }
 
-// pendingControlHosts lists the control hosts to tell that have not confirmed the mark: all of them if the departure is
+// pendingControlHosts lists the other control hosts to tell: all at which the mark is not durable if the departure is
 // new to this host, and otherwise those that must confirm it.
 func (c *departureConfirmation) pendingControlHosts() []string {
 	var list []string
 	add := func(address string) {
-		if address != "" && !c.hasConfirmed(address) && !slices.Contains(list, address) {
+		if address != "" && address != c.server.opts.Address && !c.isDurableAt(address) && !slices.Contains(list, address) {
 			list = append(list, address)
 		}
 	}
@@ -234,7 +262,7 @@
 			}
 		}
 		for _, part := range fleet.Services {
-			if h, ok := c.server.opts.Elections.Dispatcher(part.Name); ok && c.concerns(part.Name) {
+			if h, ok := c.server.opts.Elections.Dispatcher(part.Name); ok && c.concerns(part.Name) && !c.hasConfirmed(h.Address) {
 				add(h.Address)
 			}
 		}
@@ -253,7 +281,8 @@
 // logUnconfirmed logs why a departure was not confirmed before the context ended. A sender that disconnects says
 // nothing about the control hosts, as when a server announces its departure again in its last moment.
 func (c *departureConfirmation) logUnconfirmed(ctx context.Context, waited time.Duration) {
-	fields := []any{"instance", c.mark.GetInstance(), "repeated", c.repeated, "waited_ms", waited.Milliseconds(), "told", c.confirmations()}
+	told, durable := c.confirmations()
+	fields := []any{"instance", c.mark.GetInstance(), "repeated", c.repeated, "waited_ms", waited.Milliseconds(), "told", told, "durable_at", durable}
 	if errors.Is(ctx.Err(), context.Canceled) {
 		c.server.opts.Logger.Info("the sender of a departure disconnected before it was confirmed", fields...)
 		return
--- a/internal/attach/departureload_test.go
+++ b/internal/attach/departureload_test.go
@@ -111,7 +111,7 @@
 	}
 	first := b.fleet.Hosts[0]
 	for i, h := range b.fleet.Hosts {
-		b.servers = append(b.servers, attach.NewServer(attach.ServerOptions{
+		b.servers = append(b.servers, startServer(attach.ServerOptions{
 			ID: h.ID, Address: h.FleetAddress, Registry: &registry{servers: map[string]backend.Server{}}, Source: b, Peers: b,
 			Elections:   elections{leadership.Holder{Node: first.ID, Address: first.FleetAddress, Term: 3}},
 			Incarnation: uint64(10 + i), Revision: func() uint64 { return 9 }, Logger: logging.Discard(),
@@ -236,7 +236,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		g := NewWithT(t)
 		peers := &formerPeers{marked: map[string]bool{}}
-		s := attach.NewServer(attach.ServerOptions{
+		s := startServer(attach.ServerOptions{
 			ID: "a", Address: "a:1", Registry: &registry{servers: map[string]backend.Server{}}, Source: source{}, Peers: peers,
 			Elections: elections{leadership.Holder{Node: "b", Address: "b:1", Term: 3}}, Revision: func() uint64 { return 9 }, Logger: logging.Discard(),
 		})
--- a/internal/attach/departures_test.go
+++ b/internal/attach/departures_test.go
@@ -35,6 +35,39 @@
 	g.Expect(d.covers("i-1", 6)).To(BeTrue())
 }
 
+// A departure that a server states again, as late as half a minute after the first time, holds from then on: it must be
+// written again, and until then counts as durable only as of the first time.
+func TestRepeatedDeparturesAreRenewed(t *testing.T) {
+	g := NewWithT(t)
+	now := time.Unix(1000, 123456789)
+	d := newDepartures(7)
+	g.Expect(d.record(now, "i-1", 5)).To(BeTrue())
+	g.Expect(d.isDurable("i-1", 5)).To(BeFalse())
+	g.Expect(d.durableChangesSince(now, 7, 0).GetList()).To(BeEmpty(), "others may not count on it")
+	g.Expect(d.changesSince(7, 0).GetList()).To(HaveLen(1), "entry hosts stop using it")
+	d.markDurable("i-1", 5, time.UnixMilli(now.UnixMilli()))
+	g.Expect(d.isDurable("i-1", 5)).To(BeTrue())
+	seen := d.durableChangesSince(now, 7, 0).GetSeen()
+
+	again := now.Add(departureRenewal)
+	g.Expect(d.record(again.Add(-time.Millisecond), "i-1", 5)).To(BeFalse())
+	g.Expect(d.record(again, "i-1", 4)).To(BeTrue(), "a call of an earlier process")
+	g.Expect(d.covers("i-1", 5)).To(BeTrue())
+	g.Expect(d.isDurable("i-1", 5)).To(BeFalse())
+	list := d.durableChangesSince(again, 7, 0).GetList()
+	g.Expect(list).To(ConsistOf(HaveField("Incarnation", BeEquivalentTo(5))))
+	g.Expect(list[0].GetAgeMs()).To(BeEquivalentTo(departureRenewal.Milliseconds()))
+	d.markDurable("i-1", 5, time.UnixMilli(again.UnixMilli()))
+	g.Expect(d.isDurable("i-1", 5)).To(BeTrue())
+	g.Expect(d.durableChangesSince(again, 7, seen).GetList()).To(HaveLen(1), "other control hosts learn the new time")
+	d.expire(now.Add(departureRetention))
+	g.Expect(d.covers("i-1", 5)).To(BeTrue())
+
+	g.Expect(d.record(again, "i-1", 6)).To(BeTrue())
+	g.Expect(d.isDurable("i-1", 6)).To(BeFalse())
+	g.Expect(d.durableChangesSince(again, 7, 0).GetList()).To(ConsistOf(HaveField("Incarnation", BeEquivalentTo(5))))
+}
+
 // Guards against a control host that reports its departures as current although it has not polled a
 // majority since a confirmation: entry hosts would continue to use servers that drain.
 func TestCurrentDeparturesContainEveryConfirmedOne(t *testing.T) {
--- a/internal/attach/doc.go
+++ b/internal/attach/doc.go
@@ -16,8 +16,11 @@
 // the dispatcher, which sends only changes.
 //
 // A backend server that drains or leaves announces this to a control host, which responds once the
-// dispatcher of the service and a majority of the control group have taken the server out of use. The
-// confirmation therefore holds even if the control host that gave it fails immediately afterwards. One call
+// dispatcher of the service has taken the server out of use and the departure is on the disks of a majority of
+// the control group. The confirmation therefore holds even if all hosts fail immediately afterwards, and as many
+// disks with them as leave a majority. Departures that come while a disk syncs share its next sync. A control host
+// whose disk is slow, full or fails counts towards no majority until it has written its departures; one that has lost
+// its disk, until it has learned them from a majority of the others. Departures are kept for a minute. One call
 // to each control host is in progress at a time; departures that come in the meantime go together in the
 // next one, and a control host that responds late gets more time. A draining server repeats its
 // announcement until it ends; a control host then tells only those that are not known to have recorded the
--- /dev/null
+++ b/internal/attach/durability_test.go
@@ -0,0 +1,539 @@
+package attach_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"os"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"github.com/pkg/errors"
+
+	"github.com/tarragonmux/tarragonmux/internal/attach"
+	"github.com/tarragonmux/tarragonmux/internal/backend"
+	"github.com/tarragonmux/tarragonmux/internal/hostset"
+	"github.com/tarragonmux/tarragonmux/internal/leadership"
+	"github.com/tarragonmux/tarragonmux/internal/logging"
+	"github.com/tarragonmux/tarragonmux/internal/storage"
+	"github.com/tarragonmux/tarragonmux/proto/fleetpb"
+)
+
+// diskHost is a control host with a disk. Its registry is lost with its process; there is no gossip.
+type diskHost struct {
+	address  string
+	fs       *storage.MemFS
+	registry *registry
+	server   *attach.Server
+	stop     func()
+}
+
+// diskGroup is a control group of hosts with disks, of which any may be down. It is the fleet of its hosts.
+type diskGroup struct {
+	g     *WithT
+	fleet *hostset.Fleet
+	mu    sync.Mutex
+	hosts []*diskHost
+	// holder dispatches; its host may be down.
+	holder leadership.Holder
+	// inMemory keeps departures in memory only.
+	inMemory bool
+	// marks counts the calls that tell a host of departures.
+	marks int
+}
+
+func (d *diskGroup) Fleet() *hostset.Fleet { return d.fleet }
+
+// Held and Dispatcher implement leadership.Elections.
+func (d *diskGroup) Held(string) (leadership.Lease, bool) { return leadership.Lease{}, false }
+func (d *diskGroup) Dispatcher(string) (leadership.Holder, bool) {
+	return d.holder, d.holder.Node != ""
+}
+
+func (d *diskGroup) serverAt(address string) (*attach.Server, error) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	i := slices.IndexFunc(d.hosts, func(h *diskHost) bool { return h.address == address })
+	if d.hosts[i].server == nil {
+		return nil, errors.New("the host is down")
+	}
+	return d.hosts[i].server, nil
+}
+
+func (d *diskGroup) Mark(ctx context.Context, address string, r *fleetpb.MarkRequest) (*fleetpb.MarkReply, error) {
+	s, err := d.serverAt(address)
+	if err != nil {
+		return nil, err
+	}
+	d.mu.Lock()
+	d.marks++
+	d.mu.Unlock()
+	time.Sleep(linkDelay)
+	return s.Mark(ctx, r)
+}
+
+func (d *diskGroup) ListDepartures(ctx context.Context, address string, r *fleetpb.DeparturesRequest) (*fleetpb.Departures, error) {
+	s, err := d.serverAt(address)
+	if err != nil {
+		return nil, err
+	}
+	time.Sleep(linkDelay)
+	return s.ListDepartures(ctx, r)
+}
+
+// newDiskGroup returns a group whose hosts have not started.
+func newDiskGroup(g *WithT, hosts int) *diskGroup {
+	d := &diskGroup{g: g, fleet: &hostset.Fleet{Services: []hostset.Service{{Name: "cuefeed"}}}}
+	for i := range hosts {
+		address := fmt.Sprintf("c%02d:1", i)
+		d.fleet.Hosts = append(d.fleet.Hosts, hostset.Host{ID: address, FleetAddress: address})
+		d.hosts = append(d.hosts, &diskHost{address: address, fs: storage.NewMemFS()})
+	}
+	return d
+}
+
+// newServer returns the server of a new process at the host.
+func (d *diskGroup) newServer(i int, diskLost bool) *attach.Server {
+	h := d.hosts[i]
+	h.registry = &registry{servers: map[string]backend.Server{}}
+	o := attach.ServerOptions{
+		ID: h.address, Address: h.address, Registry: h.registry, Source: d, Peers: d, Elections: d,
+		Departures:  &attach.DepartureFolder{FS: h.fs, Path: "departures", DiskLost: diskLost},
+		Incarnation: uint64(time.Now().UnixMilli()), Revision: func() uint64 { return 9 }, Logger: logging.New(io.Discard, "error", true),
+	}
+	if d.inMemory {
+		o.Departures = nil
+	}
+	return startServer(o)
+}
+
+// start starts a process at the host.
+func (d *diskGroup) start(i int, diskLost bool) {
+	h := d.hosts[i]
+	s := d.newServer(i, diskLost)
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan struct{})
+	go func() {
+		_ = s.Run(ctx)
+		close(ended)
+	}()
+	h.stop = func() {
+		cancel()
+		<-ended
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	h.server = s
+}
+
+// kill ends the process at the host; if random is not nil, its machine loses power as well.
+func (d *diskGroup) kill(i int, random *rand.Rand) {
+	h := d.hosts[i]
+	d.mu.Lock()
+	h.server = nil
+	d.mu.Unlock()
+	if random != nil {
+		h.fs.LosePower(random)
+	} else {
+		h.fs.Kill()
+	}
+	h.stop()
+}
+
+func (d *diskGroup) killAll(random *rand.Rand) {
+	for i := range d.hosts {
+		if d.hosts[i].server != nil {
+			d.kill(i, random)
+		}
+	}
+}
+
+// files lists the files in which the host keeps departures.
+func (d *diskGroup) files(i int) (names []string) {
+	fs := d.hosts[i].fs
+	journals, err := fs.List("departures")
+	d.g.Expect(err).NotTo(HaveOccurred())
+	for _, journal := range journals {
+		list, err := fs.List("departures/" + journal)
+		d.g.Expect(err).NotTo(HaveOccurred())
+		for _, name := range list {
+			names = append(names, "departures/"+journal+"/"+name)
+		}
+	}
+	d.g.Expect(names).NotTo(BeEmpty())
+	return names
+}
+
+// end kills all processes and waits for the calls in progress.
+func (d *diskGroup) end() {
+	d.killAll(nil)
+	time.Sleep(departureBound)
+}
+
+func (d *diskGroup) startAll() {
+	for i := range d.hosts {
+		if d.hosts[i].server == nil {
+			d.start(i, false)
+		}
+	}
+}
+
+// announce sends an announcement or withdrawal to the host within the time for which a backend server waits.
+func (d *diskGroup) announce(i int, instance string, incarnation uint64, state backend.State) error {
+	s, err := d.serverAt(d.hosts[i].address)
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), responseWait)
+	defer cancel()
+	if state == backend.Left {
+		return s.RecordDeparture(ctx, instance, incarnation, state)
+	}
+	return s.Announce(ctx, backend.Server{
+		Service: "cuefeed", Instance: instance, Incarnation: incarnation, Address: "10.0.0.1:80", DataCentre: "a", State: state,
+	})
+}
+
+// departuresAt returns what an entry host learns from the host, and whether it counts as current.
+func (d *diskGroup) departuresAt(i int) (covered map[string]uint64, current bool) {
+	reply, err := d.hosts[i].server.Attach(context.Background(), &fleetpb.AttachRequest{Host: &fleetpb.Node{Id: "front-1", Incarnation: 1, EntryAddress: "10.0.1.1:80", DataCentre: "a"}})
+	d.g.Expect(err).NotTo(HaveOccurred())
+	covered = map[string]uint64{}
+	for _, e := range reply.GetDepartures().GetList() {
+		covered[e.GetInstance()] = e.GetIncarnation()
+	}
+	return covered, reply.GetDeparturesAgeMs() >= 0
+}
+
+// The power of all control hosts goes in the moment of the confirmation, and one disk with it. The host that lost its disk
+// must not pass for one that knows all departures before it has learned them.
+func TestConfirmedDeparturesOutliveTheLossOfPowerAndADisk(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := newDiskGroup(NewWithT(t), 3)
+		d.startAll()
+		defer d.end()
+		time.Sleep(5 * time.Second)
+		d.g.Expect(d.announce(0, "i-1", 5, backend.Draining)).To(Succeed())
+		d.killAll(rand.New(rand.NewPCG(53, 0)))
+		d.hosts[0].fs = storage.NewMemFS()
+		d.start(1, false)
+		// Its first process is killed before it has done anything. The next one finds files, but no departures.
+		d.newServer(0, true)
+		d.hosts[0].fs.Kill()
+		d.start(0, false)
+		time.Sleep(10 * time.Second)
+		_, current := d.departuresAt(0)
+		d.g.Expect(current).To(BeFalse(), "the third host may be the only other one that knows a departure")
+		_, current = d.departuresAt(1)
+		d.g.Expect(current).To(BeFalse())
+
+		// Once more, before it has learned anything.
+		d.kill(0, nil)
+		d.start(0, false)
+		time.Sleep(10 * time.Second)
+		_, current = d.departuresAt(0)
+		d.g.Expect(current).To(BeFalse(), "the file says that the disk was lost")
+
+		d.start(2, false)
+		time.Sleep(time.Second)
+		for i := range d.hosts {
+			covered, current := d.departuresAt(i)
+			d.g.Expect(current).To(BeTrue())
+			d.g.Expect(covered).To(HaveKeyWithValue("i-1", uint64(5)))
+			d.g.Expect(d.announce(i, "i-1", 5, backend.Ready)).To(Succeed())
+			d.g.Expect(d.hosts[i].registry.stateOf("i-1")).To(Equal(backend.Draining))
+			d.g.Expect(d.announce(i, "i-1", 6, backend.Ready)).To(Succeed())
+			d.g.Expect(d.hosts[i].registry.stateOf("i-1")).To(Equal(backend.Ready), "a new process")
+		}
+		d.kill(0, nil)
+		d.start(0, false)
+		covered, _ := d.departuresAt(0)
+		d.g.Expect(covered).To(HaveKey("i-1"), "what a host has learned is on its disk as well")
+	})
+}
+
+// A departure that is on too few disks must not be confirmed, and a few slow or full disks must not keep departures from
+// being confirmed: neither those of the host that is asked nor those of the dispatcher.
+func TestDeparturesNeedAMajorityOfDisks(t *testing.T) {
+	for _, c := range []struct {
+		name      string
+		bad       int
+		spoil     func(*storage.MemFS, bool)
+		confirmed bool
+	}{
+		{"stalled at two of five", 2, stall, true},
+		{"stalled at three of five", 3, stall, false},
+		{"full at two of five", 2, (*storage.MemFS).Fill, true},
+		{"full at three of five", 3, (*storage.MemFS).Fill, false},
+		{"failing at two of five", 2, (*storage.MemFS).FailSyncs, true},
+		{"failing at three of five", 3, (*storage.MemFS).FailSyncs, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				d := newDiskGroup(NewWithT(t), 5)
+				d.holder = leadership.Holder{Node: "c00:1", Address: "c00:1", Term: 3}
+				d.startAll()
+				defer d.end()
+				time.Sleep(5 * time.Second)
+				d.g.Expect(d.announce(0, "i-1", 5, backend.Ready)).To(Succeed())
+				for i := range c.bad {
+					c.spoil(d.hosts[i].fs, true)
+				}
+				for i := range d.hosts {
+					err := d.announce(i, "i-1", 5, backend.Draining)
+					d.g.Expect(err == nil).To(Equal(c.confirmed), "asked host %d: %v", i, err)
+				}
+				d.g.Expect(d.hosts[0].registry.stateOf("i-1")).To(Equal(backend.Draining), "it gets no new work in either case")
+
+				for i := range c.bad {
+					c.spoil(d.hosts[i].fs, false)
+				}
+				time.Sleep(stallTime + 2*time.Second)
+				d.g.Expect(d.announce(0, "i-1", 5, backend.Draining)).To(Succeed())
+				d.g.Expect(d.announce(1, "i-2", 5, backend.Left)).To(Succeed())
+				d.killAll(rand.New(rand.NewPCG(53, 1)))
+				d.startAll()
+				for i := range d.hosts {
+					covered, _ := d.departuresAt(i)
+					d.g.Expect(covered).To(HaveKey("i-1"), "host %d has written it once its disk works again", i)
+				}
+			})
+		})
+	}
+}
+
+// stallTime is how long a stalled disk hangs.
+const stallTime = 8 * time.Second
+
+func stall(fs *storage.MemFS, on bool) {
+	if on {
+		fs.DelaySyncs(stallTime)
+		return
+	}
+	fs.DelaySyncs(0)
+}
+
+// Departures are kept for a minute, over restarts too, and no longer: a server without a start time returns under its id.
+// The file must not grow with the servers that come and go.
+func TestKeptDeparturesExpire(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := newDiskGroup(NewWithT(t), 1)
+		d.startAll()
+		defer d.end()
+		time.Sleep(5 * time.Second)
+		d.g.Expect(d.announce(0, "i-1", 1, backend.Left)).To(Succeed())
+		time.Sleep(30 * time.Second)
+		d.kill(0, nil)
+		time.Sleep(10 * time.Second)
+		d.start(0, false)
+		d.g.Expect(d.announce(0, "i-1", 1, backend.Ready)).To(Succeed())
+		d.g.Expect(d.hosts[0].registry.stateOf("i-1")).To(Equal(backend.Draining))
+		d.kill(0, nil)
+		time.Sleep(21 * time.Second)
+		d.start(0, false)
+		d.g.Expect(d.announce(0, "i-1", 1, backend.Ready)).To(Succeed())
+		d.g.Expect(d.hosts[0].registry.stateOf("i-1")).To(Equal(backend.Ready))
+
+		const departures = 30_000
+		for n := range departures {
+			d.g.Expect(d.announce(0, fmt.Sprint("server-", n), 1760000000000, backend.Left)).To(Succeed())
+			time.Sleep(20 * time.Millisecond)
+		}
+		size := 0
+		names := d.files(0)
+		for _, name := range names {
+			data, err := d.hosts[0].fs.ReadFile(name)
+			d.g.Expect(err).NotTo(HaveOccurred())
+			size += len(data)
+		}
+		t.Logf("%d bytes in %d files after %d departures", size, len(names), departures)
+		d.g.Expect(size).To(BeNumerically("<", 1<<20))
+	})
+}
+
+// A damaged file is no file: the host learns the departures from the others before it counts.
+func TestDamagedFileOfDeparturesCountsAsLost(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := newDiskGroup(NewWithT(t), 3)
+		d.startAll()
+		defer d.end()
+		time.Sleep(5 * time.Second)
+		d.g.Expect(d.announce(0, "i-1", 5, backend.Left)).To(Succeed())
+		d.killAll(nil)
+		for _, name := range d.files(0) {
+			d.g.Expect(d.hosts[0].fs.Damage(name, 10)).To(Succeed())
+		}
+		d.start(0, false)
+		time.Sleep(10 * time.Second)
+		_, current := d.departuresAt(0)
+		d.g.Expect(current).To(BeFalse())
+		d.startAll()
+		time.Sleep(time.Second)
+		covered, current := d.departuresAt(0)
+		d.g.Expect(current).To(BeTrue())
+		d.g.Expect(covered).To(HaveKey("i-1"))
+	})
+}
+
+// durabilitySeeds returns the seeds of TestConfirmedDeparturesOutliveFaults: TARRAGONMUX_DURABLE_SEEDS, as in "1-50", or a
+// few.
+func durabilitySeeds(t *testing.T) (seeds []uint64) {
+	first, last, _ := strings.Cut(os.Getenv("TARRAGONMUX_DURABLE_SEEDS"), "-")
+	if first == "" {
+		first, last = "1", "6"
+	}
+	if last == "" {
+		last = first
+	}
+	from, err := strconv.ParseUint(first, 10, 64)
+	if err != nil {
+		t.Fatal(err)
+	}
+	to, err := strconv.ParseUint(last, 10, 64)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for seed := from; seed <= to; seed++ {
+		seeds = append(seeds, seed)
+	}
+	return seeds
+}
+
+// confirmedDeparture is what the group has confirmed last for an instance.
+type confirmedDeparture struct {
+	incarnation uint64
+	at          time.Time
+}
+
+// durabilityPlay compares a group with the plain list of what it has confirmed.
+type durabilityPlay struct {
+	*diskGroup
+	random *rand.Rand
+	// lossy is how many disks may be lost at a time.
+	lossy int
+	// lost holds the hosts that may not have learned everything since the loss of their disks.
+	lost map[int]bool
+	// newest is the incarnation of the newest process of each instance.
+	newest    map[string]uint64
+	confirmed map[string]confirmedDeparture
+	mu        sync.Mutex
+	leaving   sync.WaitGroup
+}
+
+// step does one thing to the group.
+func (p *durabilityPlay) step() {
+	instance := fmt.Sprint("i-", p.random.IntN(6))
+	i := p.random.IntN(len(p.hosts))
+	switch p.random.IntN(10) {
+	case 0, 1:
+		p.newest[instance]++
+		_ = p.announce(i, instance, p.newest[instance], backend.Ready)
+	case 2, 3, 4:
+		incarnation := p.newest[instance]
+		state := []backend.State{backend.Draining, backend.Left}[p.random.IntN(2)]
+		p.leaving.Go(func() {
+			if incarnation > 0 && p.announce(i, instance, incarnation, state) == nil {
+				p.mu.Lock()
+				defer p.mu.Unlock()
+				if incarnation >= p.confirmed[instance].incarnation {
+					p.confirmed[instance] = confirmedDeparture{incarnation, time.Now()}
+				}
+			}
+		})
+	case 5:
+		if p.hosts[i].server != nil {
+			p.kill(i, nil)
+		}
+	case 6:
+		p.startAll()
+	case 7:
+		delay := time.Duration(p.random.IntN(3)) * 300 * time.Millisecond
+		p.hosts[i].fs.DelaySyncs(delay)
+	case 8:
+		p.loseAll()
+	case 9:
+		time.Sleep(time.Duration(p.random.IntN(3000)) * time.Millisecond)
+	}
+	time.Sleep(time.Duration(p.random.IntN(200)) * time.Millisecond)
+}
+
+// loseAll kills all processes at a random moment, half of the times with their power, and takes as many disks as may be
+// lost.
+func (p *durabilityPlay) loseAll() {
+	power := p.random
+	if p.random.IntN(2) == 0 {
+		power = nil
+	}
+	p.killAll(power)
+	p.leaving.Wait()
+	for _, i := range p.random.Perm(len(p.hosts))[:p.random.IntN(p.lossy+1)] {
+		if len(p.lost) < p.lossy || p.lost[i] {
+			p.lost[i] = true
+			p.hosts[i].fs = storage.NewMemFS()
+			p.start(i, true)
+		}
+	}
+	p.startAll()
+	if p.random.IntN(3) > 0 {
+		p.check()
+	}
+}
+
+// check expects that all confirmed departures are known everywhere soon after all hosts are back, and that newer processes
+// may work.
+func (p *durabilityPlay) check() {
+	p.startAll()
+	for _, h := range p.hosts {
+		h.fs.DelaySyncs(0)
+	}
+	p.leaving.Wait()
+	time.Sleep(5 * time.Second)
+	clear(p.lost)
+	for i := range p.hosts {
+		covered, current := p.departuresAt(i)
+		p.g.Expect(current).To(BeTrue(), "host %d knows the departures again", i)
+		for instance, c := range p.confirmed {
+			if time.Since(c.at) > 25*time.Second {
+				// The departure may be dropped from 30 s on.
+				continue
+			}
+			p.g.Expect(covered[instance]).To(BeNumerically(">=", c.incarnation), "host %d, %s, confirmed %v ago", i, instance, time.Since(c.at))
+			p.g.Expect(p.announce(i, instance, c.incarnation, backend.Ready)).To(Succeed())
+			p.g.Expect(p.hosts[i].registry.stateOf(instance)).To(Equal(backend.Draining), "host %d, a late heartbeat of %s", i, instance)
+		}
+		for instance, incarnation := range covered {
+			p.g.Expect(incarnation).To(BeNumerically("<=", p.newest[instance]), "nothing takes out a process to come")
+		}
+	}
+}
+
+// Departures that were confirmed hold through kills, losses of power and of as many disks as may be lost, in any order.
+func TestConfirmedDeparturesOutliveFaults(t *testing.T) {
+	for _, seed := range durabilitySeeds(t) {
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				random := rand.New(rand.NewPCG(53, seed))
+				hosts := []int{3, 5, 7}[random.IntN(3)]
+				p := &durabilityPlay{
+					diskGroup: newDiskGroup(NewWithT(t), hosts), random: random, lossy: (hosts - 1) / 2, lost: map[int]bool{},
+					newest: map[string]uint64{}, confirmed: map[string]confirmedDeparture{},
+				}
+				defer p.end()
+				p.startAll()
+				time.Sleep(5 * time.Second)
+				for range 150 {
+					p.step()
+				}
+				p.check()
+				t.Logf("%d hosts, %d departures confirmed", hosts, len(p.confirmed))
+			})
+		})
+	}
+}
--- a/internal/attach/marker.go
+++ b/internal/attach/marker.go
@@ -16,6 +16,9 @@
 	maxMarkTimeout = 1200 * time.Millisecond
 	// markRetryInterval is the pause after a call of Mark that failed.
 	markRetryInterval = 50 * time.Millisecond
+	// markDurableWait is how long a control host that is told of departures waits for its disk before it says that they
+	// are not durable yet. It is below markTimeout, so that the sender learns that the departures are in effect.
+	markDurableWait = 150 * time.Millisecond
 	// maxFurtherMarks limits the marks of one call, besides the first one.
 	maxFurtherMarks = 255
 )
@@ -41,8 +44,8 @@
 	return &marker{opts: o, queues: map[string]*markQueue{}}
 }
 
-// send tells the control host of a departure and calls the method confirmedAt once it has confirmed. A call that fails
-// is repeated until the confirmation has ended.
+// send tells the control host of a departure and calls the method confirmedAt once it has recorded it. A call that fails,
+// or after which the departure is not durable, is repeated until the confirmation has ended.
 func (m *marker) send(address string, c *departureConfirmation) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -62,13 +65,18 @@
 		if len(batch) == 0 {
 			return
 		}
-		recorded, err := m.call(address, q, batch)
+		recorded, durable, err := m.call(address, q, batch)
 		for _, c := range batch[:recorded] {
-			c.confirmedAt(address)
+			c.confirmedAt(address, durable)
+		}
+		if !durable {
+			recorded = 0
 		}
 		m.putBack(q, batch[recorded:])
 		if err != nil {
 			m.opts.Logger.Debug("could not mark backend servers at a control host", "address", address, "marks", len(batch), "err", logging.Err(err))
+		}
+		if err != nil || !durable {
 			time.Sleep(markRetryInterval)
 		}
 	}
@@ -99,8 +107,8 @@
 }
 
 // call sends one call and returns how many departures of the batch the control host has recorded, from the first one
-// on.
-func (m *marker) call(address string, q *markQueue, batch []*departureConfirmation) (recorded int, err error) {
+// on, and whether they are durable there.
+func (m *marker) call(address string, q *markQueue, batch []*departureConfirmation) (recorded int, durable bool, err error) {
 	request := &fleetpb.MarkRequest{Instance: batch[0].mark.Instance, Incarnation: batch[0].mark.Incarnation, State: batch[0].mark.State}
 	for _, c := range batch[1:] {
 		request.Further = append(request.Further, c.mark)
@@ -115,8 +123,8 @@
 	m.opts.Metrics.observeMark(took, err)
 	if err != nil {
 		q.timeout = min(2*q.timeout, maxMarkTimeout)
-		return 0, err
+		return 0, false, err
 	}
 	q.timeout = min(max(2*took, markTimeout), maxMarkTimeout)
-	return min(1+int(reply.GetFurther()), len(batch)), nil
+	return min(1+int(reply.GetFurther()), len(batch)), !reply.GetNotDurable(), nil
 }
--- a/internal/attach/metrics.go
+++ b/internal/attach/metrics.go
@@ -52,6 +52,8 @@
 type ServerMetrics struct {
 	departures *prometheus.HistogramVec
 	marks      *prometheus.HistogramVec
+	writes     *prometheus.HistogramVec
+	written    prometheus.Counter
 }
 
 // NewServerMetrics registers the metrics.
@@ -67,8 +69,17 @@
 			Help:    "Time of a call that tells another control host of departures, by result.",
 			Buckets: departureBuckets,
 		}, []string{"result"}),
+		writes: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Name:    "tarragonmux_departure_write_seconds",
+			Help:    "Time until departures were durable on the disk of this host, by result. Departures that come meanwhile share the next write.",
+			Buckets: departureBuckets,
+		}, []string{"result"}),
+		written: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "tarragonmux_departure_written_total",
+			Help: "Entries about departures that were written to the disk of this host.",
+		}),
 	}
-	for _, c := range []prometheus.Collector{m.departures, m.marks} {
+	for _, c := range []prometheus.Collector{m.departures, m.marks, m.writes, m.written} {
 		if err := r.Register(c); err != nil {
 			return nil, errors.Wrap(err, "attach: cannot register metrics; use one registry per process")
 		}
@@ -89,3 +100,13 @@
 	}
 	m.marks.WithLabelValues(resultLabel(err, "recorded")).Observe(took.Seconds())
 }
+
+func (m *ServerMetrics) observeWrite(took time.Duration, entries int, err error) {
+	if m == nil {
+		return
+	}
+	m.writes.WithLabelValues(resultLabel(err, "durable")).Observe(took.Seconds())
+	if err == nil {
+		m.written.Add(float64(entries))
+	}
+}
--- a/internal/attach/server.go
+++ b/internal/attach/server.go
@@ -55,6 +55,8 @@
 	Source   hostset.Source
 	Revision func() uint64
 	Peers    Peers
+	// Departures is where departures are kept over restarts; nil keeps them in memory only.
+	Departures *DepartureFolder
 	// Incarnation is the start time of the process in milliseconds.
 	Incarnation uint64
 	// Metrics may be nil.
@@ -71,10 +73,15 @@
 	endpoints endpointCache
 }
 
-// NewServer returns a server. Run keeps its departures current.
-func NewServer(o ServerOptions) *Server {
+// NewServer returns a server with the departures that it has kept. Run keeps them current and writes them to disk. Errors
+// are failures of the file system.
+func NewServer(o ServerOptions) (*Server, error) {
 	o.Logger = o.Logger.WithPrefix("attach")
-	return &Server{opts: o, tracker: newTracker(&o), marker: newMarker(&o)}
+	t, err := newTracker(&o)
+	if err != nil {
+		return nil, err
+	}
+	return &Server{opts: o, tracker: t, marker: newMarker(&o)}, nil
 }
 
 // Run keeps the departures current until the context is cancelled.
@@ -144,6 +151,7 @@
 	withoutIncarnation := slices.ContainsFunc(marks, func(m *fleetpb.Mark) bool { return m.GetIncarnation() == 0 })
 	tooLate := withoutIncarnation && callerGone(ctx)
 	var added []string
+	var recorded []*fleetpb.Mark
 	for _, m := range marks {
 		if tooLate && m.GetIncarnation() == 0 {
 			s.opts.Logger.Info("ignored a mark of another control host that no longer waits", "instance", m.GetInstance())
@@ -156,11 +164,16 @@
 		if _, isNew := s.mark(m.GetInstance(), m.GetIncarnation(), backend.State(m.GetState())); isNew {
 			added = append(added, m.GetInstance())
 		}
+		if m.GetState() >= fleetpb.ServerState_SERVER_STATE_DRAINING {
+			recorded = append(recorded, m)
+		}
 	}
 	if len(added) > 0 {
 		s.opts.Logger.Info("marked backend servers on request of another control host", "instances", added, "marks", len(marks))
 	}
-	return &fleetpb.MarkReply{Further: uint32(len(further))}, nil
+	bounded, cancel := context.WithTimeout(ctx, markDurableWait)
+	defer cancel()
+	return &fleetpb.MarkReply{Further: uint32(len(further)), NotDurable: !s.tracker.awaitDurable(bounded, recorded)}, nil
 }
 
 // mark records the departure at this control host. It returns the services of the backend server, and whether the
@@ -182,14 +195,18 @@
 
 // ListDepartures returns the departures that another control host has not seen.
 func (s *Server) ListDepartures(_ context.Context, r *fleetpb.DeparturesRequest) (*fleetpb.Departures, error) {
-	changes, _ := s.tracker.changesSince(time.Now(), r.GetLog(), r.GetSeen())
-	return changes, nil
+	return s.tracker.durableChangesSince(time.Now(), r.GetLog(), r.GetSeen()), nil
 }
 
 // Announce records an announcement of a backend server. For a draining server it returns nil once the
 // departure is confirmed, as RecordDeparture does. Announcements of a process that has ended are
 // accepted without effect. Errors: MalformedError, ErrNotConfirmed.
 func (s *Server) Announce(ctx context.Context, b backend.Server) error {
+	late := b.State < backend.Draining && s.tracker.hasDeparted(b.Instance, b.Incarnation)
+	if late {
+		// The server must not be in use even for a moment.
+		b.State = backend.Draining
+	}
 	err := s.opts.Registry.AnnounceLocal(b)
 	var superseded *membership.SupersededError
 	switch {
@@ -198,9 +215,13 @@
 		return nil
 	case err != nil:
 		return err
+	case late:
+		s.opts.Logger.Debug("an announcement came after the departure of its sender", "service", b.Service, "instance", b.Instance)
+		return nil
 	case b.State == backend.Draining:
 		return s.RecordDeparture(ctx, b.Instance, b.Incarnation, backend.Draining)
 	case s.tracker.hasDeparted(b.Instance, b.Incarnation):
+		// It departed in the meantime.
 		s.opts.Registry.MarkServer(b.Instance, b.Incarnation, backend.Draining)
 		return nil
 	default:
--- a/internal/attach/tracker.go
+++ b/internal/attach/tracker.go
@@ -25,8 +25,8 @@
 	// departuresMaxAge is the age at which departures no longer count as current. Departures of this
 	// age mean that two polls in a row failed.
 	departuresMaxAge = 800 * time.Millisecond
-	// recoveryPeriod is how long after its start a control host counts towards no majority that makes
-	// departures current, since it may have confirmed some before a restart and lost them. In this time,
+	// recoveryPeriod is how long after its start a control host without a complete file of departures counts towards no
+	// majority that makes departures current, since it may have confirmed some before and lost them. In this time,
 	// each draining server announces its drain twice.
 	recoveryPeriod = 3 * time.Second
 )
@@ -38,6 +38,7 @@
 
 	mu         sync.Mutex
 	departures *departures
+	durability *durability
 	recorded   *recordedDepartures
 	freshness  freshness
 	// seen is the position up to which the departures of each member were fetched, by fleet address.
@@ -50,11 +51,18 @@
 	outdated bool
 }
 
-func newTracker(o *ServerOptions) *tracker {
-	return &tracker{
-		opts: o, started: time.Now(), departures: newDepartures(o.Incarnation), recorded: newRecordedDepartures(),
+// newTracker returns a tracker with the departures that are kept on disk. Errors are failures of the file system.
+func newTracker(o *ServerOptions) (*tracker, error) {
+	t := &tracker{
+		opts: o, started: time.Now(), departures: newDepartures(o.Incarnation), durability: newDurability(), recorded: newRecordedDepartures(time.Now()),
 		seen: map[string]*fleetpb.DeparturesRequest{}, polling: map[string]bool{},
 	}
+	if o.Departures != nil {
+		if err := t.openFile(*o.Departures, t.started); err != nil {
+			return nil, err
+		}
+	}
+	return t, nil
 }
 
 func (t *tracker) run(ctx context.Context) error {
@@ -62,6 +70,7 @@
 	defer ticker.Stop()
 	var running sync.WaitGroup
 	defer running.Wait()
+	running.Go(func() { t.writeDepartures(ctx) })
 	for {
 		t.syncWithRegistry(time.Now())
 		for _, address := range t.membersToPoll(time.Now()) {
@@ -136,7 +145,7 @@
 // mergeDepartures records the departures that another control host reported.
 func (t *tracker) mergeDepartures(now time.Time, address string, changes *fleetpb.Departures) {
 	t.mu.Lock()
-	t.recorded.add(address, changes)
+	t.recorded.add(now, address, changes)
 	t.mu.Unlock()
 	for _, e := range changes.GetList() {
 		if membership.CheckDeparture(e.GetInstance(), e.GetIncarnation()) != nil {
@@ -146,8 +155,8 @@
 		if !t.hasDeparted(e.GetInstance(), e.GetIncarnation()) {
 			// The server is out of use before others hear that this host has recorded the departure.
 			t.opts.Registry.MarkServer(e.GetInstance(), e.GetIncarnation(), backend.Draining)
-			t.recordMark(now, e.GetInstance(), e.GetIncarnation())
 		}
+		t.recordMark(now, e.GetInstance(), e.GetIncarnation())
 	}
 }
 
@@ -155,16 +164,16 @@
 func (t *tracker) recordedBy(instance string, incarnation uint64) []string {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.recorded.hosts(instance, incarnation)
+	return t.recorded.hosts(time.Now(), instance, incarnation)
 }
 
 // recordMark records the departure of a process of a backend server, also of one that the registry does not know
 // yet: a control host that has just restarted may confirm it before gossip arrives. It reports whether the departure
-// was not known.
+// was not known, or known for so long that it was renewed.
 func (t *tracker) recordMark(now time.Time, instance string, incarnation uint64) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.departures.record(now, instance, incarnation)
+	return t.record(now, instance, incarnation)
 }
 
 // noteConfirmed records that this process has confirmed the state of a backend server that drains or has left.
@@ -208,10 +217,10 @@
 	t.recorded.retain(func(instance string) bool { _, kept := t.departures.entries[instance]; return kept })
 	t.opts.Registry.EachServer(func(b backend.Server) {
 		switch {
-		case b.State >= backend.Draining:
-			t.departures.record(now, b.Instance, b.Incarnation)
-		case t.departures.covers(b.Instance, b.Incarnation):
+		case b.State < backend.Draining && t.departures.covers(b.Instance, b.Incarnation):
 			late = append(late, b)
+		case b.State >= backend.Draining && !t.departures.covers(b.Instance, b.Incarnation):
+			t.record(now, b.Instance, b.Incarnation)
 		}
 	})
 	t.mu.Unlock()
@@ -222,14 +231,22 @@
 	}
 }
 
-// changesSince returns the departures that a process has not seen, and the age of the departures in
+// changesSince returns the departures that an entry host has not seen, and the age of the departures in
 // milliseconds. The age is negative if no majority of the control group has responded yet.
 func (t *tracker) changesSince(now time.Time, log, seen uint64) (changes *fleetpb.Departures, ageMs int64) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	changes = t.departures.changesSince(log, seen)
+	return t.departures.changesSince(log, seen), t.age(now).Milliseconds()
+}
+
+// durableChangesSince returns the durable departures that another control host has not seen. What is not durable yet says
+// nothing to others: this host might forget it.
+func (t *tracker) durableChangesSince(now time.Time, log, seen uint64) *fleetpb.Departures {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	changes := t.departures.durableChangesSince(now, log, seen)
 	changes.Recovering = t.recovering(now)
-	return changes, t.age(now).Milliseconds()
+	return changes
 }
 
 // entryHosts returns the number of entry hosts.
@@ -239,10 +256,6 @@
 	return t.entryHostCount
 }
 
-func (t *tracker) recovering(now time.Time) bool {
-	return now.Sub(t.started) < recoveryPeriod
-}
-
 // unknownAge stands for departures that were never current.
 const unknownAge = -time.Millisecond
 
--- a/internal/attach/tracker_test.go
+++ b/internal/attach/tracker_test.go
@@ -70,7 +70,7 @@
 	for i, id := range []string{"a", "b", "c"} {
 		address := id + ":1"
 		c.registries[address] = &registry{servers: map[string]backend.Server{}}
-		s := attach.NewServer(attach.ServerOptions{
+		s := startServer(attach.ServerOptions{
 			ID: id, Address: address, Registry: c.registries[address], Source: source{},
 			Peers: peer{c, address}, Elections: elections{leadership.Holder{Node: "b", Address: "b:1", Term: 3}}, Incarnation: uint64(10 + i),
 			Revision: func() uint64 { return 9 }, Logger: logging.Discard(),
