Tests: the test of a control host that is cut off waits for calls in progress

Cause: TestEntryHostLeavesAControlHostWithoutCurrentDepartures ended while a call to the host that is cut off still paused before its next attempt, about once in 20,000 runs; synctest takes the goroutine for a deadlock.

Change: the test, and the one beside it, waits for calls in progress, as the other tests of departures do.

--- a/internal/attach/tracker_test.go
+++ b/internal/attach/tracker_test.go
@@ -129,6 +129,8 @@
 		c.mu.Unlock()
 		confirmed := c.drain(ctx, g, servers)
 		g.Expect(servers.CurrentAsOf().Before(confirmed)).To(BeFalse())
+		// Calls in progress end.
+		time.Sleep(departureBound)
 	})
 }
 
@@ -265,5 +267,7 @@
 		_, known := client.Dispatcher("cuefeed")
 		g.Expect(known).To(BeTrue())
 		c.drain(ctx, g, servers)
+		// Calls in progress end.
+		time.Sleep(departureBound)
 	})
 }
