Departures: a withdrawal without an incarnation is recorded at every host

What callers may see: a server that has left, with a confirmed withdrawal that does not state its start, gets requests again after a late heartbeat, if control hosts restarted in between.

Cause: such a withdrawal was recorded only for the processes that a host knew. A host that did not know the server confirmed it all the same.

Change: it is recorded at each host for the highest incarnation that this host or the one that was asked knows, and at least for a process that states none.

--- a/internal/attach/confirmation.go
+++ b/internal/attach/confirmation.go
@@ -97,9 +97,13 @@
 }
 
 func (s *Server) newConfirmation(instance string, incarnation uint64, state backend.State) *departureConfirmation {
-	services, isNew := s.mark(instance, incarnation, state)
+	mark := &fleetpb.Mark{Instance: instance, Incarnation: incarnation, State: fleetpb.ServerState(state)}
+	services, isNew := s.mark(mark)
+	if incarnation == 0 {
+		mark.KnownIncarnation = s.tracker.recordedIncarnation(instance)
+	}
 	c := &departureConfirmation{
-		server: s, mark: &fleetpb.Mark{Instance: instance, Incarnation: incarnation, State: fleetpb.ServerState(state)},
+		server: s, mark: mark,
 		services: services, isNew: isNew || state == backend.Left, repeated: s.tracker.wasConfirmed(instance, incarnation, state),
 		requested: map[string]bool{}, changed: make(chan struct{}, 1),
 		confirmedBy: map[string]bool{s.opts.Address: true}, durableAt: map[string]bool{},
--- a/internal/attach/durability_test.go
+++ b/internal/attach/durability_test.go
@@ -133,26 +133,35 @@
 	h.server = s
 }
 
-// kill ends the process at the host; if random is not nil, its machine loses power as well.
-func (d *diskGroup) kill(i int, random *rand.Rand) {
-	h := d.hosts[i]
+// kill ends the processes at the hosts at the same moment; if random is not nil, their machines lose power as well.
+func (d *diskGroup) kill(random *rand.Rand, hosts ...int) {
+	var killed []*diskHost
 	d.mu.Lock()
-	h.server = nil
+	for _, i := range hosts {
+		if h := d.hosts[i]; h.server != nil {
+			h.server = nil
+			killed = append(killed, h)
+		}
+	}
 	d.mu.Unlock()
-	if random != nil {
-		h.fs.LosePower(random)
-	} else {
-		h.fs.Kill()
+	for _, h := range killed {
+		if random != nil {
+			h.fs.LosePower(random)
+		} else {
+			h.fs.Kill()
+		}
+	}
+	for _, h := range killed {
+		h.stop()
 	}
-	h.stop()
 }
 
 func (d *diskGroup) killAll(random *rand.Rand) {
-	for i := range d.hosts {
-		if d.hosts[i].server != nil {
-			d.kill(i, random)
-		}
+	all := make([]int, len(d.hosts))
+	for i := range all {
+		all[i] = i
 	}
+	d.kill(random, all...)
 }
 
 // files lists the files in which the host keeps departures.
@@ -235,7 +244,7 @@
 		d.g.Expect(current).To(BeFalse())
 
 		// Once more, before it has learned anything.
-		d.kill(0, nil)
+		d.kill(nil, 0)
 		d.start(0, false)
 		time.Sleep(10 * time.Second)
 		_, current = d.departuresAt(0)
@@ -252,13 +261,46 @@
 			d.g.Expect(d.announce(i, "i-1", 6, backend.Ready)).To(Succeed())
 			d.g.Expect(d.hosts[i].registry.stateOf("i-1")).To(Equal(backend.Ready), "a new process")
 		}
-		d.kill(0, nil)
+		d.kill(nil, 0)
 		d.start(0, false)
 		covered, _ := d.departuresAt(0)
 		d.g.Expect(covered).To(HaveKey("i-1"), "what a host has learned is on its disk as well")
 	})
 }
 
+// A control host confirmed a withdrawal that names no start of a server that it did not know, as after a restart, and
+// recorded nothing; or others recorded nothing, as they did not know the server yet. A late heartbeat put the server into
+// use. A process that states its start is another one, unless the withdrawal covered it somewhere.
+func TestWithdrawalsWithoutAnIncarnationBindEverywhere(t *testing.T) {
+	for _, known := range []uint64{0, 1, 1760000000000} {
+		t.Run(fmt.Sprint("incarnation known to one host: ", known), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				d := newDiskGroup(NewWithT(t), 3)
+				d.startAll()
+				defer d.end()
+				time.Sleep(5 * time.Second)
+				if known > 0 {
+					d.g.Expect(d.announce(0, "i-1", known, backend.Ready)).To(Succeed())
+				}
+				d.g.Expect(d.announce(0, "i-1", 0, backend.Left)).To(Succeed())
+				d.killAll(rand.New(rand.NewPCG(53, 2)))
+				// The host that was asked does not return.
+				d.start(1, false)
+				d.start(2, false)
+				time.Sleep(time.Second)
+				for _, i := range []int{1, 2} {
+					d.g.Expect(d.announce(i, "i-1", max(known, 1), backend.Ready)).To(Succeed())
+					time.Sleep(time.Second)
+					d.g.Expect(d.hosts[i].registry.stateOf("i-1")).To(Equal(backend.Draining), "a late heartbeat at host %d", i)
+					d.g.Expect(d.announce(i, "i-1", max(known, 1)+1, backend.Ready)).To(Succeed())
+					time.Sleep(time.Second)
+					d.g.Expect(d.hosts[i].registry.stateOf("i-1")).To(Equal(backend.Ready), "a new process at host %d", i)
+				}
+			})
+		})
+	}
+}
+
 // A departure that is on too few disks must not be confirmed, and a few slow or full disks must not keep departures from
 // being confirmed: neither those of the host that is asked nor those of the dispatcher.
 func TestDeparturesNeedAMajorityOfDisks(t *testing.T) {
@@ -330,12 +372,12 @@
 		time.Sleep(5 * time.Second)
 		d.g.Expect(d.announce(0, "i-1", 1, backend.Left)).To(Succeed())
 		time.Sleep(30 * time.Second)
-		d.kill(0, nil)
+		d.kill(nil, 0)
 		time.Sleep(10 * time.Second)
 		d.start(0, false)
 		d.g.Expect(d.announce(0, "i-1", 1, backend.Ready)).To(Succeed())
 		d.g.Expect(d.hosts[0].registry.stateOf("i-1")).To(Equal(backend.Draining))
-		d.kill(0, nil)
+		d.kill(nil, 0)
 		time.Sleep(21 * time.Second)
 		d.start(0, false)
 		d.g.Expect(d.announce(0, "i-1", 1, backend.Ready)).To(Succeed())
@@ -448,9 +490,7 @@
 			}
 		})
 	case 5:
-		if p.hosts[i].server != nil {
-			p.kill(i, nil)
-		}
+		p.kill(nil, i)
 	case 6:
 		p.startAll()
 	case 7:
--- a/internal/attach/marker.go
+++ b/internal/attach/marker.go
@@ -109,7 +109,10 @@
 // call sends one call and returns how many departures of the batch the control host has recorded, from the first one
 // on, and whether they are durable there.
 func (m *marker) call(address string, q *markQueue, batch []*departureConfirmation) (recorded int, durable bool, err error) {
-	request := &fleetpb.MarkRequest{Instance: batch[0].mark.Instance, Incarnation: batch[0].mark.Incarnation, State: batch[0].mark.State}
+	first := batch[0].mark
+	request := &fleetpb.MarkRequest{
+		Instance: first.Instance, Incarnation: first.Incarnation, State: first.State, KnownIncarnation: first.KnownIncarnation,
+	}
 	for _, c := range batch[1:] {
 		request.Further = append(request.Further, c.mark)
 	}
--- a/internal/attach/server.go
+++ b/internal/attach/server.go
@@ -147,7 +147,8 @@
 // a host that was paused reads it late, and may know a process that has started since.
 func (s *Server) Mark(ctx context.Context, r *fleetpb.MarkRequest) (*fleetpb.MarkReply, error) {
 	further := r.GetFurther()[:min(len(r.GetFurther()), maxFurtherMarks)]
-	marks := append([]*fleetpb.Mark{{Instance: r.GetInstance(), Incarnation: r.GetIncarnation(), State: r.GetState()}}, further...)
+	first := &fleetpb.Mark{Instance: r.GetInstance(), Incarnation: r.GetIncarnation(), State: r.GetState(), KnownIncarnation: r.GetKnownIncarnation()}
+	marks := append([]*fleetpb.Mark{first}, further...)
 	withoutIncarnation := slices.ContainsFunc(marks, func(m *fleetpb.Mark) bool { return m.GetIncarnation() == 0 })
 	tooLate := withoutIncarnation && callerGone(ctx)
 	var added []string
@@ -157,11 +158,11 @@
 			s.opts.Logger.Info("ignored a mark of another control host that no longer waits", "instance", m.GetInstance())
 			continue
 		}
-		if err := membership.CheckDeparture(m.GetInstance(), m.GetIncarnation()); err != nil {
+		if err := membership.CheckDeparture(m.GetInstance(), max(m.GetIncarnation(), m.GetKnownIncarnation())); err != nil {
 			s.opts.Logger.Warn("ignored a mark of another control host", "instance", m.GetInstance(), "err", logging.Err(err))
 			continue
 		}
-		if _, isNew := s.mark(m.GetInstance(), m.GetIncarnation(), backend.State(m.GetState())); isNew {
+		if _, isNew := s.mark(m); isNew {
 			added = append(added, m.GetInstance())
 		}
 		if m.GetState() >= fleetpb.ServerState_SERVER_STATE_DRAINING {
@@ -178,14 +179,17 @@
 
 // mark records the departure at this control host. It returns the services of the backend server, and whether the
 // departure was not known.
-func (s *Server) mark(instance string, incarnation uint64, state backend.State) (services []string, isNew bool) {
+func (s *Server) mark(m *fleetpb.Mark) (services []string, isNew bool) {
 	now := time.Now()
+	instance, incarnation, state := m.GetInstance(), m.GetIncarnation(), backend.State(m.GetState())
 	services = s.opts.Registry.MarkServer(instance, incarnation, state)
 	switch {
-	case incarnation == 0:
-		// Only the registry knows which processes the mark covers.
+	case incarnation == 0 && state >= backend.Draining:
+		// The registry knows which processes the mark covers. It may know the server at other hosts only, or nowhere after a
+		// restart.
 		s.tracker.syncWithRegistry(now)
-		return services, len(services) > 0
+		isNew = s.tracker.recordMark(now, instance, max(m.GetKnownIncarnation(), backend.UnstatedIncarnation))
+		return services, isNew || len(services) > 0
 	case state >= backend.Draining:
 		return services, s.tracker.recordMark(now, instance, incarnation)
 	default:
--- a/internal/attach/tracker.go
+++ b/internal/attach/tracker.go
@@ -176,6 +176,13 @@
 	return t.record(now, instance, incarnation)
 }
 
+// recordedIncarnation returns the highest incarnation of the server whose departure is recorded, or 0.
+func (t *tracker) recordedIncarnation(instance string) uint64 {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.departures.entries[instance].incarnation
+}
+
 // noteConfirmed records that this process has confirmed the state of a backend server that drains or has left.
 func (t *tracker) noteConfirmed(instance string, incarnation uint64, state backend.State) {
 	t.mu.Lock()
--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -16,6 +16,9 @@
 	Cutoff = 2500 * time.Millisecond
 )
 
+// UnstatedIncarnation is the incarnation of a process that states none.
+const UnstatedIncarnation = 1
+
 // State is the state that a backend server announces.
 type State uint8
 
