Names with control characters are refused, and never written into a header

After a heartbeat of another writer for a sound server, with a line end behind its id, unsafe requests ran there with an empty body.

Cause: control hosts accepted any bytes as names, and entry hosts wrote the id into a header as it was, so that its line end ended the headers.

Change: names with control characters or spaces at an end are refused at control hosts and skipped in gossip and in the file of departures. The round trip fails an attempt, before anything is written, whose header fields are not one line each.

--- a/internal/attach/durability.go
+++ b/internal/attach/durability.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/tarragonmux/tarragonmux/internal/logging"
+	"github.com/tarragonmux/tarragonmux/internal/membership"
 	"github.com/tarragonmux/tarragonmux/proto/fleetpb"
 )
 
@@ -58,6 +59,9 @@
 		if age >= departureRetention {
 			continue
 		}
+		if membership.CheckDeparture(string(r.GetInstance()), r.GetIncarnation()) != nil {
+			continue
+		}
 		recordedAt := now.Add(-age)
 		t.departures.record(recordedAt, string(r.GetInstance()), r.GetIncarnation())
 		if !file.failed() {
--- a/internal/entry/roundtrip/errors.go
+++ b/internal/entry/roundtrip/errors.go
@@ -56,6 +56,8 @@
 var (
 	// ErrNotStarted means that Hooks.BeforeWrite returned false.
 	ErrNotStarted = errors.New("the request was withdrawn before it was written; acquire a new grant")
+	// ErrInvalidField means that a field of the request cannot be written as one line.
+	ErrInvalidField = errors.New("a header field of the request has a line end or a zero byte; check the id that the backend server announces and the name of the team")
 	// ErrNotHTTP means that the server sent bytes that are not an HTTP/1 response.
 	ErrNotHTTP = errors.New("the server sent bytes that are no answer; check what listens at its address")
 	// ErrReset means that the connection was reset while the request was written, so that a response without a length may
--- a/internal/entry/roundtrip/roundtrip.go
+++ b/internal/entry/roundtrip/roundtrip.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"slices"
 	"strconv"
+	"strings"
 	"sync/atomic"
 	"time"
 
@@ -132,6 +133,9 @@
 // the response. When the context ends, the connection is closed, which tells the server that
 // the caller is gone. Errors are *Error.
 func (p *Pool) Send(ctx context.Context, address string, r *Request) (*Response, error) {
+	if !r.hasValidFields() {
+		return nil, &Error{Stage: StageSend, Err: ErrInvalidField}
+	}
 	c, failure := p.acquire(ctx, address, r)
 	if failure != nil {
 		return nil, failure
@@ -315,6 +319,26 @@
 	}
 }
 
+// hasValidFields reports whether each header field can be written as one line. Names from other hosts may have passed no
+// check.
+func (r *Request) hasValidFields() bool {
+	for name, values := range r.Header {
+		if !isOneLine(name) || slices.ContainsFunc(values, func(value string) bool { return !isOneLine(value) }) {
+			return false
+		}
+	}
+	for _, f := range r.Extra {
+		if !isOneLine(f.Name) || !isOneLine(f.Value) {
+			return false
+		}
+	}
+	return isOneLine(r.Host)
+}
+
+func isOneLine(s string) bool {
+	return strings.IndexByte(s, '\r') < 0 && strings.IndexByte(s, '\n') < 0 && strings.IndexByte(s, 0) < 0
+}
+
 func writeField(bw *bufio.Writer, name, value string) {
 	_, _ = bw.WriteString(name)
 	_, _ = bw.WriteString(": ")
--- a/internal/membership/validate.go
+++ b/internal/membership/validate.go
@@ -3,6 +3,8 @@
 import (
 	"net/netip"
 	"slices"
+	"strings"
+	"unicode"
 
 	"github.com/tarragonmux/tarragonmux/internal/backend"
 	"github.com/tarragonmux/tarragonmux/proto/fleetpb"
@@ -32,11 +34,15 @@
 	if len(name) > maxNameBytes {
 		return malformed(field, "is too long")
 	}
+	// Names are written into headers, logs and metrics.
+	if strings.ContainsFunc(name, unicode.IsControl) || strings.TrimSpace(name) != name {
+		return malformed(field, "has control characters, or spaces at an end")
+	}
 	return nil
 }
 
 func checkAddress(field, address string) error {
-	if _, err := netip.ParseAddrPort(address); err != nil {
+	if a, err := netip.ParseAddrPort(address); err != nil || a.Addr().Zone() != "" {
 		return malformed(field, "is not ip:port")
 	}
 	return nil
@@ -92,6 +98,11 @@
 	if err := checkName("server.instance", s.GetInstance()); err != nil {
 		return err
 	}
+	if s.GetDataCentre() != "" {
+		if err := checkName("server.data_centre", s.GetDataCentre()); err != nil {
+			return err
+		}
+	}
 	if s.GetState() < fleetpb.ServerState_SERVER_STATE_STARTING || s.GetState() > fleetpb.ServerState_SERVER_STATE_LEFT {
 		return malformed("server.state", "is unknown")
 	}
