Names that are not UTF-8 are refused

After a heartbeat and a withdrawal with ids that are no UTF-8, requests reached a server whose drain was confirmed.

Cause: messages between hosts that have such an id cannot be encoded and fail as a whole, so entry hosts and other control hosts heard of no departure and no list.

Change: control hosts refuse names that are not UTF-8 in announcements, withdrawals and marks.

--- a/internal/membership/validate.go
+++ b/internal/membership/validate.go
@@ -5,6 +5,7 @@
 	"slices"
 	"strings"
 	"unicode"
+	"unicode/utf8"
 
 	"github.com/tarragonmux/tarragonmux/internal/backend"
 	"github.com/tarragonmux/tarragonmux/proto/fleetpb"
@@ -34,6 +35,10 @@
 	if len(name) > maxNameBytes {
 		return malformed(field, "is too long")
 	}
+	// Messages with other text cannot be encoded.
+	if !utf8.ValidString(name) {
+		return malformed(field, "is not UTF-8")
+	}
 	// Names are written into headers, logs and metrics.
 	if strings.ContainsFunc(name, unicode.IsControl) || strings.TrimSpace(name) != name {
 		return malformed(field, "has control characters, or spaces at an end")
