Dispatcher: the first updates of sessions have lists of their own

Cause: the first message to every session took the dispatcher's own list of servers. A removal that comes before it is sent is merged into it, which deletes in place; the second session that does so meets a nil entry.

Change: the first update of a session has a list of its own.

--- a/internal/dispatchrpc/runner.go
+++ b/internal/dispatchrpc/runner.go
@@ -225,7 +225,7 @@
 	sess.setHeartbeat(heartbeatInterval(r.server.countSessions(r, len(r.sessions))))
 	if hello.WantsServers {
 		sess.wantsServers = true
-		sess.pending().Servers = &dispatchpb.ServerNews{Reset_: true, Changed: r.entries}
+		sess.pending().Servers = fullUpdate(r.entries)
 	}
 	sess.wakeWriter()
 	r.applyBatch(now, sess, first)
--- a/internal/dispatchrpc/serverupdate.go
+++ b/internal/dispatchrpc/serverupdate.go
@@ -62,6 +62,12 @@
 	return update
 }
 
+// fullUpdate returns the first update of a session. Further updates may be merged into it before it is sent, so it has a
+// list of its own.
+func fullUpdate(entries []*dispatchpb.ServerEntry) *dispatchpb.ServerNews {
+	return &dispatchpb.ServerNews{Reset_: true, Changed: slices.Clone(entries)}
+}
+
 // mergeUpdates merges a later update into one that has not been sent yet.
 func mergeUpdates(pending, later *dispatchpb.ServerNews) *dispatchpb.ServerNews {
 	if pending == nil || later.Reset_ {
--- a/internal/dispatchrpc/serverupdate_test.go
+++ b/internal/dispatchrpc/serverupdate_test.go
@@ -83,3 +83,20 @@
 	g.Expect(later.Reset_).To(BeTrue())
 	g.Expect(later.Changed).To(BeEmpty())
 }
+
+// The first updates of all sessions shared one list. Merging a removal into two of them that had not been sent yet deleted
+// from it in place: the second one met a nil entry, which ended the process, and the list of the dispatcher lost servers.
+func TestFirstUpdatesOfSessionsAreIndependent(t *testing.T) {
+	g := NewWithT(t)
+	list := entriesOf(map[string]uint32{"a": 1, "b": 1, "c": 1})
+	removed := &dispatchpb.ServerNews{Removed: []string{"a"}}
+	first, second := fullUpdate(list), fullUpdate(list)
+	for _, update := range []*dispatchpb.ServerNews{first, second} {
+		node := map[string]uint32{}
+		applyUpdate(node, mergeUpdates(update, removed))
+		g.Expect(node).To(Equal(map[string]uint32{"b": 1, "c": 1}))
+	}
+	g.Expect(list).To(HaveEach(Not(BeNil())))
+	g.Expect(list).To(HaveLen(3))
+	g.Expect(list[0].Instance).To(Equal("a"))
+}
