Departures: a withdrawal without a start covers earlier processes that no host knows

Cause: the control group was cut in two just after its start. The part that could confirm did not know the server, whose heartbeats state a start and whose withdrawal does not. It recorded the withdrawal for no process that it could mean.

Change: a departure without an incarnation can name one up to which it covers processes that no host knows.

--- a/internal/adapter/adapter.go
+++ b/internal/adapter/adapter.go
@@ -30,11 +30,10 @@
 	// Announce records the announcement of a backend server. For a draining server it returns nil once the
 	// departure is confirmed, as RecordDeparture does. What can never be accepted is a *membership.MalformedError.
 	Announce(ctx context.Context, s backend.Server) error
-	// RecordDeparture records that a backend server is draining or has left, in every service. An incarnation
-	// of 0 stands for the known incarnation, provided that the sender still waits, which the context tells. It
-	// returns nil once the departure is confirmed, so that every host that may send work to the server soon stops
+	// RecordDeparture records that a backend server is draining or has left. The context tells whether the sender still
+	// waits. It returns nil once the departure is confirmed, so that every host that may send work to the server soon stops
 	// doing so. Errors are as those of Announce.
-	RecordDeparture(ctx context.Context, instance string, incarnation uint64, state backend.State) error
+	RecordDeparture(ctx context.Context, d backend.Departure) error
 	// Supersede puts a document in force if its version is above the one in force. If the document is
 	// invalid, the error is a *configuration.Rejection; after any other error the outcome is unknown.
 	Supersede(ctx context.Context, d *configpb.Document, author string) error
--- a/internal/attach/attach_test.go
+++ b/internal/attach/attach_test.go
@@ -199,7 +199,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
 	defer cancel()
 	g.Expect(s.Announce(ctx, serverInState(backend.Ready))).To(Succeed())
-	g.Expect(s.RecordDeparture(ctx, "i-1", 0, backend.Left)).To(Succeed())
+	g.Expect(s.RecordDeparture(ctx, backend.Departure{Instance: "i-1", State: backend.Left})).To(Succeed())
 	g.Expect(m.calls["c:1"]).To(Equal(1), "a control host that has confirmed is not sent the mark again")
 }
 
@@ -239,7 +239,7 @@
 	g.Eventually(calls).Should(Equal(map[string]int{"b:1": 1, "c:1": 1, "d:1": 1}))
 	g.Expect(s.Announce(ctx, serverInState(backend.Draining))).To(Succeed())
 	g.Eventually(calls).Should(Equal(map[string]int{"b:1": 2, "c:1": 2, "d:1": 1}))
-	g.Expect(s.RecordDeparture(ctx, "i-1", 5, backend.Left)).To(Succeed())
+	g.Expect(s.RecordDeparture(ctx, backend.Departure{Instance: "i-1", Incarnation: 5, State: backend.Left})).To(Succeed())
 	g.Eventually(calls).Should(Equal(map[string]int{"b:1": 3, "c:1": 3, "d:1": 2}))
 }
 
--- a/internal/attach/confirmation.go
+++ b/internal/attach/confirmation.go
@@ -34,10 +34,11 @@
 // RecordDeparture marks a backend server as draining or left and returns nil once the dispatchers of
 // its services have confirmed the mark and it is on the disks of a majority of the control group. Every other control host
 // polls a majority before it reports its departures to an entry host as current, so within pollInterval
-// and a heartbeat all hosts that may send requests to the server know it too. An incarnation of 0 stands for all known
-// processes, if the sender still waits. Errors: ErrNotConfirmed, ErrSenderGone, MalformedError.
-func (s *Server) RecordDeparture(ctx context.Context, instance string, incarnation uint64, state backend.State) error {
-	if err := membership.CheckDeparture(instance, incarnation); err != nil {
+// and a heartbeat all hosts that may send requests to the server know it too. Errors: ErrNotConfirmed, ErrSenderGone,
+// MalformedError.
+func (s *Server) RecordDeparture(ctx context.Context, d backend.Departure) error {
+	instance, incarnation, state := d.Instance, d.Incarnation, d.State
+	if err := membership.CheckDeparture(instance, max(incarnation, d.UpTo)); err != nil {
 		return err
 	}
 	started := time.Now()
@@ -45,7 +46,7 @@
 		s.opts.Logger.Info("ignored the withdrawal of a backend server whose sender has disconnected", "instance", instance)
 		return ErrSenderGone
 	}
-	c := s.newConfirmation(instance, incarnation, state)
+	c := s.newConfirmation(d)
 	defer c.end()
 	err := c.await(ctx)
 	took := time.Since(started)
@@ -96,8 +97,12 @@
 	ended bool
 }
 
-func (s *Server) newConfirmation(instance string, incarnation uint64, state backend.State) *departureConfirmation {
+func (s *Server) newConfirmation(d backend.Departure) *departureConfirmation {
+	instance, incarnation, state := d.Instance, d.Incarnation, d.State
 	mark := &fleetpb.Mark{Instance: instance, Incarnation: incarnation, State: fleetpb.ServerState(state)}
+	if incarnation == 0 {
+		mark.KnownIncarnation = d.UpTo
+	}
 	services, isNew := s.mark(mark)
 	if incarnation == 0 {
 		mark.KnownIncarnation = s.tracker.recordedIncarnation(instance)
--- a/internal/attach/departureload_test.go
+++ b/internal/attach/departureload_test.go
@@ -244,7 +244,7 @@
 		for i := range 20 {
 			leaving.Go(func() {
 				instance := fmt.Sprint("i-", i)
-				g.Expect(s.RecordDeparture(context.Background(), instance, 5, backend.Draining)).To(Succeed())
+				g.Expect(s.RecordDeparture(context.Background(), backend.Departure{Instance: instance, Incarnation: 5, State: backend.Draining})).To(Succeed())
 				peers.mu.Lock()
 				defer peers.mu.Unlock()
 				g.Expect(peers.marked[instance]).To(BeTrue())
--- a/internal/attach/durability_test.go
+++ b/internal/attach/durability_test.go
@@ -203,7 +203,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), responseWait)
 	defer cancel()
 	if state == backend.Left {
-		return s.RecordDeparture(ctx, instance, incarnation, state)
+		return s.RecordDeparture(ctx, backend.Departure{Instance: instance, Incarnation: incarnation, State: state})
 	}
 	return s.Announce(ctx, backend.Server{
 		Service: "cuefeed", Instance: instance, Incarnation: incarnation, Address: "10.0.0.1:80", DataCentre: "a", State: state,
--- a/internal/attach/server.go
+++ b/internal/attach/server.go
@@ -223,7 +223,7 @@
 		s.opts.Logger.Debug("an announcement came after the departure of its sender", "service", b.Service, "instance", b.Instance)
 		return nil
 	case b.State == backend.Draining:
-		return s.RecordDeparture(ctx, b.Instance, b.Incarnation, backend.Draining)
+		return s.RecordDeparture(ctx, backend.Departure{Instance: b.Instance, Incarnation: b.Incarnation, State: backend.Draining})
 	case s.tracker.hasDeparted(b.Instance, b.Incarnation):
 		// It departed in the meantime.
 		s.opts.Registry.MarkServer(b.Instance, b.Incarnation, backend.Draining)
--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -92,6 +92,19 @@
 	return s.State == Ready && now.Sub(s.Renewed) < cutoff
 }
 
+// Departure states that a backend server drains or has left, in every service.
+type Departure struct {
+	Instance string
+	// Incarnation is that of the process; all earlier ones have ended. 0 stands for every process that started before
+	// the sender sent this, provided that the sender still waits for the confirmation.
+	Incarnation uint64
+	// UpTo is, if Incarnation is 0, an incarnation below those of all processes that start from now on. It covers processes
+	// that no host knows; those above it are covered as far as hosts know them.
+	UpTo uint64
+	// State is Draining or Left.
+	State State
+}
+
 // Registry holds this node's view of the backend servers. It is safe for concurrent use.
 type Registry interface {
 	// Servers returns the servers of a service that were renewed within a minute, ordered by instance.
