--- a/internal/attach/departurecost_test.go
+++ b/internal/attach/departurecost_test.go
@@ -17,7 +17,7 @@
 )
 
 const (
-	// syncTime is the time of a sync on the platform's slowest regular disk.
+	// syncTime is the time of a sync on a slow disk.
 	syncTime = 5 * time.Millisecond
 	// heartbeatInterval is how often a backend server announces itself.
 	heartbeatInterval = 1500 * time.Millisecond
--- a/internal/attach/durability_test.go
+++ b/internal/attach/durability_test.go
@@ -42,6 +42,8 @@
 	holder leadership.Holder
 	// inMemory keeps departures in memory only.
 	inMemory bool
+	// metrics are those of the next process that is started; nil for none.
+	metrics *attach.ServerMetrics
 	// marks counts the calls that tell a host of departures.
 	marks int
 }
@@ -102,6 +104,7 @@
 	h.registry = &registry{servers: map[string]backend.Server{}}
 	o := attach.ServerOptions{
 		ID: h.address, Address: h.address, Registry: h.registry, Source: d, Peers: d, Elections: d,
+		Metrics:     d.metrics,
 		Departures:  &attach.DepartureFolder{FS: h.fs, Path: "departures", DiskLost: diskLost},
 		Incarnation: uint64(time.Now().UnixMilli()), Revision: func() uint64 { return 9 }, Logger: logging.New(io.Discard, "error", true),
 	}
@@ -177,6 +180,22 @@
 	return names
 }
 
+// withDiskGroup plays with a group, in virtual time, whose hosts all know the departures.
+func withDiskGroup(t *testing.T, hosts int, play func(d *diskGroup)) {
+	synctest.Test(t, func(t *testing.T) {
+		d := newDiskGroup(NewWithT(t), hosts)
+		defer d.end()
+		d.startAll()
+		time.Sleep(5 * time.Second)
+		play(d)
+	})
+}
+
+// loseDisk replaces the disk of a host, which must be down or be restarted, by an empty one.
+func (d *diskGroup) loseDisk(i int) {
+	d.hosts[i].fs = storage.NewMemFS()
+}
+
 // end kills all processes and waits for the calls in progress.
 func (d *diskGroup) end() {
 	d.killAll(nil)
@@ -221,14 +240,10 @@
 // The power of all control hosts goes in the moment of the confirmation, and one disk with it. The host that lost its disk
 // must not pass for one that knows all departures before it has learned them.
 func TestConfirmedDeparturesOutliveTheLossOfPowerAndADisk(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		d := newDiskGroup(NewWithT(t), 3)
-		d.startAll()
-		defer d.end()
-		time.Sleep(5 * time.Second)
+	withDiskGroup(t, 3, func(d *diskGroup) {
 		d.g.Expect(d.announce(0, "i-1", 5, backend.Draining)).To(Succeed())
 		d.killAll(rand.New(rand.NewPCG(53, 0)))
-		d.hosts[0].fs = storage.NewMemFS()
+		d.loseDisk(0)
 		d.start(1, false)
 		// Its first process is killed before it has done anything. The next one finds files, but no departures.
 		d.newServer(0, true)
@@ -271,11 +286,7 @@
 func TestWithdrawalsWithoutAnIncarnationBindEverywhere(t *testing.T) {
 	for _, known := range []uint64{0, 1, 1760000000000} {
 		t.Run(fmt.Sprint("incarnation known to one host: ", known), func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
-				d := newDiskGroup(NewWithT(t), 3)
-				d.startAll()
-				defer d.end()
-				time.Sleep(5 * time.Second)
+			withDiskGroup(t, 3, func(d *diskGroup) {
 				if known > 0 {
 					d.g.Expect(d.announce(0, "i-1", known, backend.Ready)).To(Succeed())
 				}
@@ -315,12 +326,8 @@
 		{"failing at three of five", 3, (*storage.MemFS).FailSyncs, false},
 	} {
 		t.Run(c.name, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
-				d := newDiskGroup(NewWithT(t), 5)
+			withDiskGroup(t, 5, func(d *diskGroup) {
 				d.holder = leadership.Holder{Node: "c00:1", Address: "c00:1", Term: 3}
-				d.startAll()
-				defer d.end()
-				time.Sleep(5 * time.Second)
 				d.g.Expect(d.announce(0, "i-1", 5, backend.Ready)).To(Succeed())
 				for i := range c.bad {
 					c.spoil(d.hosts[i].fs, true)
@@ -362,11 +369,7 @@
 // Departures are kept for a minute, over restarts too, and no longer: a server without a start time returns under its id.
 // The file must not grow with the servers that come and go.
 func TestKeptDeparturesExpire(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		d := newDiskGroup(NewWithT(t), 1)
-		d.startAll()
-		defer d.end()
-		time.Sleep(5 * time.Second)
+	withDiskGroup(t, 1, func(d *diskGroup) {
 		d.g.Expect(d.announce(0, "i-1", 1, backend.Left)).To(Succeed())
 		time.Sleep(30 * time.Second)
 		d.kill(nil, 0)
@@ -399,11 +402,7 @@
 
 // A damaged file is no file: the host learns the departures from the others before it counts.
 func TestDamagedFileOfDeparturesCountsAsLost(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		d := newDiskGroup(NewWithT(t), 3)
-		d.startAll()
-		defer d.end()
-		time.Sleep(5 * time.Second)
+	withDiskGroup(t, 3, func(d *diskGroup) {
 		d.g.Expect(d.announce(0, "i-1", 5, backend.Left)).To(Succeed())
 		d.killAll(nil)
 		for _, name := range d.files(0) {
--- a/internal/attach/durabilityfaults_test.go
+++ b/internal/attach/durabilityfaults_test.go
@@ -14,7 +14,6 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/tarragonmux/tarragonmux/internal/backend"
-	"github.com/tarragonmux/tarragonmux/internal/storage"
 )
 
 // durabilitySeeds returns the seeds of TestConfirmedDeparturesOutliveFaults: TARRAGONMUX_DURABLE_SEEDS, as in "1-50", or a
@@ -109,7 +108,7 @@
 	for _, i := range p.random.Perm(len(p.hosts))[:p.random.IntN(p.lossy+1)] {
 		if len(p.lost) < p.lossy || p.lost[i] {
 			p.lost[i] = true
-			p.hosts[i].fs = storage.NewMemFS()
+			p.loseDisk(i)
 			p.start(i, true)
 		}
 	}
--- a/internal/entry/roundtrip/field_test.go
+++ b/internal/entry/roundtrip/field_test.go
@@ -1,6 +1,7 @@
 package roundtrip_test
 
 import (
+	"bufio"
 	"context"
 	"net"
 	"net/http"
@@ -16,13 +17,13 @@
 // headers of the request early, and the server ran it without its body.
 func TestFieldsThatEndTheirLineAreNotWritten(t *testing.T) {
 	g := NewWithT(t)
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	g.Expect(err).NotTo(HaveOccurred())
-	defer func() { _ = listener.Close() }()
-	requests := make(chan struct{}, 10)
-	server := &http.Server{Handler: http.HandlerFunc(func(http.ResponseWriter, *http.Request) { requests <- struct{}{} })}
-	go func() { _ = server.Serve(listener) }()
-	defer func() { _ = server.Close() }()
+	requests := make(chan struct{}, 100)
+	address := listen(t, func(_ int, c net.Conn, br *bufio.Reader) {
+		defer c.Close()
+		if _, err := http.ReadRequest(br); err == nil {
+			requests <- struct{}{}
+		}
+	})
 	pool := newPool(t, roundtrip.Config{})
 
 	for _, value := range []string{"i-0\r\n", "i-0\n", "i\r0", "i-0\x00"} {
@@ -32,7 +33,7 @@
 			{Extra: [roundtrip.MaxExtraFields]roundtrip.Field{{Name: value, Value: "a"}}},
 		} {
 			r.Method, r.Target, r.Host, r.Body = http.MethodPost, "/signoff", "a", []byte("signed")
-			_, err := pool.Send(context.Background(), listener.Addr().String(), r)
+			_, err := pool.Send(context.Background(), address, r)
 			var failure *roundtrip.Error
 			g.Expect(errors.As(err, &failure)).To(BeTrue(), "%q", value)
 			g.Expect(failure.Written).To(BeFalse())
