Departures: metrics of refused entries and of what a host knows

Cause: logs said why an entry was refused and what was read at a start, metrics did not: an operator could not see how often entries are refused, what a restarted control host still knows of departures, and whether that is on its disk.

Change: a counter of refused announcements and withdrawals by field, and gauges of the departures that are kept, not durable, and whether all confirmed ones are known.

--- a/internal/adapter/adapter.go
+++ b/internal/adapter/adapter.go
@@ -34,6 +34,8 @@
 	// waits. It returns nil once the departure is confirmed, so that every host that may send work to the server soon stops
 	// doing so. Errors are as those of Announce.
 	RecordDeparture(ctx context.Context, d backend.Departure) error
+	// EntryUnreadable counts an announcement or withdrawal that the adapter could not read and has refused.
+	EntryUnreadable()
 	// Supersede puts a document in force if its version is above the one in force. If the document is
 	// invalid, the error is a *configuration.Rejection; after any other error the outcome is unknown.
 	Supersede(ctx context.Context, d *configpb.Document, author string) error
--- a/internal/attach/confirmation.go
+++ b/internal/attach/confirmation.go
@@ -39,6 +39,7 @@
 func (s *Server) RecordDeparture(ctx context.Context, d backend.Departure) error {
 	instance, incarnation, state := d.Instance, d.Incarnation, d.State
 	if err := membership.CheckDeparture(instance, max(incarnation, d.UpTo)); err != nil {
+		s.opts.Metrics.observeRefusal(err)
 		return err
 	}
 	started := time.Now()
--- a/internal/attach/departures.go
+++ b/internal/attach/departures.go
@@ -89,6 +89,16 @@
 	return incarnation <= e.incarnation && e.durableIncarnation >= e.incarnation && !e.renewed
 }
 
+// countNotDurable returns how many departures are not durable as they were recorded last.
+func (d *departures) countNotDurable() (count int) {
+	for instance := range d.entries {
+		if !d.isDurable(instance, 0) {
+			count++
+		}
+	}
+	return count
+}
+
 // changesSince returns the departures after the number seen in the log. A process that names another
 // log gets all departures that are kept.
 func (d *departures) changesSince(log, seen uint64) *fleetpb.Departures {
--- a/internal/attach/server.go
+++ b/internal/attach/server.go
@@ -212,6 +212,7 @@
 		b.State = backend.Draining
 	}
 	err := s.opts.Registry.AnnounceLocal(b)
+	s.opts.Metrics.observeRefusal(err)
 	var superseded *membership.SupersededError
 	switch {
 	case errors.As(err, &superseded):
@@ -233,6 +234,11 @@
 	}
 }
 
+// EntryUnreadable counts an announcement or withdrawal that could not be read.
+func (s *Server) EntryUnreadable() {
+	s.opts.Metrics.observeUnreadable()
+}
+
 // RunningEntryHosts returns the ids of the entry hosts that serve callers and whose last heartbeat is recent.
 func RunningEntryHosts(now time.Time, r Registry) []string {
 	var ids []string
--- a/internal/attach/tracker.go
+++ b/internal/attach/tracker.go
@@ -230,6 +230,7 @@
 			t.record(now, b.Instance, b.Incarnation)
 		}
 	})
+	t.opts.Metrics.setDepartures(len(t.departures.entries), t.departures.countNotDurable(), !t.recovering(now))
 	t.mu.Unlock()
 	for _, b := range late {
 		t.opts.Registry.MarkServer(b.Instance, b.Incarnation, backend.Draining)
