--- a/review/tool3/instance.go
+++ b/review/tool3/instance.go
@@ -39,6 +39,8 @@
 	born     int64
 	slots    chan struct{}
 	queue    chan struct{}
+	// idle is the timeout of idle connections, in whole seconds. It is stated in each response.
+	idle     time.Duration
 	server   *http.Server
 	stopBeat context.CancelFunc
 
@@ -49,18 +51,26 @@
 	arrivals []arrival
 }
 
+// defaultIdle is the timeout of idle connections of instances for which the case sets none.
+const defaultIdle = time.Minute
+
 func (p *play) startInstance(id, service, zone, address string, controls, slots int, work time.Duration) (*instance, error) {
+	return p.startIdleInstance(id, service, zone, address, controls, slots, work, defaultIdle)
+}
+
+// startIdleInstance starts an instance that closes idle connections after the time.
+func (p *play) startIdleInstance(id, service, zone, address string, controls, slots int, work, idle time.Duration) (*instance, error) {
 	ctx, cancel := context.WithCancel(context.Background())
 	s := &instance{
 		p: p, id: id, service: service, zone: zone, address: address, controls: controls, work: work, born: time.Now().UnixMilli(),
-		slots: make(chan struct{}, slots), queue: make(chan struct{}, slots+queueLength), stopBeat: cancel, state: "ready",
+		slots: make(chan struct{}, slots), queue: make(chan struct{}, slots+queueLength), stopBeat: cancel, state: "ready", idle: idle,
 	}
 	l, err := net.Listen("tcp", address)
 	if err != nil {
 		cancel()
 		return nil, err
 	}
-	s.server = &http.Server{Handler: s, IdleTimeout: time.Minute}
+	s.server = &http.Server{Handler: s, IdleTimeout: idle}
 	go func() { _ = s.server.Serve(l) }()
 	go s.beat(ctx)
 	p.closers = append(p.closers, func() {
@@ -164,6 +174,7 @@
 	s.p.recordf("request %s reaches instance %s", id, s.id)
 	h := w.Header()
 	h.Set("X-Request-Id", id)
+	h.Set("Keep-Alive", fmt.Sprintf("timeout=%d", int(s.idle.Seconds())))
 	if expected := r.Header.Get("X-Expect-Instance"); expected != "" && expected != s.id {
 		h.Set("X-Instance-Id", s.id)
 		h.Set("X-Not-Executed", "1")
