--- a/review/tool3/main.go
+++ b/review/tool3/main.go
@@ -20,7 +20,8 @@
 
 // cases has the function of each case by name. It returns whether the rule was broken.
 var cases = map[string]func(*play) (broken bool, err error){
-	"late-body": lateBody,
+	"late-body":    lateBody,
+	"idle-timeout": idleTimeout,
 }
 
 func main() {
