--- a/review/tool3/idle.go
+++ b/review/tool3/idle.go
@@ -145,12 +145,12 @@
 		counts[fmt.Sprintf("%s, served %v", e.kind, e.served)]++
 	}
 	p.recordf("requests: %v", counts)
-	return p.checkFloor(servers, exchanges, began), nil
+	return p.checkFloor(servers, exchanges, began, loadTime), nil
 }
 
 // checkFloor looks at each span of 2 s.
-func (p *play) checkFloor(servers []*instance, exchanges []exchange, began time.Time) (broken bool) {
-	for from := began.Add(time.Second); from.Before(began.Add(loadTime - floorSpan)); from = from.Add(floorStep) {
+func (p *play) checkFloor(servers []*instance, exchanges []exchange, began time.Time, load time.Duration) (broken bool) {
+	for from := began.Add(time.Second); from.Before(began.Add(load - floorSpan)); from = from.Add(floorStep) {
 		to := from.Add(floorSpan)
 		sent, missed, used := 0, 0, 0
 		for _, e := range exchanges {
--- a/review/tool3/main.go
+++ b/review/tool3/main.go
@@ -20,8 +20,9 @@
 
 // cases has the function of each case by name. It returns whether the rule was broken.
 var cases = map[string]func(*play) (broken bool, err error){
-	"late-body":    lateBody,
-	"idle-timeout": idleTimeout,
+	"late-body":     lateBody,
+	"idle-timeout":  idleTimeout,
+	"foreign-drain": foreignDrain,
 }
 
 func main() {
