--- a/review/tool3/play.go
+++ b/review/tool3/play.go
@@ -203,13 +203,4 @@
 	return nil
 }
 
-// signal sends a signal to the process of a host.
-func (p *play) signal(ip string, s syscall.Signal) error {
-	p.mu.Lock()
-	cmd := p.processes[ip]
-	p.mu.Unlock()
-	p.recordf("%v to the process at %s", s, ip)
-	return cmd.Process.Signal(s)
-}
-
 func hostPort(ip string, port int) string { return net.JoinHostPort(ip, strconv.Itoa(port)) }
