--- a/review/tool3/instance.go
+++ b/review/tool3/instance.go
@@ -162,8 +162,17 @@
 
 // ServeHTTP serves a request as PROTOCOL.md describes.
 func (s *instance) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	s.mu.Lock()
+	draining := s.state == "draining"
+	s.mu.Unlock()
+	if draining {
+		w.Header().Set("Connection", "close")
+	}
 	if r.URL.Path == "/health" {
 		w.Header().Set("X-Instance-Id", s.id)
+		if draining {
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
 		return
 	}
 	id := r.Header.Get("X-Request-Id")
