--- a/review/tool3/foreign.go
+++ b/review/tool3/foreign.go
@@ -44,10 +44,22 @@
 	}
 	time.Sleep(7 * time.Second)
 	began := time.Now()
+	if p.trouble {
+		go func() {
+			time.Sleep(3 * time.Second)
+			p.announceForeign(servers[:foreignEntries], controls, began)
+		}()
+	}
+	exchanges := p.sendReads(entries, foreignRate, began, foreignLoad)
+	return p.checkFloor(servers, exchanges, began, foreignLoad), nil
+}
+
+// sendReads sends requests to /list/ at a steady rate, on kept connections, and returns them when all have ended.
+func (p *play) sendReads(entries, rate int, began time.Time, load time.Duration) []exchange {
 	var mu sync.Mutex
 	var exchanges []exchange
 	var group sync.WaitGroup
-	idle := make(chan *client, foreignRate*int(foreignLoad/time.Second))
+	idle := make(chan *client, rate*int(load/time.Second)+1)
 	send := func(n int) {
 		var c *client
 		select {
@@ -63,15 +75,9 @@
 		mu.Unlock()
 		idle <- c
 	}
-	if p.trouble {
-		group.Go(func() {
-			time.Sleep(3 * time.Second)
-			p.announceForeign(servers[:foreignEntries], controls, began)
-		})
-	}
-	for n := 0; time.Since(began) < foreignLoad; n++ {
+	for n := 0; time.Since(began) < load; n++ {
 		group.Go(func() { send(n) })
-		time.Sleep(time.Until(began.Add(time.Duration(n+1) * time.Second / foreignRate)))
+		time.Sleep(time.Until(began.Add(time.Duration(n+1) * time.Second / time.Duration(rate))))
 	}
 	group.Wait()
 	served := 0
@@ -81,7 +87,7 @@
 		}
 	}
 	p.recordf("%d of %d requests served", served, len(exchanges))
-	return p.checkFloor(servers, exchanges, began, foreignLoad), nil
+	return exchanges
 }
 
 // announceForeign sends the entries of the other writer, each once in the interval of heartbeats.
